--- /dev/null
+++ b/core/fault/doc.go
@@ -0,0 +1,2 @@
+// Package fault is the closed list of error kinds.
+package fault
--- /dev/null
+++ b/wisteriad/main.go
@@ -0,0 +1,4 @@
+// Package main is a placeholder.
+package main
+
+func main() {}
