--- a/core/fault/doc.go
+++ b/core/fault/doc.go
@@ -1,2 +1,3 @@
-// Package fault is the closed list of error kinds.
+// Package fault holds the closed list of error kinds of wisteriarelay, the
+// table from kind to answer, and the outcome that an answer states.
 package fault
--- /dev/null
+++ b/core/fault/kind.go
@@ -0,0 +1,140 @@
+package fault
+
+import "net/http"
+
+// Kind is one entry of the closed list of error kinds.
+type Kind uint8
+
+// The error kinds. The zero value stands for an error that carries no kind.
+const (
+	Internal Kind = iota
+	BadRequest
+	RequestTooLarge
+	UnknownService
+	UnknownRoute
+	MethodNotAllowed
+	NotCarried
+	NotReady
+	DeadlineExceeded
+	QueueFull
+	NoTarget
+	CallerGone
+	TargetUnreachable
+	TargetTimeout
+	TargetProtocol
+	TargetShort
+	TargetBodyFailure
+	TargetShed
+	OrderKeyMissing
+	OrderKeyInvalid
+	OrderKeyMismatch
+	OrderInProgress
+	OrderClosed
+	OrderUnknown
+	OrderAnswerDropped
+	StoreUnavailable
+	StoreConflict
+	StoreAmbiguous
+	RowMissing
+	SettingsInvalid
+	SettingsConflict
+	SettingsUnsettled
+	NotFound
+	Unauthenticated
+	Forbidden
+	FloorReached
+	ConfigInvalid
+	PeerUnreachable
+	MessageInvalid
+	kindCount
+)
+
+// Retry says whether and how a caller may try again.
+type Retry string
+
+// The retry advice values as they stand in answers.
+const (
+	RetryNever   Retry = "never"
+	RetrySameKey Retry = "same-key"
+	RetryNewKey  Retry = "new-key"
+	RetryLater   Retry = "later"
+	RetryOther   Retry = "other-address"
+)
+
+// Answer is the row of the table that belongs to one kind.
+type Answer struct {
+	Name    string
+	Title   string
+	Status  int
+	Outcome Outcome
+	Retry   Retry
+}
+
+// statusClientClosed is the status logged, never sent, when the caller left
+// before its answer.
+const statusClientClosed = 499
+
+var answers = [kindCount]Answer{
+	Internal:           {"internal", "Internal error", http.StatusInternalServerError, Unknown, RetrySameKey},
+	BadRequest:         {"bad-request", "Malformed request", http.StatusBadRequest, NotRun, RetryNever},
+	RequestTooLarge:    {"request-too-large", "Request body too large", http.StatusRequestEntityTooLarge, NotRun, RetryNever},
+	UnknownService:     {"unknown-service", "No such service", http.StatusNotFound, NotRun, RetryNever},
+	UnknownRoute:       {"unknown-route", "No route for this path", http.StatusNotFound, NotRun, RetryNever},
+	MethodNotAllowed:   {"method-not-allowed", "Method not allowed on this route", http.StatusMethodNotAllowed, NotRun, RetryNever},
+	NotCarried:         {"not-carried", "Service is not carried by this daemon", http.StatusMisdirectedRequest, NotRun, RetryOther},
+	NotReady:           {"not-ready", "Daemon is not ready", http.StatusServiceUnavailable, NotRun, RetryOther},
+	DeadlineExceeded:   {"deadline-exceeded", "Deadline cannot be met", http.StatusGatewayTimeout, NotRun, RetryLater},
+	QueueFull:          {"queue-full", "Service is at its limit", http.StatusServiceUnavailable, NotRun, RetryLater},
+	NoTarget:           {"no-target", "No target can take the request", http.StatusServiceUnavailable, NotRun, RetryLater},
+	CallerGone:         {"caller-gone", "Caller closed the request", statusClientClosed, Unknown, RetrySameKey},
+	TargetUnreachable:  {"target-unreachable", "Target unreachable", http.StatusBadGateway, NotRun, RetryLater},
+	TargetTimeout:      {"target-timeout", "Target did not answer in time", http.StatusGatewayTimeout, Unknown, RetrySameKey},
+	TargetProtocol:     {"target-protocol", "Target broke the protocol", http.StatusBadGateway, Unknown, RetrySameKey},
+	TargetShort:        {"target-short", "Answer of the target was cut short", http.StatusBadGateway, Unknown, RetrySameKey},
+	TargetBodyFailure:  {"target-body-failure", "Target reported a failure inside a success status", http.StatusBadGateway, Unknown, RetrySameKey},
+	TargetShed:         {"target-shed", "Target refused the request before starting it", http.StatusServiceUnavailable, NotRun, RetryLater},
+	OrderKeyMissing:    {"order-key-missing", "Orders on this route need an Idempotency-Key", http.StatusBadRequest, NotRun, RetryNever},
+	OrderKeyInvalid:    {"order-key-invalid", "Idempotency-Key is malformed or not issued by this fleet", http.StatusBadRequest, NotRun, RetryNewKey},
+	OrderKeyMismatch:   {"order-key-mismatch", "Idempotency-Key was used for another request", http.StatusUnprocessableEntity, Unknown, RetryNewKey},
+	OrderInProgress:    {"order-in-progress", "Order is still running", http.StatusConflict, Unknown, RetrySameKey},
+	OrderClosed:        {"order-closed", "Order was not run and its key is closed", http.StatusConflict, NotRun, RetryNewKey},
+	OrderUnknown:       {"order-unknown", "Outcome of the order is unknown", http.StatusBadGateway, Unknown, RetrySameKey},
+	OrderAnswerDropped: {"order-answer-dropped", "Order was run but its answer is no longer kept", http.StatusConflict, Run, RetryNever},
+	StoreUnavailable:   {"store-unavailable", "Platform store is unavailable", http.StatusServiceUnavailable, NotRun, RetryLater},
+	StoreConflict:      {"store-conflict", "Platform store reports a conflict", http.StatusConflict, NotRun, RetryLater},
+	StoreAmbiguous:     {"store-ambiguous", "Write to the platform store may have taken effect", http.StatusServiceUnavailable, Unknown, RetrySameKey},
+	RowMissing:         {"row-missing", "No such row", http.StatusNotFound, NotRun, RetryNever},
+	SettingsInvalid:    {"settings-invalid", "Settings are not valid", http.StatusUnprocessableEntity, NotRun, RetryNever},
+	SettingsConflict:   {"settings-conflict", "Settings changed since the proposal", http.StatusConflict, NotRun, RetryLater},
+	SettingsUnsettled:  {"settings-unsettled", "Change lacks an approval", http.StatusConflict, NotRun, RetryLater},
+	NotFound:           {"not-found", "Not found", http.StatusNotFound, NotRun, RetryNever},
+	Unauthenticated:    {"unauthenticated", "Credentials are missing or wrong", http.StatusUnauthorized, NotRun, RetryNever},
+	Forbidden:          {"forbidden", "Operator may not do this", http.StatusForbidden, NotRun, RetryNever},
+	FloorReached:       {"floor-reached", "Floor of the service would be passed", http.StatusConflict, NotRun, RetryLater},
+	ConfigInvalid:      {"config-invalid", "Process settings are not valid", http.StatusInternalServerError, NotRun, RetryNever},
+	PeerUnreachable:    {"peer-unreachable", "Peer daemon is unreachable", http.StatusServiceUnavailable, Unknown, RetryLater},
+	MessageInvalid:     {"message-invalid", "Message is not valid", http.StatusBadRequest, NotRun, RetryNever},
+}
+
+// Answer returns the row of the table for the kind; an unlisted kind gets the
+// row of Internal.
+func (k Kind) Answer() Answer {
+	if k >= kindCount {
+		return answers[Internal]
+	}
+	return answers[k]
+}
+
+// String returns the kebab-case name of the kind.
+func (k Kind) String() string {
+	return k.Answer().Name
+}
+
+// Kinds returns every kind of the closed list, in order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, kindCount)
+	for k := range kindCount {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
--- /dev/null
+++ b/core/store/doc.go
@@ -0,0 +1,3 @@
+// Package store is the client of the platform: the transactional table
+// service, the object store and the list of VMs.
+package store
