--- /dev/null
+++ b/core/config/doc.go
@@ -0,0 +1,3 @@
+// Package config reads the settings of one process, written in JSON with
+// comments. Errors name file, line, key and what is allowed.
+package config
--- /dev/null
+++ b/core/link/failure.go
@@ -0,0 +1,80 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Stage is the point at which an exchange failed.
+type Stage uint8
+
+// The stages of an exchange.
+const (
+	// StageDial means that no connection was made; no byte was sent.
+	StageDial Stage = iota
+	// StageUnsent means that a connection was made but no byte of the request was sent.
+	StageUnsent
+	// StageWrite means that a part of the request was sent.
+	StageWrite
+	// StageHead means that the request was sent and no whole response head came back.
+	StageHead
+	// StageBody means that the response broke off inside its body.
+	StageBody
+)
+
+// String returns the kebab-case name of the stage.
+func (s Stage) String() string {
+	return [...]string{"dial", "unsent", "write", "head", "body"}[s]
+}
+
+// Failure is the error of an exchange.
+type Failure struct {
+	Stage Stage
+	// Refused says that the target's host refused the connection.
+	Refused bool
+	// TimedOut says that the deadline passed.
+	TimedOut bool
+	// Cancelled says that the caller gave the exchange up.
+	Cancelled bool
+	// Protocol says that the target broke HTTP/1.1.
+	Protocol bool
+	Cause    error
+}
+
+// Error returns stage and cause on one line.
+func (f *Failure) Error() string {
+	return fmt.Sprintf("exchange failed at %s: %v", f.Stage, f.Cause)
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error {
+	return f.Cause
+}
+
+// Unsent reports whether it is certain that the target saw no byte of the request.
+func (f *Failure) Unsent() bool {
+	return f.Stage == StageDial || f.Stage == StageUnsent
+}
+
+func newFailure(ctx context.Context, stage Stage, cause error) *Failure {
+	f := &Failure{Stage: stage, Cause: cause}
+	f.Refused = errors.Is(cause, syscall.ECONNREFUSED)
+	var netErr net.Error
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		f.TimedOut = true
+	case ctx.Err() != nil:
+		f.Cancelled = true
+	case errors.As(cause, &netErr) && netErr.Timeout():
+		f.TimedOut = true
+	}
+	return f
+}
+
+func newProtocolFailure(cause error) *Failure {
+	return &Failure{Stage: StageHead, Protocol: true, Cause: cause}
+}
--- /dev/null
+++ b/core/stats/dump.go
@@ -0,0 +1,67 @@
+package stats
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+)
+
+// Dump collects the state of the parts of a process on request.
+type Dump struct {
+	mu    sync.Mutex
+	parts map[string]func() any
+}
+
+// NewDump returns a dump without parts.
+func NewDump() *Dump {
+	return &Dump{parts: map[string]func() any{}}
+}
+
+// Add registers the function that returns the state of a part; the state must
+// encode as JSON.
+func (d *Dump) Add(part string, read func() any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.parts[part] = read
+}
+
+// Parts returns the names of the parts in order.
+func (d *Dump) Parts() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	names := make([]string, 0, len(d.parts))
+	for n := range d.parts {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Read returns the state of one part, or of all parts by name if part is empty.
+func (d *Dump) Read(part string) any {
+	d.mu.Lock()
+	reads := make(map[string]func() any, len(d.parts))
+	for n, read := range d.parts {
+		if part == "" || part == n {
+			reads[n] = read
+		}
+	}
+	d.mu.Unlock()
+	state := make(map[string]any, len(reads))
+	for n, read := range reads {
+		state[n] = read()
+	}
+	return state
+}
+
+// ServeHTTP writes the state as JSON; the query parameter "part" selects one part.
+func (d *Dump) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	data, err := json.MarshalIndent(d.Read(r.URL.Query().Get("part")), "", "  ")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/core/stats/set.go
@@ -0,0 +1,110 @@
+package stats
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	reservoirSize = 1028
+	// reservoirAlpha weighs a reservoir towards about the last five minutes.
+	reservoirAlpha = 0.015
+)
+
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// Set is the set of metrics of one process.
+type Set struct {
+	registry metrics.Registry
+}
+
+// New returns an empty set.
+func New() *Set {
+	return &Set{registry: metrics.NewRegistry()}
+}
+
+// Counter returns the counter of that name, made at its first use.
+func (s *Set) Counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, s.registry)
+}
+
+// Histogram returns the histogram of that name, made at its first use.
+func (s *Set) Histogram(name string) metrics.Histogram {
+	return s.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
+	}).(metrics.Histogram)
+}
+
+// Gauge registers a function that is read at each export.
+func (s *Set) Gauge(name string, read func() int64) {
+	s.registry.GetOrRegister(name, metrics.NewFunctionalGauge(read))
+}
+
+// Label appends a label to a metric name, in the form of the text format.
+func Label(name, key, value string) string {
+	return fmt.Sprintf("%s{%s=%q}", name, key, value)
+}
+
+// ServeHTTP writes all metrics in the Prometheus text format.
+func (s *Set) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	_, _ = w.Write([]byte(s.text()))
+}
+
+func (s *Set) text() string {
+	var lines []string
+	s.registry.Each(func(name string, metric any) {
+		lines = append(lines, export(name, metric)...)
+	})
+	sort.Strings(lines)
+	return strings.Join(lines, "\n") + "\n"
+}
+
+func export(name string, metric any) []string {
+	base, labels := splitName(name)
+	switch m := metric.(type) {
+	case metrics.Counter:
+		return []string{sample(base+"_total", labels, m.Count())}
+	case metrics.Gauge:
+		return []string{sample(base, labels, m.Value())}
+	case metrics.Histogram:
+		return exportHistogram(base, labels, m.Snapshot())
+	default:
+		return nil
+	}
+}
+
+func exportHistogram(base, labels string, h metrics.Histogram) []string {
+	lines := []string{
+		sample(base+"_count", labels, h.Count()),
+		sample(base+"_sum", labels, h.Sum()),
+	}
+	values := h.Percentiles(quantiles)
+	for i, q := range quantiles {
+		label := fmt.Sprintf("quantile=%q", fmt.Sprint(q))
+		if labels != "" {
+			label = labels + "," + label
+		}
+		lines = append(lines, sample(base, label, int64(values[i])))
+	}
+	return lines
+}
+
+func splitName(name string) (base, labels string) {
+	base, rest, found := strings.Cut(name, "{")
+	if !found {
+		return name, ""
+	}
+	return base, strings.TrimSuffix(rest, "}")
+}
+
+func sample(base, labels string, value int64) string {
+	if labels == "" {
+		return fmt.Sprintf("%s %d", base, value)
+	}
+	return fmt.Sprintf("%s{%s} %d", base, labels, value)
+}
