--- a/core/fault/kind.go
+++ b/core/fault/kind.go
@@ -24,6 +24,7 @@
 	TargetProtocol
 	TargetShort
 	TargetBodyFailure
+	TargetFailed
 	TargetShed
 	OrderKeyMissing
 	OrderKeyInvalid
@@ -92,6 +93,7 @@
 	TargetProtocol:     {"target-protocol", "Target broke the protocol", http.StatusBadGateway, Unknown, RetrySameKey},
 	TargetShort:        {"target-short", "Answer of the target was cut short", http.StatusBadGateway, Unknown, RetrySameKey},
 	TargetBodyFailure:  {"target-body-failure", "Target reported a failure inside a success status", http.StatusBadGateway, Unknown, RetrySameKey},
+	TargetFailed:       {"target-failed", "Target answered with a failure status", http.StatusBadGateway, Unknown, RetrySameKey},
 	TargetShed:         {"target-shed", "Target refused the request before starting it", http.StatusServiceUnavailable, NotRun, RetryLater},
 	OrderKeyMissing:    {"order-key-missing", "Orders on this route need an Idempotency-Key", http.StatusBadRequest, NotRun, RetryNever},
 	OrderKeyInvalid:    {"order-key-invalid", "Idempotency-Key is malformed or not issued by this fleet", http.StatusBadRequest, NotRun, RetryNewKey},
--- /dev/null
+++ b/core/limit/peers.go
@@ -0,0 +1,123 @@
+package limit
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"wisteriarelay.example/core/fleet"
+)
+
+// Load is the work of one daemon at one target, in requests in flight.
+type Load struct {
+	Target   fleet.TargetID `json:"target"`
+	InFlight float64        `json:"in-flight"`
+}
+
+const (
+	// peerFresh is how long a report counts in full: three intervals of 2 s, after
+	// which section 10 of the design calls the peer unheard.
+	peerFresh = 6 * time.Second
+	// peerHalving is the time in which the share of an unheard peer halves.
+	peerHalving = 2 * time.Second
+	// peerGone is the age at which a report is dropped; by then it counts 1/8.
+	peerGone = peerFresh + 3*peerHalving
+	// never lies after any time of the gate's clock.
+	never = time.Duration(math.MaxInt64)
+)
+
+// peer is the last report of one peer; it is immutable.
+type peer struct {
+	at    time.Duration
+	loads []Load
+}
+
+// shares is the work of all peers by target.
+type shares struct {
+	work map[fleet.TargetID]float64
+	// peers is the number of peers whose report still counts.
+	peers int
+	until time.Duration
+}
+
+// SetPeer replaces the work that a peer reports. Reports older than the last one
+// are ignored; one from the future counts as made now.
+func (g *Gate) SetPeer(vm fleet.VMID, loads []Load, at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	p := &peer{at: min(at.Sub(g.born), now), loads: slices.Clone(loads)}
+	if old, ok := g.peers[vm]; ok && old.at > p.at {
+		return
+	}
+	g.peers[vm] = p
+	g.rebuild(now)
+	g.dispatch(now)
+}
+
+// DropPeer forgets a peer that has left.
+func (g *Gate) DropPeer(vm fleet.VMID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.peers, vm)
+	now := g.now()
+	g.rebuild(now)
+	g.dispatch(now)
+}
+
+// shares adds up the reports that still count and forgets the others; mu is held.
+func (g *Gate) shares(now time.Duration) shares {
+	s := shares{work: make(map[fleet.TargetID]float64, len(g.targets)), until: never}
+	for vm, p := range g.peers {
+		age := now - p.at
+		if age >= peerGone {
+			delete(g.peers, vm)
+			continue
+		}
+		s.peers++
+		s.until = min(s.until, p.at+nextDecay(age))
+		for _, l := range p.loads {
+			if l.InFlight > 0 {
+				s.work[l.Target] += math.Ldexp(l.InFlight, -halvings(age))
+			}
+		}
+	}
+	return s
+}
+
+// halvings is the number of times a share of this age is halved.
+func halvings(age time.Duration) int {
+	if age < peerFresh {
+		return 0
+	}
+	return 1 + int((age-peerFresh)/peerHalving)
+}
+
+// nextDecay is the age at which a share of this age changes next.
+func nextDecay(age time.Duration) time.Duration {
+	return peerFresh + time.Duration(halvings(age))*peerHalving
+}
+
+// roundWork rounds to whole requests; reports may be means.
+func roundWork(w float64) int {
+	const most = 1 << 20
+	return int(math.Round(min(w, most)))
+}
+
+// InFlight returns this daemon's work by target, for the report to the peers.
+// Targets without work are omitted; the order is by target.
+func (g *Gate) InFlight() []Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	loads := make([]Load, 0, len(g.slots))
+	for id, s := range g.slots {
+		if n := s.inFlight.Load(); n > 0 {
+			loads = append(loads, Load{Target: id, InFlight: float64(n)})
+		}
+	}
+	slices.SortFunc(loads, func(a, b Load) int {
+		return strings.Compare(string(a.Target), string(b.Target))
+	})
+	return loads
+}
