Add evidence, verdicts, ejection list and target states

Cause: the request path and the inner protocol need the types of the detect package before its run loops exist. Change: Recorder and its wire rows, Service with Assess, Ejections with its transitions, States, and the tracker of leaving signs.

--- /dev/null
+++ b/core/detect/assess_test.go
@@ -0,0 +1,219 @@
+package detect
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/fleet"
+)
+
+// bench holds a service with six carriers in three data centres.
+type bench struct {
+	svc *fleet.Service
+	s   *Service
+	now time.Time
+}
+
+var carrierDCs = []fleet.DataCentre{"mdp", "mdp", "pinamar", "pinamar", "necochea", "necochea"}
+
+func newBench(targets int) *bench {
+	b := &bench{svc: testService(targets), now: epoch}
+	b.s = NewService(b.svc, "vm0")
+	b.s.SetCarriers(benchCarriers())
+	return b
+}
+
+func benchCarriers() map[fleet.VMID]fleet.DataCentre {
+	all := map[fleet.VMID]fleet.DataCentre{}
+	for i, dc := range carrierDCs {
+		all[vmName(i)] = dc
+	}
+	return all
+}
+
+func vmName(i int) fleet.VMID { return fleet.VMID(fmt.Sprintf("vm%d", i)) }
+
+// each adds, for all carriers and targets, the row that fill sets; a row starts
+// with 5 good requests of 10 ms.
+func (b *bench) each(fill func(carrier, target int, r *Row)) {
+	b.now = b.now.Add(time.Second)
+	for c, dc := range carrierDCs {
+		var rows []Row
+		for i := range b.svc.Targets {
+			r := Row{Target: targetName(i), Latency: CodeOf(10 * time.Millisecond)}
+			r.Counts[OK] = 5
+			fill(c, i, &r)
+			rows = append(rows, r)
+		}
+		b.s.Add(vmName(c), dc, rows, b.now)
+	}
+}
+
+func fail(r *Row, res Result) {
+	r.Counts[OK], r.Counts[res] = 1, 4
+}
+
+func summary(vs []Verdict) []string {
+	out := []string{}
+	for _, v := range vs {
+		out = append(out, fmt.Sprintf("%s %s %s", v.Action, v.Target, v.Cause))
+	}
+	return out
+}
+
+var _ = Describe("Assess", func() {
+	var b *bench
+	BeforeEach(func() { b = newBench(9) })
+	verdicts := func() []string { return summary(b.s.Assess(b.now)) }
+
+	DescribeTable("condemns a target that all observers see sick",
+		func(res Result, cause string) {
+			b.each(func(_, i int, r *Row) {
+				if i == 2 {
+					fail(r, res)
+				}
+			})
+			Expect(verdicts()).To(Equal([]string{"condemn c " + cause}))
+		},
+		Entry("failing", Failed, "failing"),
+		Entry("hanging", TimedOut, "timeouts"),
+		Entry("truncating", Short, "short-responses"),
+		Entry("failing inside a 200", BodyFailure, "body-failures"),
+		Entry("unreachable", Unreachable, "unreachable"),
+	)
+
+	It("condemns a slow target and says why", func() {
+		b.each(func(_, i int, r *Row) {
+			if i == 2 {
+				r.Latency = CodeOf(50 * time.Millisecond)
+			}
+		})
+		vs := b.s.Assess(b.now)
+		Expect(summary(vs)).To(Equal([]string{"condemn c slow"}))
+		Expect(vs[0].Reason).To(ContainSubstring("6 observers in 3 data centres agree"))
+	})
+
+	It("gives no verdict on shedding and cancellations", func() {
+		b.each(func(_, i int, r *Row) {
+			r.Counts[Shed], r.Counts[Cancelled] = 50, 50
+		})
+		Expect(verdicts()).To(BeEmpty())
+	})
+
+	It("only avoids a target that one observer cannot reach", func() {
+		b.each(func(c, i int, r *Row) {
+			if c == 0 && i == 2 {
+				r.Counts[OK], r.Counts[Unreachable] = 0, 5
+			}
+		})
+		Expect(verdicts()).To(Equal([]string{"avoid c unreachable"}))
+	})
+
+	It("does not condemn on the word of one data centre", func() {
+		b.each(func(c, i int, r *Row) {
+			if carrierDCs[c] == "pinamar" && i == 2 {
+				fail(r, Failed)
+			}
+		})
+		Expect(verdicts()).To(BeEmpty())
+	})
+
+	It("does not count observers that fail against most targets", func() {
+		b.each(func(c, i int, r *Row) {
+			if c < 4 && i < 6 {
+				fail(r, Unreachable)
+			}
+		})
+		for _, v := range b.s.Assess(b.now) {
+			Expect(v.Action).To(Equal(Avoid), v.Reason)
+		}
+	})
+
+	DescribeTable("gives no verdicts when the service as a whole is",
+		func(sick func(r *Row)) {
+			b.each(func(_, _ int, r *Row) { sick(r) })
+			Expect(verdicts()).To(BeEmpty())
+		},
+		Entry("failing", func(r *Row) { fail(r, Failed) }),
+		Entry("slow", func(r *Row) { r.Latency = CodeOf(time.Second) }),
+	)
+
+	It("condemns a sick third of the service, the worst first", func() {
+		b.each(func(_, i int, r *Row) {
+			if i < 3 {
+				fail(r, Failed)
+			}
+			if i == 1 {
+				r.Counts[OK], r.Counts[Failed] = 0, 5
+			}
+		})
+		Expect(verdicts()).To(Equal([]string{"condemn b failing", "condemn a failing", "condemn c failing"}))
+	})
+
+	It("judges a target with little traffic by the wide window", func() {
+		for step := range 8 {
+			b.each(func(c, i int, r *Row) {
+				r.Counts[OK] = 0
+				if i == 2 && step%4 == c%4 {
+					r.Counts[Failed] = 1
+				} else if step%4 == c%4 {
+					r.Counts[OK] = 1
+				}
+			})
+			b.now = b.now.Add(2 * time.Second)
+		}
+		Expect(verdicts()).To(Equal([]string{"condemn c failing"}))
+	})
+
+	It("avoids a target without traffic whose probes fail, until one succeeds", func() {
+		probe := func(ok, failed uint32) {
+			b.now = b.now.Add(time.Second)
+			b.s.Add("vm3", "pinamar", []Row{{Target: "c", ProbesOK: ok, ProbesFailed: failed}}, b.now)
+		}
+		probe(0, 1)
+		Expect(verdicts()).To(BeEmpty())
+		Expect(b.s.Suspects()).To(HaveKey(fleet.TargetID("c")), "probed each second")
+		probe(0, 2)
+		Expect(verdicts()).To(Equal([]string{"avoid c probes-failing"}))
+		probe(1, 0)
+		Expect(verdicts()).To(BeEmpty())
+	})
+
+	It("holds good requests above failed probes", func() {
+		b.each(func(_, _ int, r *Row) {})
+		b.s.Add("vm3", "pinamar", []Row{{Target: "c", ProbesFailed: 9}}, b.now)
+		Expect(verdicts()).To(BeEmpty())
+	})
+
+	It("forgets what was held against a target before it came back", func() {
+		b.each(func(_, i int, r *Row) {
+			if i == 2 {
+				fail(r, Failed)
+			}
+		})
+		listed := Ejections{Entries: []Ejection{{Target: "c"}}}
+		b.s.Follow(listed, nil, b.now)
+		Expect(verdicts()).To(BeEmpty())
+		b.s.Follow(Ejections{}, nil, b.now)
+		Expect(verdicts()).To(BeEmpty())
+		Expect(b.s.Started()).To(HaveKey(fleet.TargetID("c")))
+	})
+
+	It("weighs slowness less while a target starts", func() {
+		b.s.Follow(Ejections{}, Signs{"c": {}}, b.now)
+		b.s.Follow(Ejections{}, nil, b.now)
+		slow := func(_, i int, r *Row) {
+			if i == 2 {
+				r.Latency = CodeOf(60 * time.Millisecond)
+			}
+		}
+		b.each(slow)
+		Expect(verdicts()).To(BeEmpty())
+		b.now = b.now.Add(20 * time.Second)
+		b.each(slow)
+		Expect(verdicts()).To(Equal([]string{"condemn c slow"}))
+	})
+})
--- /dev/null
+++ b/core/detect/ejections_test.go
@@ -0,0 +1,102 @@
+package detect
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/fleet"
+)
+
+func condemned(id fleet.TargetID) Verdict {
+	return Verdict{Target: id, Action: Condemn, Severity: 2, Reason: "5 of 6 requests failed"}
+}
+
+func stateOf(states []TargetState, id fleet.TargetID) State {
+	for _, s := range states {
+		if s.Target == id {
+			return s.State
+		}
+	}
+	return stateCount
+}
+
+var _ = Describe("Ejections", func() {
+	svc := testService(6)
+	eject := func(j Ejections, id fleet.TargetID, now time.Time) Ejections {
+		n, err := j.Eject(svc, nil, condemned(id), "vm1", now)
+		Expect(err).NotTo(HaveOccurred())
+		return n
+	}
+
+	It("refuses the entry that would break the floor", func() {
+		j := NewEjections(svc.ID)
+		for _, id := range []fleet.TargetID{"a", "b", "c"} {
+			j = eject(j, id, epoch)
+		}
+		_, err := j.Eject(svc, nil, condemned("d"), "vm1", epoch)
+		Expect(fault.Is(err, fault.FloorReached)).To(BeTrue())
+		_, err = j.EjectByHand(svc, nil, "d", "alma", "bad disk", epoch)
+		Expect(fault.Is(err, fault.FloorReached)).To(BeTrue())
+	})
+
+	It("counts leaving and drained targets against the floor", func() {
+		j := eject(NewEjections(svc.ID), "a", epoch)
+		signs := Signs{"e": {}, "f": {}}
+		_, err := j.Eject(svc, signs, condemned("b"), "vm1", epoch)
+		Expect(fault.Is(err, fault.FloorReached)).To(BeTrue())
+	})
+
+	It("doubles the period of a target that flaps, up to the longest", func() {
+		j, now := NewEjections(svc.ID), epoch
+		for _, want := range []int64{10, 20, 40, 80, 160, 300, 300} {
+			j = eject(j, "a", now)
+			e, _ := j.Find("a")
+			Expect(e.PeriodMS).To(Equal(want * 1000))
+			now = e.Until
+			j, _ = j.BeginTrial(svc, "a", now)
+			j, _ = j.TrialResult(svc, "a", true, "vm1", now)
+			Expect(j.Entries).To(BeEmpty())
+			now = now.Add(flapFactor * e.Period())
+		}
+		now = now.Add(time.Second)
+		Expect(eject(j, "a", now).Entries[0].PeriodMS).To(Equal(int64(10_000)), "forgotten after 10 periods")
+	})
+
+	It("drops the youngest entries when the floor is raised", func() {
+		j := eject(NewEjections(svc.ID), "a", epoch)
+		j = eject(j, "b", epoch.Add(time.Second))
+		raised := *svc
+		raised.Policy.Floor = fleet.Floor{Count: 5}
+		n := j.Fit(&raised, epoch.Add(2*time.Second))
+		Expect(n.Validate()).To(Succeed())
+		Expect(n.Entries).To(HaveLen(1))
+		Expect(n.Entries[0].Target).To(Equal(fleet.TargetID("a")))
+		states := States(&raised, j, nil, nil, nil, epoch.Add(2*time.Second))
+		Expect(stateOf(states, "a")).To(Equal(Ejected))
+		Expect(stateOf(states, "b")).To(Equal(Avoided))
+	})
+
+	It("keeps every statement through the row value", func() {
+		j := eject(NewEjections(svc.ID), "a", epoch).Stamp("vm1.7")
+		j, err := j.EjectByHand(svc, nil, "b", "alma", "disk swap", epoch)
+		Expect(err).NotTo(HaveOccurred())
+		data, err := j.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(data)).To(ContainSubstring(`"period-ms":10000`))
+		back, err := DecodeEjections(svc.ID, data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(back).To(Equal(j))
+		_, err = DecodeEjections("otro", data)
+		Expect(fault.Is(err, fault.MessageInvalid)).To(BeTrue())
+	})
+
+	It("rejects a row that lists more than its own bound", func() {
+		j := eject(NewEjections(svc.ID), "a", epoch)
+		j.Floor = 6
+		_, err := j.Encode()
+		Expect(fault.Is(err, fault.MessageInvalid)).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/core/detect/result.go
@@ -0,0 +1,70 @@
+package detect
+
+import (
+	"math"
+	"time"
+)
+
+// Result is how one request to a target ended.
+type Result uint8
+
+// The results of a request. Shed, Cancelled and a target that leaves are no
+// sign of sickness.
+const (
+	OK Result = iota
+	Failed
+	TimedOut
+	Short
+	BodyFailure
+	Shed
+	Unreachable
+	Cancelled
+	resultCount
+)
+
+var resultNames = [resultCount]string{"ok", "failed", "timed-out", "short", "body-failure", "shed", "unreachable", "cancelled"}
+
+// String returns the kebab-case name of the result.
+func (r Result) String() string {
+	if r >= resultCount {
+		return "invalid"
+	}
+	return resultNames[r]
+}
+
+// IsFailure reports whether the result speaks against the target.
+func (r Result) IsFailure() bool {
+	switch r {
+	case Failed, TimedOut, Short, BodyFailure, Unreachable:
+		return true
+	default:
+		return false
+	}
+}
+
+// Code is a latency on a log scale with 8 steps for each doubling, that is 9%
+// a step, from 16 µs.
+type Code uint8
+
+const (
+	codeUnit       = 16 * time.Microsecond
+	codesPerOctave = 8
+)
+
+// CodeOf returns the code next to the latency.
+func CodeOf(d time.Duration) Code {
+	if d <= codeUnit {
+		return 0
+	}
+	c := math.Round(codesPerOctave * math.Log2(float64(d)/float64(codeUnit)))
+	return Code(min(c, math.MaxUint8))
+}
+
+// Latency returns the latency that the code stands for.
+func (c Code) Latency() time.Duration {
+	return latencyOf(float64(c))
+}
+
+func latencyOf(code float64) time.Duration {
+	return time.Duration(float64(codeUnit) * math.Exp2(code/codesPerOctave))
+}
--- /dev/null
+++ b/core/detect/row_test.go
@@ -0,0 +1,85 @@
+package detect
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/fault"
+)
+
+var _ = Describe("Rows on the wire", func() {
+	svc := testService(27)
+	roster := NewRoster(svc)
+	rec := func(fill func(r *Recorder)) []Row {
+		r := NewRecorder(svc)
+		fill(r)
+		return r.Drain()
+	}
+
+	It("takes at most 6 bytes for a target with ordinary traffic", func() {
+		rows := rec(func(r *Recorder) {
+			for i := range svc.Targets {
+				for range 200 {
+					r.Record(svc.Targets[i].ID, OK, 3*time.Millisecond)
+				}
+				r.Record(svc.Targets[i].ID, Cancelled, 0)
+			}
+		})
+		data := EncodeRows(roster, rows)
+		Expect(len(data)).To(BeNumerically("<=", 6*len(svc.Targets)))
+		Expect(EncodeRows(roster, nil)).To(HaveLen(6), "nothing to say costs the header only")
+	})
+
+	It("carries all counts, latency and probes", func() {
+		rows := rec(func(r *Recorder) {
+			for res := range resultCount {
+				r.Record("c", res, 20*time.Millisecond)
+			}
+			r.RecordProbe("z", OK, 25*time.Millisecond)
+			r.RecordProbe("z", TimedOut, 0)
+		})
+		back, err := DecodeRows(roster, EncodeRows(roster, rows))
+		Expect(err).NotTo(HaveOccurred())
+		rows[0].Counts[Cancelled] = 0
+		Expect(back).To(Equal(rows))
+		Expect(back[0].Latency.Latency()).To(BeNumerically("~", 20*time.Millisecond, time.Millisecond))
+	})
+
+	It("refuses rows of another target list", func() {
+		data := EncodeRows(roster, rec(func(r *Recorder) { r.Record("a", Failed, 0) }))
+		_, err := DecodeRows(NewRoster(testService(26)), data)
+		Expect(fault.Is(err, fault.MessageInvalid)).To(BeTrue())
+	})
+})
+
+func FuzzDecodeRows(f *testing.F) {
+	svc := testService(27)
+	roster := NewRoster(svc)
+	r := NewRecorder(svc)
+	r.Record("a", OK, time.Millisecond)
+	r.Record("f", Short, 0)
+	r.RecordProbe("h", OK, time.Millisecond)
+	whole := EncodeRows(roster, r.Drain())
+	f.Add(whole)
+	f.Add(whole[:len(whole)-1])
+	f.Add(append(append([]byte{}, whole...), 0))
+	f.Add(EncodeRows(roster, nil))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		rows, err := DecodeRows(roster, data)
+		if err != nil {
+			return
+		}
+		again, err := DecodeRows(roster, EncodeRows(roster, rows))
+		if err != nil || len(again) != len(rows) {
+			t.Fatalf("rows %v do not survive encoding: %v", rows, err)
+		}
+		for i := range rows {
+			if rows[i] != again[i] {
+				t.Fatalf("row %v became %v", rows[i], again[i])
+			}
+		}
+	})
+}
