Add the platform stand-in and its HTTP client

Cause: the daemons need the table service, the object store and the VM list, and tests need a platform that loses replies, lags and goes away. Change: core/stand serves the platform in memory and over HTTP with faults on order; core/store is the client with a read and a write budget, a circuit breaker for each part, and ApplyOnce for writes whose reply was lost. A missing marker row is not taken as proof that a write failed, because its request may be delayed; the same conditional transaction is applied again instead.

--- /dev/null
+++ b/core/stand/platform_test.go
@@ -0,0 +1,124 @@
+package stand_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/stand"
+	"wisteriarelay.example/core/store"
+)
+
+// insert is a transaction that creates the row.
+func insert(key, value string) store.Tx {
+	return store.Tx{ID: key, Conds: []store.Cond{{Key: key}}, Puts: []store.Put{{Key: key, Value: []byte(value)}}}
+}
+
+func beKind(k fault.Kind) OmegaMatcher {
+	return WithTransform(func(err error) fault.Kind { return fault.From(err).Kind }, Equal(k))
+}
+
+var _ = Describe("Platform", func() {
+	ctx := context.Background()
+	var p *stand.Platform
+	var t store.Table
+	BeforeEach(func() {
+		p = stand.NewPlatform(stand.WithVMLog(4))
+		t = p.Table()
+	})
+
+	It("applies a transaction as a whole or not at all", func() {
+		Expect(t.Apply(ctx, insert("a", "1"))).To(Succeed())
+		tx := insert("b", "1")
+		tx.Conds = append(tx.Conds, store.Cond{Key: "a", Version: 99})
+		Expect(t.Apply(ctx, tx)).To(beKind(fault.StoreConflict))
+		_, err := t.Get(ctx, "b")
+		Expect(err).To(beKind(fault.RowMissing))
+	})
+
+	It("never returns to an earlier version after a row was deleted", func() {
+		Expect(t.Apply(ctx, insert("a", "1"))).To(Succeed())
+		first, _ := t.Get(ctx, "a")
+		Expect(t.Apply(ctx, store.Tx{Puts: []store.Put{{Key: "a", Delete: true}}})).To(Succeed())
+		Expect(t.Apply(ctx, insert("a", "1"))).To(Succeed())
+		second, _ := t.Get(ctx, "a")
+		Expect(second.Version).To(BeNumerically(">", first.Version))
+	})
+
+	It("scans by prefix in key order from behind a key", func() {
+		for _, k := range []string{"x/2", "x/1", "x/3", "y/1", "w"} {
+			Expect(t.Apply(ctx, insert(k, k))).To(Succeed())
+		}
+		rows, err := t.Scan(ctx, "x/", "x/1", 10)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rows).To(HaveLen(2))
+		Expect(rows[0].Key).To(Equal("x/2"))
+		rows, _ = t.Scan(ctx, "x/", "", 1)
+		Expect(rows).To(HaveLen(1))
+		Expect(rows[0].Key).To(Equal("x/1"))
+	})
+
+	DescribeTable("misbehaves on order",
+		func(f stand.PlatformFaults, kind fault.Kind, applied bool) {
+			p.Misbehave(f)
+			Expect(t.Apply(ctx, insert("a", "1"))).To(beKind(kind))
+			p.Misbehave(stand.PlatformFaults{})
+			_, err := t.Get(ctx, "a")
+			Expect(err == nil).To(Equal(applied))
+		},
+		Entry("outage", stand.PlatformFaults{TableDown: true}, fault.StoreUnavailable, false),
+		Entry("refused writes", stand.PlatformFaults{RefuseWrites: true}, fault.StoreUnavailable, false),
+		Entry("lost reply", stand.PlatformFaults{LoseReplies: 1}, fault.StoreAmbiguous, true),
+		Entry("lost reply by chance", stand.PlatformFaults{LoseReplyRate: 1}, fault.StoreAmbiguous, true),
+		Entry("lost request", stand.PlatformFaults{LoseRequests: 1}, fault.StoreAmbiguous, false),
+		Entry("one way", stand.PlatformFaults{OneWay: true}, fault.StoreAmbiguous, true),
+	)
+
+	It("lists the VMs that changed, and all of them for a version that is too old", func() {
+		for i := range 3 {
+			Expect(p.PutVM(ctx, fleet.VM{ID: fleet.VMID(fmt.Sprint(i))})).To(Succeed())
+		}
+		all, err := p.VMList().Since(ctx, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(all.Full).To(BeTrue())
+		Expect(all.Live).To(HaveLen(3))
+		Expect(p.RemoveVM(ctx, "1")).To(Succeed())
+		some, _ := p.VMList().Since(ctx, all.Version)
+		Expect(some).To(Equal(store.VMChanges{Version: 4, Live: []fleet.VM{}, Gone: []fleet.VMID{"1"}}))
+		for range 4 {
+			Expect(p.PutVM(ctx, fleet.VM{ID: "9"})).To(Succeed())
+		}
+		late, _ := p.VMList().Since(ctx, all.Version)
+		Expect(late.Full).To(BeTrue())
+		Expect(late.Live).To(HaveLen(3))
+	})
+})
+
+// TestPlatformTime guards the faults that depend on time: a lag that hides
+// changes for ever, and a late write that takes effect at once.
+func TestPlatformTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx := context.Background()
+		p := stand.NewPlatform()
+		p.Misbehave(stand.PlatformFaults{VMLag: time.Minute, LoseReplies: 1, LateBy: time.Second})
+		g.Expect(p.Table().Apply(ctx, insert("a", "1"))).To(beKind(fault.StoreAmbiguous))
+		_, err := p.Table().Get(ctx, "a")
+		g.Expect(err).To(beKind(fault.RowMissing))
+		g.Expect(p.PutVM(ctx, fleet.VM{ID: "v"})).To(Succeed())
+		out, _ := p.VMList().Since(ctx, 0)
+		g.Expect(out.Live).To(BeEmpty())
+		time.Sleep(2 * time.Minute)
+		_, err = p.Table().Get(ctx, "a")
+		g.Expect(err).NotTo(HaveOccurred())
+		out, _ = p.VMList().Since(ctx, 0)
+		g.Expect(out.Live).To(HaveLen(1))
+	})
+}
--- a/core/stand/target.go
+++ b/core/stand/target.go
@@ -290,6 +290,9 @@
 
 // pause waits for d and returns false if ctx ends first.
 func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- /dev/null
+++ b/core/store/store_test.go
@@ -0,0 +1,214 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/stand"
+	"wisteriarelay.example/core/store"
+)
+
+func TestStore(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "store")
+}
+
+func insert(key, value string) store.Tx {
+	return store.Tx{ID: key, Conds: []store.Cond{{Key: key}}, Puts: []store.Put{{Key: key, Value: []byte(value)}}}
+}
+
+func mine(key, value string) store.Marker {
+	return store.Marker{Key: key, Mine: func(v []byte) bool { return string(v) == value }}
+}
+
+func beKind(k fault.Kind) OmegaMatcher {
+	return WithTransform(func(err error) fault.Kind { return fault.From(err).Kind }, Equal(k))
+}
+
+var _ = Describe("Client", func() {
+	ctx := context.Background()
+	var p *stand.Platform
+	var server *httptest.Server
+	var c *store.Client
+	BeforeEach(func() {
+		p = stand.NewPlatform()
+		server = httptest.NewServer(p)
+		c = store.NewClient(server.URL, store.WithTimeout(300*time.Millisecond))
+		DeferCleanup(func() {
+			c.Close()
+			server.CloseClientConnections()
+			server.Close()
+		})
+	})
+
+	It("speaks the protocol of rows, objects and VMs", func() {
+		t := c.Table()
+		Expect(t.Apply(ctx, insert("a b/ä", "1"))).To(Succeed())
+		Expect(t.Apply(ctx, insert("a b/ä", "2"))).To(beKind(fault.StoreConflict))
+		row, err := t.Get(ctx, "a b/ä")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(row.Value).To(Equal([]byte("1")))
+		_, err = t.Get(ctx, "none")
+		Expect(err).To(beKind(fault.RowMissing))
+		rows, err := t.Scan(ctx, "a b/", "", 5)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rows).To(Equal([]store.Row{row}))
+
+		Expect(c.Objects().Put(ctx, "settings/a b", []byte{0, 1})).To(Succeed())
+		Expect(p.ObjectNames()).To(Equal([]string{"settings/a b"}))
+		Expect(c.Objects().Get(ctx, "settings/a b")).To(Equal([]byte{0, 1}))
+		_, err = c.Objects().Get(ctx, "none")
+		Expect(err).To(beKind(fault.NotFound))
+
+		Expect(p.PutVM(ctx, fleet.VM{ID: "v"})).To(Succeed())
+		changes, err := c.VMList().Since(ctx, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changes.Live).To(HaveLen(1))
+	})
+
+	DescribeTable("maps faults of a write",
+		func(f stand.PlatformFaults, kind fault.Kind) {
+			p.Misbehave(f)
+			Expect(c.Table().Apply(ctx, insert("a", "1"))).To(beKind(kind))
+		},
+		Entry("down", stand.PlatformFaults{TableDown: true}, fault.StoreUnavailable),
+		Entry("lost reply", stand.PlatformFaults{LoseReplies: 1}, fault.StoreAmbiguous),
+		Entry("lost request", stand.PlatformFaults{LoseRequests: 1}, fault.StoreAmbiguous),
+		Entry("one way", stand.PlatformFaults{OneWay: true}, fault.StoreAmbiguous),
+		Entry("slow", stand.PlatformFaults{Delay: time.Second}, fault.StoreAmbiguous),
+	)
+
+	It("calls a write not sent only if it has no connection", func() {
+		server.Close()
+		Expect(c.Table().Apply(ctx, insert("a", "1"))).To(beKind(fault.StoreUnavailable))
+	})
+
+	It("takes a status of an intermediary for no answer", func() {
+		gateway := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }))
+		defer gateway.Close()
+		Expect(store.NewClient(gateway.URL).Table().Apply(ctx, insert("a", "1"))).To(beKind(fault.StoreAmbiguous))
+	})
+
+	It("stops asking a part that is away, and no other part", func() {
+		p.Misbehave(stand.PlatformFaults{TableDown: true})
+		for range 20 {
+			_, err := c.Table().Get(ctx, "a")
+			Expect(err).To(beKind(fault.StoreUnavailable))
+		}
+		Expect(p.Counts().TableReads).To(BeEquivalentTo(3))
+		Expect(c.Dump().Table.OpenSince).NotTo(BeZero())
+		Expect(c.Objects().Put(ctx, "o", nil)).To(Succeed())
+	})
+})
+
+// handlerTransport serves requests in the caller's goroutine, so that a
+// synctest bubble needs no network.
+type handlerTransport struct{ handler http.Handler }
+
+func (h handlerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	h.handler.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// TestFleetBudget guards against a fleet that asks more of the platform than
+// it takes: in a long outage, right after it, and in normal service.
+func TestFleetBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const daemons, minutes = 40, 3
+		p := stand.NewPlatform()
+		p.Misbehave(stand.PlatformFaults{TableDown: true})
+		load := make([]writer, daemons)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(writePause)
+		defer cancel()
+		for i := range load {
+			load[i] = writer{id: i, client: store.NewClient("http://platform", store.WithTransport(handlerTransport{p}),
+				store.WithDaemons(func() int { return daemons }))}
+			go load[i].run(ctx)
+		}
+		time.Sleep(minutes * time.Minute)
+		inOutage := p.Counts().TableWrites
+		// Three failures, six trials while the wait doubles, then a trial per 10 s at the most.
+		g.Expect(inOutage).To(BeNumerically("<=", daemons*(3+6+minutes*6)))
+		p.Misbehave(stand.PlatformFaults{})
+		last := p.Counts().TableWrites
+		for range 45 {
+			time.Sleep(time.Second)
+			now := p.Counts().TableWrites
+			g.Expect(now-last).To(BeNumerically("<=", 400+daemons), "writes in one second")
+			last = now
+		}
+		start := p.Counts().TableWrites
+		time.Sleep(10 * time.Second)
+		g.Expect(p.Counts().TableWrites - start).To(BeNumerically("~", 4000, 400))
+	})
+}
+
+const writePause = 50 * time.Millisecond
+
+// writer writes as fast as its client lets it.
+type writer struct {
+	id     int
+	client *store.Client
+}
+
+func (w *writer) run(ctx context.Context) {
+	for i := 0; ctx.Err() == nil; i++ {
+		_ = w.client.Table().Apply(ctx, insert(fmt.Sprint(w.id, "/", i), ""))
+		time.Sleep(writePause)
+	}
+}
+
+// TestApplyOnce guards against a write that is applied twice or reported as
+// not applied while its late effect is under way.
+func TestApplyOnce(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults stand.PlatformFaults
+	}{
+		{"reply lost", stand.PlatformFaults{LoseReplies: 3}},
+		{"request lost", stand.PlatformFaults{LoseRequests: 3}},
+		{"late effect", stand.PlatformFaults{LoseReplies: 1, LateBy: 30 * time.Millisecond}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				p := stand.NewPlatform()
+				p.Misbehave(c.faults)
+				g.Expect(store.ApplyOnce(t.Context(), p.Table(), insert("a", "1"), mine("a", "1"))).To(Succeed())
+				g.Expect(store.ApplyOnce(t.Context(), p.Table(), insert("a", "1"), mine("a", "1"))).To(Succeed())
+				g.Expect(store.ApplyOnce(t.Context(), p.Table(), insert("a", "2"), mine("a", "2"))).To(beKind(fault.StoreConflict))
+				time.Sleep(time.Second)
+				row, err := p.Table().Get(t.Context(), "a")
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(row.Version).To(BeEquivalentTo(1))
+			})
+		})
+	}
+}
+
+// TestApplyOnceUnresolved guards against a definite result while the store
+// can't be read.
+func TestApplyOnceUnresolved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := stand.NewPlatform()
+		p.Misbehave(stand.PlatformFaults{OneWay: true})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		g.Expect(store.ApplyOnce(ctx, p.Table(), insert("a", "1"), mine("a", "1"))).To(beKind(fault.StoreAmbiguous))
+	})
+}
