--- /dev/null
+++ b/core/fleet/run_test.go
@@ -0,0 +1,20 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/fleet"
+)
+
+// Guards against an incarnation that changes when it travels as VM id and run number.
+func TestIncarnationRoundTrip(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, i := range []fleet.Incarnation{"vm.a.000000000000000f", "vm-1.ffffffffffffffff", fleet.NewIncarnation("x")} {
+		g.Expect(fleet.IncarnationOf(i.VM(), i.Run())).To(gomega.Equal(i))
+	}
+	for _, i := range []fleet.Incarnation{"", "vm", "vm.12", "vm.000000000000000g"} {
+		g.Expect(i.Run()).To(gomega.BeZero(), string(i))
+	}
+}
