Relay lookups from callers to targets

Cause: the parts of the request path stood alone. Change: proxy parses a caller's request, acquires a slot, sends it over a link connection, checks the response against the route's rules, tries another target within the retry budget, hedges, and passes the whole response on or aborts the caller's stream; orders are refused until their ledger is wired.

--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -33,6 +33,8 @@
 	Deadline time.Time
 	// Exclude names targets already tried for the request.
 	Exclude []fleet.TargetID
+	// NoWait refuses the request with NoTarget if no slot is free at once.
+	NoWait bool
 }
 
 // Gate grants slots of the targets of one carried service. It is safe for
@@ -117,6 +119,9 @@
 			return gr, nil
 		}
 	}
+	if ask.NoWait {
+		return nil, noTarget()
+	}
 	return g.enter(ctx, ask, now)
 }
 
--- /dev/null
+++ b/core/proxy/proxy_test.go
@@ -0,0 +1,254 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/choose"
+	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/limit"
+	"wisteriarelay.example/core/stand"
+)
+
+func TestProxy(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "proxy")
+}
+
+// rig is a relay before stand-in targets on loopback.
+type rig struct {
+	service *fleet.Service
+	carrier *Carrier
+	targets []*stand.Target
+	relay   *Relay
+	server  *httptest.Server
+}
+
+func lookupRoute() fleet.Route {
+	return fleet.Route{Name: "stock", Methods: []string{"GET", "HEAD"}, PathPrefix: "/stock", Kind: fleet.Lookup, Idempotent: true, Deadline: 5 * time.Second, Attempts: 3, MaxBody: 1 << 20}
+}
+
+func newRig(n int, routes ...fleet.Route) *rig {
+	rg := &rig{service: &fleet.Service{ID: "disponible", Workspace: "cortavientos", Routes: routes}}
+	rg.service.Policy = fleet.Policy{RetryBudget: 1, QueueLength: 16, AddressTTL: 30 * time.Second}
+	var states []limit.Target
+	for i := range n {
+		t := stand.NewTarget(fmt.Sprintf("t%d", i+1), stand.WithWork(0))
+		s := httptest.NewServer(t)
+		DeferCleanup(s.Close)
+		rg.targets = append(rg.targets, t)
+		id := fleet.TargetID(fmt.Sprintf("t%d", i+1))
+		rg.service.Targets = append(rg.service.Targets, fleet.Target{ID: id, Address: s.Listener.Addr().String(), Slots: 2})
+		states = append(states, limit.Target{ID: id, Slots: 2, State: choose.Ready, Weight: 1, SameDataCentre: true})
+	}
+	rg.carrier = NewCarrier(fleet.VM{ID: "vm1"}, rg.service)
+	rg.carrier.Update(rg.service, states)
+	rg.relay = NewRelay(fleet.VM{ID: "vm1"}, Fleet{
+		Carrier: func(id fleet.ServiceID) (*Carrier, bool) { return rg.carrier, id == rg.service.ID },
+		Service: func(id fleet.ServiceID) (*fleet.Service, bool) {
+			return rg.service, id == rg.service.ID || id == "reservas"
+		},
+		Addresses: func(id fleet.ServiceID, dc fleet.DataCentre, _ string) AddressList {
+			return AddressList{Service: id, TTLSeconds: 30, Addresses: []Address{{VM: "vm1", DataCentre: dc, Address: "127.0.0.1:1"}}}
+		},
+		Ready:   func() bool { return true },
+		Leaving: func() bool { return false },
+	})
+	rg.server = httptest.NewServer(rg.relay)
+	DeferCleanup(rg.server.Close)
+	return rg
+}
+
+func (rg *rig) do(method, path string, header http.Header, body io.Reader) *http.Response {
+	req, err := http.NewRequestWithContext(context.Background(), method, rg.server.URL+path, body)
+	Expect(err).NotTo(HaveOccurred())
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	if header.Get(HeaderService) == "" {
+		req.Header.Set(HeaderService, "disponible")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(resp.Body.Close)
+	return resp
+}
+
+func problemOf(resp *http.Response) Problem {
+	var p Problem
+	Expect(resp.Header.Get("Content-Type")).To(Equal("application/problem+json"))
+	Expect(json.NewDecoder(resp.Body).Decode(&p)).To(Succeed())
+	Expect(resp.Header.Get(HeaderOutcome)).To(Equal(string(p.Outcome)))
+	return p
+}
+
+var _ = Describe("Relay", func() {
+	It("gives each caller the whole response to its own request", func() {
+		rg := newRig(3, lookupRoute())
+		for i := range 20 {
+			id := fmt.Sprintf("caller-%d", i)
+			resp := rg.do("GET", "/stock/azul", http.Header{HeaderRequestID: {id}}, nil)
+			var a stand.WorkAnswer
+			Expect(json.NewDecoder(resp.Body).Decode(&a)).To(Succeed())
+			Expect(a.RequestID).To(Equal(id))
+			Expect(a.Path).To(Equal("/stock/azul"))
+		}
+	})
+
+	DescribeTable("tries another target for an idempotent request, so that one bad target is not seen by callers",
+		func(f stand.Faults) {
+			rg := newRig(3, lookupRoute())
+			rg.targets[0].Misbehave(f)
+			for range 12 {
+				Expect(rg.do("GET", "/stock", nil, nil).StatusCode).To(Equal(http.StatusOK))
+			}
+		},
+		Entry("failing work", stand.Faults{FailWork: true}),
+		Entry("truncated responses", stand.Faults{CutShort: true}),
+		Entry("closed before a response", stand.Faults{CutBefore: true}),
+		Entry("closed after the work", stand.Faults{CutAfter: true}),
+		Entry("shedding", stand.Faults{ShedAll: true}),
+	)
+
+	It("finds a failure inside a success status by the route's rule", func() {
+		route := lookupRoute()
+		route.BodyFailure = &fleet.BodyFailure{ContentType: "application/json", Contains: `"error":`, Within: 512}
+		rg := newRig(2, route)
+		rg.targets[0].Misbehave(stand.Faults{BodyFailure: true})
+		for range 8 {
+			resp := rg.do("GET", "/stock", nil, nil)
+			Expect(io.ReadAll(resp.Body)).NotTo(ContainSubstring("error"))
+		}
+	})
+
+	It("reports a truncated response that no other target can replace", func() {
+		rg := newRig(1, lookupRoute())
+		rg.targets[0].Misbehave(stand.Faults{CutShort: true})
+		resp := rg.do("GET", "/stock", nil, nil)
+		Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(problemOf(resp).Kind).To(Equal("target-short"))
+	})
+
+	DescribeTable("refuses with a kind and an outcome",
+		func(method, path string, header http.Header, status int, kind string) {
+			rg := newRig(1, lookupRoute())
+			resp := rg.do(method, path, header, nil)
+			Expect(resp.StatusCode).To(Equal(status))
+			p := problemOf(resp)
+			Expect(p.Kind).To(Equal(kind))
+			Expect(p.Outcome).To(BeEquivalentTo("not-run"))
+		},
+		Entry("unknown path", "GET", "/stocks", nil, 404, "unknown-route"),
+		Entry("method", "DELETE", "/stock", nil, 405, "method-not-allowed"),
+		Entry("unknown service", "GET", "/stock", http.Header{HeaderService: {"nope"}}, 404, "unknown-service"),
+		Entry("service of other daemons", "GET", "/stock", http.Header{HeaderService: {"reservas"}}, 421, "not-carried"),
+		Entry("bad deadline", "GET", "/stock", http.Header{HeaderDeadline: {"-5"}}, 400, "bad-request"),
+	)
+
+	It("passes deadline and addresses on by the book and hides hop-by-hop fields", func() {
+		seen := make(chan *http.Request, 1)
+		rg := newRig(1, lookupRoute())
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			seen <- r
+			w.Header().Set(HeaderOutcome, "not-run")
+			w.Header().Set("Connection", "X-Hop")
+			w.Header().Set("X-Hop", "1")
+			fmt.Fprint(w, "ok")
+		}))
+		DeferCleanup(s.Close)
+		moved := *rg.service
+		moved.Targets = []fleet.Target{{ID: "t1", Address: s.Listener.Addr().String(), Slots: 2}}
+		rg.carrier.Update(&moved, []limit.Target{{ID: "t1", Slots: 2, State: choose.Ready, Weight: 1}})
+		resp := rg.do("GET", "/stock?x=1%2F2", http.Header{
+			"Connection": {"X-Private"}, "X-Private": {"1"}, HeaderDeadline: {"900"}, "Traceparent": {"00-a-b-01"},
+			"Forwarded": {"for=10.0.0.9"},
+		}, nil)
+		r := <-seen
+		Expect(r.Header).NotTo(HaveKey("X-Private"))
+		Expect(r.Header).NotTo(HaveKey(HeaderService))
+		Expect(r.Header.Get("Forwarded")).To(HavePrefix("for=10.0.0.9, for=127.0.0.1;proto=http;host="))
+		Expect(r.Header.Get("Traceparent")).To(Equal("00-a-b-01"))
+		Expect(r.URL.RawQuery).To(Equal("x=1%2F2"))
+		var ms int
+		_, err := fmt.Sscan(r.Header.Get(HeaderDeadline), &ms)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ms).To(And(BeNumerically("<=", 900), BeNumerically(">", 0)))
+		Expect(resp.Header).NotTo(HaveKey("X-Hop"))
+		Expect(resp.Header.Get(HeaderOutcome)).NotTo(Equal("not-run"))
+	})
+
+	It("drops what a request with two framings hides behind itself", func() {
+		rg := newRig(1, fleet.Route{Name: "any", Methods: []string{"POST", "GET"}, PathPrefix: "/", Idempotent: true, Deadline: time.Second, Attempts: 1, MaxBody: 100})
+		c, err := net.Dial("tcp", rg.server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		head := "POST /a HTTP/1.1\r\nHost: x\r\nWisteria-Service: disponible\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+		hidden := "GET /hidden HTTP/1.1\r\nHost: x\r\nWisteria-Service: disponible\r\n\r\n"
+		_, err = io.WriteString(c, head+"0\r\n\r\n"+hidden)
+		Expect(err).NotTo(HaveOccurred())
+		all, err := io.ReadAll(bufio.NewReader(c))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(strings.Count(string(all), "HTTP/1.1 ")).To(Equal(1))
+		Expect(rg.targets[0].Served()).To(BeEquivalentTo(1))
+	})
+
+	It("aborts the caller's stream when a large response is cut, so that it is not taken for whole", func() {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", fmt.Sprint(1<<20))
+			_, _ = w.Write(make([]byte, 1<<19))
+			panic(http.ErrAbortHandler)
+		}))
+		DeferCleanup(s.Close)
+		rg := newRig(1, lookupRoute())
+		moved := *rg.service
+		moved.Targets = []fleet.Target{{ID: "t1", Address: s.Listener.Addr().String(), Slots: 2}}
+		rg.carrier.Update(&moved, []limit.Target{{ID: "t1", Slots: 2, State: choose.Ready, Weight: 1}})
+		resp := rg.do("GET", "/stock", nil, nil)
+		_, err := io.ReadAll(resp.Body)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Eventually(func() int { return len(rg.carrier.Gate().InFlight()) }).Should(BeZero())
+	})
+
+	It("streams a large request body and refuses one that is too large", func() {
+		route := fleet.Route{Name: "up", Methods: []string{"PUT"}, PathPrefix: "/", Idempotent: true, Deadline: 5 * time.Second, Attempts: 2, MaxBody: 1 << 20}
+		rg := newRig(1, route)
+		Expect(rg.do("PUT", "/x", nil, strings.NewReader(strings.Repeat("a", 1<<19))).StatusCode).To(Equal(200))
+		Expect(rg.do("PUT", "/x", nil, strings.NewReader(strings.Repeat("a", 2<<20))).StatusCode).To(Equal(413))
+	})
+
+	It("hedges a slow request within the budget", func() {
+		route := lookupRoute()
+		route.HedgeAfter = 20 * time.Millisecond
+		rg := newRig(2, route)
+		rg.targets[0].Misbehave(stand.Faults{Hang: true})
+		rg.targets[1].Misbehave(stand.Faults{})
+		for range 4 {
+			resp := rg.do("GET", "/stock", nil, nil)
+			Expect(resp.StatusCode).To(Equal(200))
+		}
+		Eventually(func() int { return len(rg.carrier.Gate().InFlight()) }).Should(BeZero())
+	})
+
+	It("tells which addresses to use", func() {
+		rg := newRig(1, lookupRoute())
+		resp, err := http.Get(rg.server.URL + "/v1/addresses?service=disponible&data-centre=mdp")
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		var list AddressList
+		Expect(json.NewDecoder(resp.Body).Decode(&list)).To(Succeed())
+		Expect(list.Addresses[0].DataCentre).To(BeEquivalentTo("mdp"))
+		Expect(resp.Header.Get("Cache-Control")).To(Equal("max-age=30"))
+	})
+})
--- /dev/null
+++ b/core/proxy/relay.go
@@ -0,0 +1,208 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/gorilla/mux"
+
+	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/stats"
+)
+
+// Fleet is what the relay reads about the fleet; each function returns from an
+// immutable snapshot and never blocks.
+type Fleet struct {
+	// Carrier returns the state of a service that this daemon carries or winds down.
+	Carrier func(fleet.ServiceID) (*Carrier, bool)
+	// Service returns a service of the settings.
+	Service func(fleet.ServiceID) (*fleet.Service, bool)
+	// Addresses returns the carriers of a service for a caller in a data centre.
+	Addresses func(fleet.ServiceID, fleet.DataCentre, string) AddressList
+	// Ready reports whether the daemon has settings and targets to serve from.
+	Ready func() bool
+	// Leaving reports whether the daemon is shutting down.
+	Leaving func() bool
+}
+
+// maxActive bounds the requests in progress at one daemon, and with
+// bufferLimit the memory that their bodies take.
+const maxActive = 2048
+
+// Relay serves the callers' port.
+type Relay struct {
+	self   fleet.VM
+	domain string
+	fleet  Fleet
+	orders Orders
+	logger log.Logger
+	meters *stats.Set
+	router http.Handler
+	active atomic.Int64
+}
+
+// RelayOption changes a Relay.
+type RelayOption func(*Relay)
+
+// WithDomain accepts host names of the form <service>.<domain>.
+func WithDomain(domain string) RelayOption {
+	return func(rl *Relay) { rl.domain = domain }
+}
+
+// WithLogger sets the logger.
+func WithLogger(l log.Logger) RelayOption {
+	return func(rl *Relay) { rl.logger = l }
+}
+
+// WithStats sets the metrics.
+func WithStats(s *stats.Set) RelayOption {
+	return func(rl *Relay) { rl.meters = s }
+}
+
+// WithOrders sets the decisions about orders; without it orders are refused.
+func WithOrders(o Orders) RelayOption {
+	return func(rl *Relay) { rl.orders = o }
+}
+
+// NewRelay returns the handler of the callers' port of the daemon self.
+func NewRelay(self fleet.VM, f Fleet, opts ...RelayOption) *Relay {
+	rl := &Relay{self: self, fleet: f, logger: log.NewNopLogger(), meters: stats.New()}
+	for _, o := range opts {
+		o(rl)
+	}
+	rl.router = rl.endpoints()
+	return rl
+}
+
+func (rl *Relay) endpoints() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/addresses", rl.serveAddresses).Methods(http.MethodGet)
+	r.HandleFunc("/v1/order-tokens", rl.serveToken).Methods(http.MethodPost)
+	r.HandleFunc("/v1/ready", rl.serveReady).Methods(http.MethodGet)
+	r.NotFoundHandler = http.HandlerFunc(rl.serveUnnamed)
+	return r
+}
+
+// Active returns the number of requests in progress.
+func (rl *Relay) Active() int64 {
+	return rl.active.Load()
+}
+
+// ServeHTTP relays a request that names a service, and serves the daemon's own
+// endpoints otherwise.
+func (rl *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	service := r.Header.Get(HeaderService)
+	if service == "" {
+		service = serviceFromHost(r.Host, rl.domain)
+	}
+	if service == "" {
+		rl.router.ServeHTTP(w, r)
+		return
+	}
+	n := rl.active.Add(1)
+	defer rl.active.Add(-1)
+	rl.relay(w, r, fleet.ServiceID(service), n)
+}
+
+func (rl *Relay) relay(w http.ResponseWriter, r *http.Request, id fleet.ServiceID, active int64) {
+	v := &visit{relay: rl, writer: w, request: r, serviceID: id, requestID: requestID(r), arrived: time.Now()}
+	w.Header().Set(HeaderRequestID, v.requestID)
+	if r.ProtoMajor == 1 && len(r.TransferEncoding) > 0 {
+		// net/http lets chunked framing override a Content-Length; closing the
+		// connection drops whatever such a request tried to hide behind itself.
+		w.Header().Set("Connection", "close")
+	}
+	if rl.fleet.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if active > maxActive {
+		v.refuse(fault.New(fault.QueueFull, "%d requests are in progress at this daemon", maxActive))
+		return
+	}
+	v.serve()
+}
+
+// visit is one request on the callers' port.
+type visit struct {
+	relay     *Relay
+	writer    http.ResponseWriter
+	request   *http.Request
+	serviceID fleet.ServiceID
+	requestID string
+	arrived   time.Time
+	in        *inbound
+}
+
+func (v *visit) serve() {
+	rl := v.relay
+	carrier, ok := rl.fleet.Carrier(v.serviceID)
+	if !ok {
+		v.serveElsewhere()
+		return
+	}
+	in, err := newInbound(v.request, carrier.Service(), v.requestID, v.arrived)
+	if err != nil {
+		v.refuse(fault.From(err))
+		return
+	}
+	v.in = in
+	ctx, cancel := context.WithDeadline(v.request.Context(), in.deadline)
+	defer cancel()
+	if in.route.Idempotent {
+		v.respond((&exchange{carrier: carrier, in: in}).run(ctx))
+		return
+	}
+	v.serveOrder(ctx, carrier)
+}
+
+// serveElsewhere refuses a request for a service that this daemon does not carry.
+func (v *visit) serveElsewhere() {
+	rl := v.relay
+	if !rl.fleet.Ready() {
+		v.refuse(fault.New(fault.NotReady, "this daemon has no settings yet"))
+		return
+	}
+	service, ok := rl.fleet.Service(v.serviceID)
+	if !ok {
+		v.refuse(fault.New(fault.UnknownService, "no service %q", v.serviceID))
+		return
+	}
+	if v.closeElsewhere(service) {
+		return
+	}
+	v.refuse(fault.New(fault.NotCarried, "service %s is carried by the daemons listed", v.serviceID))
+}
+
+// refuse answers with a problem and logs the reason.
+func (v *visit) refuse(e *fault.Error) {
+	rl := v.relay
+	rl.count("refused", e.Kind.String())
+	rl.logRefusal(v, e)
+	if e.Kind == fault.CallerGone {
+		panic(http.ErrAbortHandler)
+	}
+	p := newProblem(e, v.requestID)
+	if e.Kind == fault.NotCarried || e.Kind == fault.NotReady {
+		list := rl.fleet.Addresses(v.serviceID, rl.self.DataCentre, v.requestID)
+		p.Addresses = &list
+	}
+	p.write(v.writer)
+}
+
+func (rl *Relay) logRefusal(v *visit, e *fault.Error) {
+	l := level.Info(rl.logger)
+	if e.Kind == fault.Internal {
+		l = level.Error(rl.logger)
+	}
+	_ = l.Log("msg", "request refused", "request-id", v.requestID, "service", v.serviceID, "method", v.request.Method,
+		"kind", e.Kind, "outcome", e.Outcome, "detail", e.Error(), "took", time.Since(v.arrived))
+}
+
+func (rl *Relay) count(metric, kind string) {
+	rl.meters.Counter(stats.Label("wisteria_requests_"+metric, "kind", kind)).Inc(1)
+}
