Add the inner protocol with its messages and calls

Daemons need one protocol for reports, order keys, ledgers, settings and state dumps that refuses strangers and bounds what a broken peer can send. Messages are CBOR with integer keys and check every slice and string in both directions; calls run over drpc and TLS 1.3 with certificates of the fleet, and the client keeps two connections per peer with dial and call timeouts, backoff with jitter and idle close.

--- /dev/null
+++ b/core/inner/authority.go
@@ -0,0 +1,86 @@
+package inner
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"time"
+
+	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/fleet"
+)
+
+// Authority is an ephemeral certificate authority in memory, for tests and the demo.
+type Authority struct {
+	certificate *x509.Certificate
+	key         ed25519.PrivateKey
+}
+
+const (
+	// clockTolerance is how far the clocks of VMs may differ.
+	clockTolerance    = time.Hour
+	authorityLifetime = 365 * 24 * time.Hour
+	serialBits        = 120
+)
+
+// NewAuthority returns a new authority that is valid for a year.
+func NewAuthority() (*Authority, error) {
+	public, key, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "key of the authority")
+	}
+	t := newTemplate("wisteriarelay ephemeral authority")
+	t.IsCA = true
+	t.BasicConstraintsValid = true
+	t.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, t, t, public, key)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "certificate of the authority")
+	}
+	c, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "certificate of the authority")
+	}
+	return &Authority{certificate: c, key: key}, nil
+}
+
+func newTemplate(name string) *x509.Certificate {
+	serial, _ := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-clockTolerance),
+		NotAfter:     now.Add(authorityLifetime),
+	}
+}
+
+// Issue returns a new identity for the VM.
+func (a *Authority) Issue(vm fleet.VMID) (Identity, error) {
+	return a.issue(string(vm), serverName)
+}
+
+func (a *Authority) issue(name, dnsName string) (Identity, error) {
+	public, key, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return Identity{}, fault.Wrap(err, fault.Internal, "key of %s", name)
+	}
+	t := newTemplate(name)
+	t.DNSNames = []string{dnsName}
+	t.KeyUsage = x509.KeyUsageDigitalSignature
+	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
+	der, err := x509.CreateCertificate(rand.Reader, t, a.certificate, public, a.key)
+	if err != nil {
+		return Identity{}, fault.Wrap(err, fault.Internal, "certificate of %s", name)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		return Identity{}, fault.Wrap(err, fault.Internal, "certificate of %s", name)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(a.certificate)
+	return newIdentity(tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}, pool)
+}
--- /dev/null
+++ b/core/inner/fuzz_test.go
@@ -0,0 +1,83 @@
+package inner
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"storj.io/drpc"
+)
+
+func typeName(m drpc.Message) string {
+	return fmt.Sprintf("%T", m)
+}
+
+// fuzzDecode checks that any bytes are either refused or decode to a message
+// that encodes and decodes again.
+func fuzzDecode(f *testing.F, kind drpc.Message) {
+	for _, m := range samples() {
+		if typeName(m) == typeName(kind) {
+			buf, err := Codec{}.Marshal(m)
+			if err != nil {
+				f.Fatal(err)
+			}
+			f.Add(buf)
+		}
+	}
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := empty(kind)
+		if (Codec{}).Unmarshal(data, m) != nil {
+			return
+		}
+		buf, err := Codec{}.Marshal(m)
+		if err != nil {
+			t.Fatalf("accepted message cannot be encoded: %v", err)
+		}
+		if err := (Codec{}).Unmarshal(buf, empty(kind)); err != nil {
+			t.Fatalf("encoded message is refused: %v", err)
+		}
+	})
+}
+
+func FuzzReport(f *testing.F)        { fuzzDecode(f, new(ReportMsg)) }
+func FuzzReportReply(f *testing.F)   { fuzzDecode(f, new(ReportReplyMsg)) }
+func FuzzOrderAsk(f *testing.F)      { fuzzDecode(f, new(OrderAskMsg)) }
+func FuzzOrderReply(f *testing.F)    { fuzzDecode(f, new(OrderReplyMsg)) }
+func FuzzLedger(f *testing.F)        { fuzzDecode(f, new(LedgerMsg)) }
+func FuzzLedgerReply(f *testing.F)   { fuzzDecode(f, new(LedgerReplyMsg)) }
+func FuzzRevisionAsk(f *testing.F)   { fuzzDecode(f, new(RevisionAskMsg)) }
+func FuzzRevisionReply(f *testing.F) { fuzzDecode(f, new(RevisionReplyMsg)) }
+func FuzzStateAsk(f *testing.F)      { fuzzDecode(f, new(StateAskMsg)) }
+func FuzzStateReply(f *testing.F)    { fuzzDecode(f, new(StateReplyMsg)) }
+
+// BenchmarkReport measures size and cost of a report with work on all targets;
+// 1 service with 27 targets is the planning size.
+func BenchmarkReport(b *testing.B) {
+	for _, services := range []int{1, 2, 4, 8} {
+		for _, targets := range []int{10, 27, 40} {
+			m := makeReport(services, targets)
+			buf, err := Codec{}.Marshal(m)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.Run(fmt.Sprintf("encode/services=%d/targets=%d", services, targets), func(b *testing.B) {
+				b.ReportAllocs()
+				var out []byte
+				for b.Loop() {
+					out, _ = Codec{}.MarshalAppend(out[:0], m)
+				}
+				b.ReportMetric(float64(len(out)), "bytes/report")
+				runtime.KeepAlive(out)
+			})
+			b.Run(fmt.Sprintf("decode/services=%d/targets=%d", services, targets), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					if err := (Codec{}).Unmarshal(buf, new(ReportMsg)); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/core/inner/inner_test.go
@@ -0,0 +1,214 @@
+package inner
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"storj.io/drpc"
+
+	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/fleet"
+)
+
+func TestInner(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "inner")
+}
+
+// pipeNet is an in-memory network with one listener for each address.
+type pipeNet struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+	dials     int
+}
+
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newPipeNet() *pipeNet {
+	return &pipeNet{listeners: map[string]*pipeListener{}}
+}
+
+func (n *pipeNet) listen(address string) *pipeListener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l
+}
+
+func (n *pipeNet) dial(ctx context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	n.dials++
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+	}
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (n *pipeNet) dialled() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr {
+	return &net.TCPAddr{}
+}
+
+// makeReport returns a report of full size: each target has work in flight and 6 B of evidence.
+func makeReport(services, targets int) *ReportMsg {
+	m := &ReportMsg{Run: 1<<63 + 5, Started: 1_790_000_000_000, Sequence: 70_000, Revision: 4_000, Ready: true}
+	for i := range 5 {
+		m.Heard = append(m.Heard, HeardKey(fleet.IncarnationOf("vm", uint64(i+1))))
+	}
+	for i := range services {
+		s := ServiceReport{Service: fleet.ServiceID("disponible-0" + string(rune('1'+i))), EjectionVersion: 812}
+		s.Evidence = bytes.Repeat([]byte{0xa5}, 6*targets)
+		for j := range targets {
+			s.InFlight = append(s.InFlight, TargetLoad{Target: 0x80000000 + uint32(j), Count: 2})
+		}
+		m.Services = append(m.Services, s)
+	}
+	return m
+}
+
+// samples returns one valid message of each type.
+func samples() []drpc.Message {
+	home := fleet.NewIncarnation("vm-1")
+	report := makeReport(2, 3)
+	report.Self = &fleet.VM{ID: "vm-1", Region: "r", DataCentre: "d", Caller: "1.2.3.4:80", Inner: "1.2.3.4:81", Leaving: true}
+	report.Services[0].Leaving = []fleet.TargetID{"t1"}
+	report.Services[1].Ejections = []byte("list")
+	return []drpc.Message{
+		report,
+		&ReportReplyMsg{Run: 7, Revision: 9, Standing: Unlisted},
+		&OrderAskMsg{Home: home, Service: "s", Key: "token.suffix", Digest: []byte{1}, Want: Close, Run: 3},
+		&OrderReplyMsg{State: 4, Record: []byte("answer")},
+		&LedgerMsg{Home: home, Part: 1, Parts: 2, Records: [][]byte{[]byte("a"), []byte("b")}},
+		&LedgerReplyMsg{Kept: 2},
+		&RevisionAskMsg{Have: 8, HeadOnly: true},
+		&RevisionReplyMsg{Revision: 9, HeadRead: true, HeadAge: 1500, Snapshot: []byte("s"), SnapshotRevision: 7, Deltas: []Delta{{8, []byte("d")}, {9, nil}}},
+		&StateAskMsg{What: "peers"},
+		&StateReplyMsg{Revision: 3, Dump: []byte("{}")},
+	}
+}
+
+// empty returns a new message of the same type.
+func empty(m drpc.Message) drpc.Message {
+	news := []drpc.Message{
+		new(ReportMsg), new(ReportReplyMsg), new(OrderAskMsg), new(OrderReplyMsg), new(LedgerMsg),
+		new(LedgerReplyMsg), new(RevisionAskMsg), new(RevisionReplyMsg), new(StateAskMsg), new(StateReplyMsg),
+	}
+	at := slices.IndexFunc(samples(), func(s drpc.Message) bool {
+		return typeName(s) == typeName(m)
+	})
+	return news[at]
+}
+
+var _ = ginkgo.Describe("messages", func() {
+	ginkgo.It("survive encoding and decoding", func() {
+		for _, m := range samples() {
+			buf, err := Codec{}.MarshalAppend([]byte("prefix"), m)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			back := empty(m)
+			gomega.Expect(Codec{}.Unmarshal(buf[len("prefix"):], back)).To(gomega.Succeed())
+			gomega.Expect(back).To(gomega.BeComparableTo(m))
+		}
+	})
+
+	// Guards against messages that fill the memory of a peer or that pass half read.
+	ginkgo.DescribeTable("that exceed a bound or lack a field are refused in both directions",
+		func(m drpc.Message) {
+			_, err := Codec{}.Marshal(m)
+			gomega.Expect(fault.Is(err, fault.MessageInvalid)).To(gomega.BeTrue(), "%v", err)
+			buf, err := encMode.Marshal(m)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			err = Codec{}.Unmarshal(buf, empty(m))
+			gomega.Expect(fault.Is(err, fault.MessageInvalid)).To(gomega.BeTrue(), "%v", err)
+		},
+		ginkgo.Entry("no run", &ReportMsg{Started: 1, Sequence: 1}),
+		ginkgo.Entry("no start", &ReportMsg{Run: 1, Sequence: 1}),
+		ginkgo.Entry("no sequence", &ReportMsg{Run: 1, Started: 1}),
+		ginkgo.Entry("heard list", &ReportMsg{Run: 1, Started: 1, Sequence: 1, Heard: make([]uint32, MaxHeard+1)}),
+		ginkgo.Entry("self", &ReportMsg{Run: 1, Started: 1, Sequence: 1, Self: &fleet.VM{ID: "a", Inner: string(make([]byte, MaxAddress+1))}}),
+		ginkgo.Entry("services", makeReport(MaxServices+1, 0)),
+		ginkgo.Entry("service twice", &ReportMsg{Run: 1, Started: 1, Sequence: 1, Services: []ServiceReport{{Service: "a"}, {Service: "a"}}}),
+		ginkgo.Entry("service id", &ReportMsg{Run: 1, Started: 1, Sequence: 1, Services: []ServiceReport{{}}}),
+		ginkgo.Entry("work in flight", makeReport(1, MaxTargets+1)),
+		ginkgo.Entry("evidence", &ReportMsg{Run: 1, Started: 1, Sequence: 1, Services: []ServiceReport{{Service: "a", Evidence: make([]byte, MaxEvidence+1)}}}),
+		ginkgo.Entry("ejections", &ReportMsg{Run: 1, Started: 1, Sequence: 1, Services: []ServiceReport{{Service: "a", Ejections: make([]byte, MaxEjections+1)}}}),
+		ginkgo.Entry("leaving target", &ReportMsg{Run: 1, Started: 1, Sequence: 1, Services: []ServiceReport{{Service: "a", Leaving: []fleet.TargetID{""}}}}),
+		ginkgo.Entry("reply", &ReportReplyMsg{Run: 1, Standing: standingCount}),
+		ginkgo.Entry("order home", &OrderAskMsg{Home: "vm", Service: "s", Key: "k", Run: 1}),
+		ginkgo.Entry("order key", &OrderAskMsg{Home: fleet.IncarnationOf("v", 1), Service: "s", Key: string(make([]byte, MaxOrderKey+1)), Run: 1}),
+		ginkgo.Entry("order want", &OrderAskMsg{Home: fleet.IncarnationOf("v", 1), Service: "s", Key: "k", Run: 1, Want: wantCount}),
+		ginkgo.Entry("order record", &OrderReplyMsg{Record: make([]byte, MaxOrderRecord+1)}),
+		ginkgo.Entry("ledger part", &LedgerMsg{Home: fleet.IncarnationOf("v", 1), Part: 2, Parts: 2}),
+		ginkgo.Entry("ledger size", &LedgerMsg{Home: fleet.IncarnationOf("v", 1), Parts: 1, Records: slices.Repeat([][]byte{make([]byte, MaxOrderRecord)}, 5)}),
+		ginkgo.Entry("ledger reply", &LedgerReplyMsg{Kept: MaxLedgerRecords + 1}),
+		ginkgo.Entry("deltas out of order", &RevisionReplyMsg{Deltas: []Delta{{2, nil}, {2, nil}}}),
+		ginkgo.Entry("snapshot", &RevisionReplyMsg{Snapshot: make([]byte, MaxSnapshot+1), SnapshotRevision: 1}),
+		ginkgo.Entry("state ask", &StateAskMsg{What: string(make([]byte, MaxID+1))}),
+		ginkgo.Entry("state reply", &StateReplyMsg{Dump: make([]byte, MaxDump+1)}),
+	)
+
+	ginkgo.DescribeTable("with malformed bytes are refused",
+		func(buf []byte) {
+			err := Codec{}.Unmarshal(buf, new(ReportMsg))
+			gomega.Expect(fault.Is(err, fault.MessageInvalid)).To(gomega.BeTrue(), "%v", err)
+		},
+		ginkgo.Entry("empty", []byte{}),
+		ginkgo.Entry("cut short", []byte{0xa3, 0x01, 0x01}),
+		ginkgo.Entry("key twice", []byte{0xa4, 0x01, 0x01, 0x01, 0x02, 0x02, 0x01, 0x03, 0x01}),
+		ginkgo.Entry("bytes behind the message", []byte{0xa3, 0x01, 0x01, 0x02, 0x01, 0x03, 0x01, 0x00}),
+		ginkgo.Entry("indefinite length", []byte{0xbf, 0x01, 0x01, 0x02, 0x01, 0x03, 0x01, 0xff}),
+		ginkgo.Entry("array of 4 billion", []byte{0xa1, 0x07, 0x9a, 0xff, 0xff, 0xff, 0xff}),
+		ginkgo.Entry("text for a number", []byte{0xa1, 0x01, 0x61, 0x31}),
+		ginkgo.Entry("deep nesting", append(bytes.Repeat([]byte{0x81}, 64), 0x00)),
+	)
+
+	ginkgo.It("skip keys of a later version", func() {
+		m := new(ReportMsg)
+		gomega.Expect(Codec{}.Unmarshal([]byte{0xa4, 0x01, 0x01, 0x02, 0x01, 0x03, 0x01, 0x18, 0x63, 0x81, 0x01}, m)).To(gomega.Succeed())
+		gomega.Expect(m.Sequence).To(gomega.Equal(uint64(1)))
+	})
+
+	ginkgo.It("of other types are refused", func() {
+		_, err := Codec{}.Marshal(new(int))
+		gomega.Expect(fault.Is(err, fault.MessageInvalid)).To(gomega.BeTrue())
+	})
+})
