Keep the evidence and target states of a carried service

Cause: evidence, ejection list, probes and the gate of a service had no owner that joins them. Change: daemon.watch judges the evidence every 250 ms and renews the states that requests read; place.ProberRank orders the carriers' duty for a target, so that six carriers do not write an ejection at once.

--- /dev/null
+++ b/core/daemon/watch.go
@@ -0,0 +1,380 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wisteriarelay.example/core/choose"
+	"wisteriarelay.example/core/detect"
+	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/inner"
+	"wisteriarelay.example/core/limit"
+	"wisteriarelay.example/core/place"
+	"wisteriarelay.example/core/proxy"
+	"wisteriarelay.example/core/store"
+)
+
+// watchTick is how often evidence is judged and target states are renewed; it
+// bounds how long a daemon's own evidence waits.
+const watchTick = 250 * time.Millisecond
+
+// maxPendingTicks bounds the evidence kept for a peer to which no report goes
+// out, in ticks; older evidence would be outside every detection window.
+const maxPendingTicks = 48
+
+// watch keeps one carried service: its evidence, ejection list, probes and the
+// target states that the request path reads.
+type watch struct {
+	self     fleet.VM
+	service  atomic.Pointer[fleet.Service]
+	carrier  *proxy.Carrier
+	evidence *detect.Service
+	ejector  *detect.Ejector
+	prober   *detect.Prober
+	leaving  *detect.LeavingTracker
+	states   atomic.Pointer[[]detect.TargetState]
+	carriers atomic.Pointer[[]fleet.VMID]
+	wake     chan struct{}
+	stop     context.CancelFunc
+	done     chan struct{}
+
+	mu sync.Mutex
+	// pending holds, for each peer, the own rows that no report has carried yet.
+	pending map[fleet.VMID][][]detect.Row
+	// sentEjections holds the row version that each peer was last sent.
+	sentEjections map[fleet.VMID]uint64
+}
+
+// watchParts are what a watch needs from its daemon.
+type watchParts struct {
+	self        fleet.VM
+	incarnation fleet.Incarnation
+	table       store.Table
+	carrierOpts []proxy.CarrierOption
+	probe       func(context.Context, fleet.Target, fleet.Probe) detect.ProbeAnswer
+}
+
+func newWatch(p watchParts, service *fleet.Service) *watch {
+	w := &watch{
+		self:          p.self,
+		evidence:      detect.NewService(service, p.self.ID),
+		leaving:       detect.NewLeavingTracker(),
+		wake:          make(chan struct{}, 1),
+		done:          make(chan struct{}),
+		pending:       map[fleet.VMID][][]detect.Row{},
+		sentEjections: map[fleet.VMID]uint64{},
+	}
+	w.service.Store(service)
+	w.states.Store(&[]detect.TargetState{})
+	w.carriers.Store(&[]fleet.VMID{})
+	opts := append([]proxy.CarrierOption{proxy.WithLeavingSign(w.onResponse), proxy.WithAttempts(w.onAttempt)}, p.carrierOpts...)
+	w.carrier = proxy.NewCarrier(p.self, service, opts...)
+	w.ejector = detect.NewEjector(service.ID, p.incarnation, p.table,
+		detect.WithRank(w.rank),
+		detect.WithChanged(func(detect.Listing) { w.nudge() }))
+	w.prober = detect.NewProber(service, p.probe,
+		detect.WithAssigned(w.isProber),
+		detect.WithSuspect(w.isSuspect),
+		detect.WithReport(detect.Observe(w.carrier.Recorder(), w.leaving, w.ejector)))
+	return w
+}
+
+func (w *watch) start(ctx context.Context) {
+	ctx, w.stop = context.WithCancel(ctx)
+	w.ejector.Start(ctx)
+	w.prober.Start(ctx)
+	w.tick(time.Now())
+	go w.run(ctx)
+}
+
+func (w *watch) close() {
+	w.stop()
+	<-w.done
+	w.ejector.Wait()
+	w.prober.Wait()
+	w.carrier.Close()
+}
+
+func (w *watch) run(ctx context.Context) {
+	defer close(w.done)
+	ticker := time.NewTicker(watchTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-w.wake:
+		case <-w.leaving.Changed():
+		}
+		w.tick(time.Now())
+	}
+}
+
+func (w *watch) nudge() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// update takes over new settings and carriers.
+func (w *watch) update(service *fleet.Service, carriers []*fleet.VM) {
+	ids := make([]fleet.VMID, 0, len(carriers))
+	places := make(map[fleet.VMID]fleet.DataCentre, len(carriers))
+	for _, vm := range carriers {
+		ids = append(ids, vm.ID)
+		places[vm.ID] = vm.DataCentre
+	}
+	// A daemon that winds the service down is no longer among the carriers, but
+	// its own evidence still serves its own requests.
+	places[w.self.ID] = w.self.DataCentre
+	w.carriers.Store(&ids)
+	w.evidence.SetCarriers(places)
+	if w.service.Swap(service) != service {
+		w.evidence.Update(service, time.Now())
+		w.prober.Update(service)
+	}
+	w.forgetPeers(places)
+	w.nudge()
+}
+
+func (w *watch) forgetPeers(carriers map[fleet.VMID]fleet.DataCentre) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for vm := range w.pending {
+		if _, ok := carriers[vm]; !ok {
+			delete(w.pending, vm)
+			delete(w.sentEjections, vm)
+			w.carrier.Gate().DropPeer(vm)
+		}
+	}
+	for vm := range carriers {
+		if _, ok := w.pending[vm]; !ok && vm != w.self.ID {
+			w.pending[vm] = nil
+		}
+	}
+}
+
+// tick judges the evidence and renews the target states.
+func (w *watch) tick(now time.Time) {
+	service := w.service.Load()
+	rows := w.carrier.Recorder().Drain()
+	w.evidence.Add(w.self.ID, w.self.DataCentre, rows, now)
+	w.keepRows(rows)
+	w.leaving.Drains(drained(service), now)
+	w.leaving.Expire(now)
+	signs := w.leaving.Signs()
+	listing := w.ejector.Current()
+	w.evidence.Follow(listing.Ejections, signs, now)
+	verdicts := w.evidence.Assess(now)
+	w.ejector.Submit(detect.Assessment{Service: service, Verdicts: verdicts, Signs: signs, Typical: w.evidence.Typical()})
+	states := detect.States(service, listing.Ejections, signs, verdicts, w.evidence.Started(), now)
+	w.states.Store(&states)
+	w.carrier.Update(service, w.gateTargets(service, states))
+	w.carrier.Prune(now)
+}
+
+func drained(s *fleet.Service) []fleet.TargetID {
+	var ids []fleet.TargetID
+	for _, t := range s.Targets {
+		if t.Drained {
+			ids = append(ids, t.ID)
+		}
+	}
+	return ids
+}
+
+var gateStates = map[detect.State]choose.State{
+	detect.Ready:     choose.Ready,
+	detect.SlowStart: choose.SlowStart,
+	detect.Trial:     choose.Trial,
+	detect.Avoided:   choose.Avoided,
+	detect.Ejected:   choose.Closed,
+	detect.Leaving:   choose.Closed,
+}
+
+// trialShare is the share of idempotent requests that a target in trial gets.
+const trialShare = 0.05
+
+func (w *watch) gateTargets(service *fleet.Service, states []detect.TargetState) []limit.Target {
+	targets := make([]limit.Target, 0, len(states))
+	for _, s := range states {
+		t := service.Targets[s.Index]
+		weight := s.Weight
+		if s.State == detect.Trial {
+			weight = trialShare
+		}
+		targets = append(targets, limit.Target{
+			ID:             s.Target,
+			Slots:          t.Slots,
+			State:          gateStates[s.State],
+			Weight:         weight,
+			TrialAllowed:   w.isProber(s.Target),
+			SameDataCentre: t.DataCentre == w.self.DataCentre,
+		})
+	}
+	return targets
+}
+
+func (w *watch) onResponse(id fleet.TargetID, leaving bool) {
+	w.leaving.Response(id, leaving, time.Now())
+}
+
+// onAttempt hands the results of requests to targets in trial to the ejector.
+func (w *watch) onAttempt(m proxy.AttemptMsg) {
+	w.ejector.Trial(m.Target, m.Result, m.Latency)
+}
+
+func (w *watch) isProber(id fleet.TargetID) bool {
+	return w.rank(id) == 0
+}
+
+// rank is this daemon's place in the duty for a target.
+func (w *watch) rank(id fleet.TargetID) int {
+	return place.ProberRank(w.service.Load().ID, id, *w.carriers.Load(), w.self.ID)
+}
+
+// isSuspect reports whether the target is watched more closely: it is under
+// suspicion, avoided or in trial.
+func (w *watch) isSuspect(id fleet.TargetID) bool {
+	if w.evidence.Suspects()[id] {
+		return true
+	}
+	for _, s := range *w.states.Load() {
+		if s.Target == id {
+			return s.State == detect.Avoided || s.State == detect.Trial
+		}
+	}
+	return false
+}
+
+// hasSuspects reports whether reports about the service go out more often.
+func (w *watch) hasSuspects() bool {
+	return len(w.evidence.Suspects()) > 0
+}
+
+func (w *watch) keepRows(rows []detect.Row) {
+	if len(rows) == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for vm, kept := range w.pending {
+		kept = append(kept, rows)
+		if len(kept) > maxPendingTicks {
+			kept = kept[1:]
+		}
+		w.pending[vm] = kept
+	}
+}
+
+// collect returns what a report to the peer says about the service.
+func (w *watch) collect(to fleet.VMID) inner.ServiceReport {
+	service := w.service.Load()
+	listing := w.ejector.Current()
+	report := inner.ServiceReport{
+		Service:         service.ID,
+		Leaving:         w.leaving.FirstHand(time.Now()),
+		EjectionVersion: listing.Version,
+	}
+	for _, l := range w.carrier.Gate().InFlight() {
+		report.InFlight = append(report.InFlight, inner.TargetLoad{Target: inner.TargetKey(l.Target), Count: uint32(l.InFlight)})
+	}
+	w.mu.Lock()
+	rows := detect.MergeRows(w.pending[to]...)
+	w.pending[to] = nil
+	if w.sentEjections[to] != listing.Version {
+		w.sentEjections[to] = listing.Version
+		report.Ejections = listing.Value
+	}
+	w.mu.Unlock()
+	if len(rows) > 0 {
+		report.Evidence = detect.EncodeRows(detect.NewRoster(service), rows)
+	}
+	return report
+}
+
+// deliver takes what a peer's report says about the service.
+func (w *watch) deliver(from fleet.VM, report *inner.ServiceReport, now time.Time) error {
+	service := w.service.Load()
+	w.carrier.Gate().SetPeer(from.ID, loads(service, report.InFlight), now)
+	w.ejector.Hear(report.EjectionVersion)
+	if len(report.Leaving) > 0 {
+		w.leaving.Peers(report.Leaving, now)
+		w.nudge()
+	}
+	if len(report.Ejections) > 0 {
+		if err := w.ejector.Offer(report.EjectionVersion, report.Ejections); err != nil {
+			return err
+		}
+	}
+	if len(report.Evidence) == 0 {
+		return nil
+	}
+	return w.evidence.AddWire(from.ID, from.DataCentre, report.Evidence, now)
+}
+
+func loads(service *fleet.Service, reported []inner.TargetLoad) []limit.Load {
+	counts := make(map[uint32]uint32, len(reported))
+	for _, l := range reported {
+		counts[l.Target] = l.Count
+	}
+	var out []limit.Load
+	for _, t := range service.Targets {
+		if n, ok := counts[inner.TargetKey(t.ID)]; ok {
+			out = append(out, limit.Load{Target: t.ID, InFlight: float64(n)})
+		}
+	}
+	return out
+}
+
+// serviceState is the state of a carried service for the dump.
+type serviceState struct {
+	Carriers []fleet.VMID       `json:"carriers"`
+	Targets  []targetState      `json:"targets"`
+	Carrier  proxy.CarrierState `json:"carrier"`
+	Ejection detect.Ejections   `json:"ejections"`
+	Version  uint64             `json:"ejections-version"`
+}
+
+type targetState struct {
+	Target     fleet.TargetID   `json:"target"`
+	DataCentre fleet.DataCentre `json:"data-centre"`
+	State      string           `json:"state"`
+	Weight     float64          `json:"weight"`
+	Reason     string           `json:"reason,omitempty"`
+	Since      time.Time        `json:"since,omitzero"`
+}
+
+func (w *watch) targetStates() []targetState {
+	service := w.service.Load()
+	var out []targetState
+	for _, s := range *w.states.Load() {
+		if s.Index >= len(service.Targets) {
+			continue
+		}
+		out = append(out, targetState{
+			Target:     s.Target,
+			DataCentre: service.Targets[s.Index].DataCentre,
+			State:      s.State.String(),
+			Weight:     s.Weight,
+			Reason:     s.Reason,
+			Since:      s.Since,
+		})
+	}
+	return out
+}
+
+func (w *watch) state() serviceState {
+	listing := w.ejector.Current()
+	return serviceState{
+		Carriers: *w.carriers.Load(),
+		Targets:  w.targetStates(),
+		Carrier:  w.carrier.State(),
+		Ejection: listing.Ejections,
+		Version:  listing.Version,
+	}
+}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -175,6 +175,7 @@
 		for i := range 600 {
 			target := fleet.TargetID(fmt.Sprint("t", i))
 			prober := place.Prober("s", target, carriers)
+			gomega.Expect(place.ProberRank("s", target, carriers, prober)).To(gomega.BeZero())
 			perVM[prober]++
 			turned := append(slices.Clone(carriers[3:]), carriers[:3]...)
 			gomega.Expect(place.Prober("s", target, turned)).To(gomega.Equal(prober))
--- a/core/proxy/attempt.go
+++ b/core/proxy/attempt.go
@@ -24,6 +24,8 @@
 type answer struct {
 	target  fleet.TargetID
 	ending  retry.Ending
+	result  detect.Result
+	latency time.Duration
 	outcome fault.Outcome
 	err     *fault.Error
 	status  int
@@ -141,9 +143,7 @@
 func (t *attempt) read(a *answer, resp *http.Response) {
 	a.status = resp.StatusCode
 	a.header = resp.Header
-	if resp.Header.Get(HeaderLeaving) != "" {
-		t.carrier.onLeaving(t.target.ID)
-	}
+	t.carrier.onLeaving(t.target.ID, resp.Header.Get(HeaderLeaving) == "true")
 	a.rest = resp.Body
 	if err := t.readAhead(a, resp); err != nil {
 		_ = resp.Body.Close()
@@ -225,6 +225,8 @@
 // record tells the evidence and the gate how the attempt ended.
 func (t *attempt) record(a *answer, latency time.Duration) {
 	result := t.result(a, latency)
+	a.result = result
+	a.latency = latency
 	t.carrier.recorder.Record(t.target.ID, result, latency)
 	if a.rest != nil {
 		return
--- a/core/proxy/bench_test.go
+++ b/core/proxy/bench_test.go
@@ -154,3 +154,36 @@
 		}
 	}
 }
+
+// BenchmarkRelayAllocs counts the allocations of the daemon for one request,
+// without a caller's and a target's own.
+func BenchmarkRelayAllocs(b *testing.B) {
+	target := benchServe(b, benchTarget{body: make([]byte, 200)})
+	service := &fleet.Service{ID: "disponible", Routes: []fleet.Route{lookupRoute()}}
+	service.Targets = []fleet.Target{{ID: "t1", Address: target, Slots: 2}}
+	carrier := NewCarrier(fleet.VM{ID: "vm1"}, service)
+	carrier.Update(service, []limit.Target{{ID: "t1", Slots: 2, State: choose.Ready, Weight: 1}})
+	relay := NewRelay(fleet.VM{ID: "vm1"}, Fleet{
+		Carrier: func(fleet.ServiceID) (*Carrier, bool) { return carrier, true },
+		Ready:   func() bool { return true },
+		Leaving: func() bool { return false },
+	})
+	b.ReportAllocs()
+	for b.Loop() {
+		r := benchRequest()
+		relay.ServeHTTP(&nullWriter{header: http.Header{}}, r)
+	}
+}
+
+func benchRequest() *http.Request {
+	r, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://x/stock", nil)
+	r.Header.Set(HeaderService, "disponible")
+	r.RemoteAddr = "10.0.0.1:999"
+	return r
+}
+
+type nullWriter struct{ header http.Header }
+
+func (w *nullWriter) Header() http.Header         { return w.header }
+func (w *nullWriter) Write(p []byte) (int, error) { return len(p), nil }
+func (w *nullWriter) WriteHeader(int)             {}
--- a/core/proxy/carrier.go
+++ b/core/proxy/carrier.go
@@ -23,8 +23,8 @@
 	recorder *detect.Recorder
 	budget   *retry.Budget
 	dial     func(ctx context.Context, network, address string) (net.Conn, error)
-	// onLeaving is told of a target that announces that it leaves.
-	onLeaving func(fleet.TargetID)
+	// onLeaving is told with each response whether its target announces that it leaves.
+	onLeaving func(fleet.TargetID, bool)
 	sink      RouteSink
 }
 
@@ -39,8 +39,11 @@
 	Target    fleet.TargetID
 	Number    int
 	Ending    retry.Ending
-	Decision  retry.Decision
-	Latency   time.Duration
+	// Result is what the attempt says about the target.
+	Result   detect.Result
+	Decision retry.Decision
+	// Latency is the time to the response head, or to the failure.
+	Latency time.Duration
 }
 
 // routing is the immutable snapshot that requests read.
@@ -58,8 +61,9 @@
 	return func(c *Carrier) { c.dial = dial }
 }
 
-// WithLeavingSign sets the function that is told of a target that announces that it leaves.
-func WithLeavingSign(f func(fleet.TargetID)) CarrierOption {
+// WithLeavingSign sets the function that is told with each response whether its
+// target announces that it leaves.
+func WithLeavingSign(f func(id fleet.TargetID, leaving bool)) CarrierOption {
 	return func(c *Carrier) { c.onLeaving = f }
 }
 
@@ -77,7 +81,7 @@
 		recorder:  detect.NewRecorder(service),
 		budget:    retry.NewBudget(service.Policy.RetryBudget, time.Now()),
 		dial:      (&net.Dialer{}).DialContext,
-		onLeaving: func(fleet.TargetID) {},
+		onLeaving: func(fleet.TargetID, bool) {},
 		sink:      func(AttemptMsg) {},
 	}
 	for _, o := range opts {
--- a/core/proxy/exchange.go
+++ b/core/proxy/exchange.go
@@ -149,8 +149,9 @@
 		Target:    a.target,
 		Number:    x.number,
 		Ending:    a.ending,
+		Result:    a.result,
 		Decision:  d,
-		Latency:   now.Sub(x.in.arrived),
+		Latency:   a.latency,
 	})
 	return d
 }
