--- /dev/null
+++ b/core/order/handover.go
@@ -0,0 +1,241 @@
+package order
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/fleet"
+)
+
+// partBytes is the size at which a part of an exported ledger ends.
+const partBytes = 256 << 10
+
+// recordBytes is the size of an encoded record without its response, roughly.
+const recordBytes = 64
+
+// seal closes the open epoch for good. Reservations are removed, so that no
+// grant to this incarnation is used any more.
+func (l *Ledger) seal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current.Load() == 0 {
+		return
+	}
+	l.current.Store(0)
+	l.epochs[len(l.epochs)-1].closed = time.Now()
+	for i := range l.shards {
+		l.shards[i].close()
+		l.records.Add(-l.shards[i].removeAsking())
+	}
+}
+
+func (s *shard) removeAsking() (removed int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.tables {
+		for key, r := range t.records {
+			if r.state == StateAsking {
+				delete(t.records, key)
+				removed++
+			}
+		}
+	}
+	return removed
+}
+
+// export seals the ledger and returns its records. A record that is still
+// running is exported as unknown, because its outcome will not reach the holders.
+func (l *Ledger) export() []LedgerPart {
+	l.seal()
+	l.mu.Lock()
+	first, last := l.epochs[0].number, l.epochs[len(l.epochs)-1].number
+	l.mu.Unlock()
+	p := newParts(LedgerPart{Ledger: l.self, First: first, Last: last, Keep: l.keep})
+	for i := range l.shards {
+		l.shards[i].export(p)
+	}
+	return p.done()
+}
+
+func (s *shard) export(p *parts) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.tables {
+		for key, r := range t.records {
+			out := Record{Epoch: t.number, Key: key, Digest: r.digest, State: r.state, Response: r.res, Grant: r.grant}
+			if r.state == StateRunning {
+				out.State = StateUnknown
+			}
+			p.add(out)
+		}
+	}
+}
+
+// parts cuts the records of one ledger into parts.
+type parts struct {
+	head LedgerPart
+	list []LedgerPart
+	size int64
+}
+
+func newParts(head LedgerPart) *parts {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	head.Export = binary.LittleEndian.Uint64(b[:])
+	return &parts{head: head, list: []LedgerPart{head}}
+}
+
+func (p *parts) add(r Record) {
+	size := int64(recordBytes)
+	if r.Response != nil {
+		size += r.Response.Size()
+	}
+	if p.size > 0 && p.size+size > partBytes && len(p.list) < maxParts {
+		p.list = append(p.list, p.head)
+		p.size = 0
+	}
+	p.size += size
+	last := &p.list[len(p.list)-1]
+	last.Records = append(last.Records, r)
+}
+
+func (p *parts) done() []LedgerPart {
+	for i := range p.list {
+		p.list[i].Part, p.list[i].Parts = i, len(p.list)
+	}
+	return p.list
+}
+
+// holdings are the closed ledgers that other incarnations handed over.
+type holdings struct {
+	maxRecords, maxKept int64
+
+	mu      sync.Mutex
+	ledgers map[fleet.Incarnation]*held
+	records int64
+	kept    int64
+}
+
+// held is one ledger that was handed over, or the parts of it that arrived.
+type held struct {
+	export      uint64
+	first, last uint32
+	until       time.Time
+	missing     map[int]bool
+	records     map[heldKey]record
+	kept        int64
+}
+
+type heldKey struct {
+	epoch uint32
+	key   Hash
+}
+
+// add takes over one part. Parts of another export of the same ledger replace
+// an incomplete one, since they are cut in another way; a complete one stays.
+func (h *holdings) add(p LedgerPart, now time.Time) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.ledgers[p.Ledger]
+	if l != nil && l.export != p.Export && len(l.missing) > 0 {
+		h.removeLocked(p.Ledger)
+		l = nil
+	}
+	if l == nil {
+		l = newHeld(p, now)
+		h.ledgers[p.Ledger] = l
+	}
+	if l.export != p.Export || !l.missing[p.Part] {
+		return nil
+	}
+	if h.records+int64(len(p.Records)) > h.maxRecords {
+		return fault.New(fault.QueueFull, "no room for %d records of %q", len(p.Records), p.Ledger)
+	}
+	delete(l.missing, p.Part)
+	for _, r := range p.Records {
+		h.addRecord(l, r)
+	}
+	return nil
+}
+
+func newHeld(p LedgerPart, now time.Time) *held {
+	l := &held{export: p.Export, first: p.First, last: p.Last, until: now.Add(p.Keep), missing: map[int]bool{}, records: map[heldKey]record{}}
+	for i := range p.Parts {
+		l.missing[i] = true
+	}
+	return l
+}
+
+func (h *holdings) addRecord(l *held, r Record) {
+	in := record{digest: r.Digest, state: r.State, res: r.Response, grant: r.Grant}
+	if in.res != nil && h.kept+in.res.Size() > h.maxKept {
+		in.state, in.res = StateRunDropped, nil
+	}
+	if in.res != nil {
+		h.kept += in.res.Size()
+		l.kept += in.res.Size()
+	}
+	l.records[heldKey{r.Epoch, r.Key}] = in
+	h.records++
+}
+
+// answer replies for a ledger that was handed over. An unseen key was not run
+// only if all parts arrived and the epoch is one of the closed ones.
+func (h *holdings) answer(a OrderAsk) OrderReply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.ledgers[a.Ledger]
+	if l == nil {
+		return OrderReply{State: StateNotHeld}
+	}
+	if r, ok := l.records[heldKey{a.Epoch, a.Key}]; ok {
+		return r.checked(a.Digest).reply(a.Digest)
+	}
+	switch {
+	case len(l.missing) > 0:
+		return OrderReply{State: StateNotHeld}
+	case a.Epoch < l.first || a.Epoch > l.last:
+		return OrderReply{State: StateUnknown}
+	default:
+		return OrderReply{State: StateNotRun}
+	}
+}
+
+// expire drops the ledgers whose time is over.
+func (h *holdings) expire(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for inc, l := range h.ledgers {
+		if now.After(l.until) {
+			h.removeLocked(inc)
+		}
+	}
+}
+
+func (h *holdings) removeLocked(inc fleet.Incarnation) {
+	l := h.ledgers[inc]
+	delete(h.ledgers, inc)
+	h.records -= int64(len(l.records))
+	h.kept -= l.kept
+}
+
+// export returns the complete ledgers, for a holder that leaves itself.
+func (h *holdings) export(now time.Time) []LedgerPart {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var all []LedgerPart
+	for inc, l := range h.ledgers {
+		if len(l.missing) > 0 || !now.Before(l.until) {
+			continue
+		}
+		p := newParts(LedgerPart{Ledger: inc, First: l.first, Last: l.last, Keep: l.until.Sub(now)})
+		for k, r := range l.records {
+			p.add(Record{Epoch: k.epoch, Key: k.key, Digest: r.digest, State: r.state, Response: r.res, Grant: r.grant})
+		}
+		all = append(all, p.done()...)
+	}
+	return all
+}
