Specify choice, gate and retries and fix two races

The three packages had no specs. The tests found two faults: a request read its grant outside the lock right after it was queued, and a slot freed in the middle of a dispatch went to a request out of turn, so that orders and lookups did not alternate. Each step of a dispatch now works on one reading of all counts, and the state of a queued request is only read under the lock or after its channel is closed.

--- /dev/null
+++ b/core/choose/choose_test.go
@@ -0,0 +1,130 @@
+package choose_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/choose"
+	"wisteriarelay.example/core/fleet"
+)
+
+func TestChoose(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "choose")
+}
+
+const draws = 20000
+
+// shares returns how often each candidate is picked over seeded draws; the last
+// entry counts the draws without a pick.
+func shares(cands []choose.Candidate, idempotent bool) []float64 {
+	rng := rand.New(rand.NewPCG(1, 2))
+	n := make([]float64, len(cands)+1)
+	for range draws {
+		i, ok := choose.Pick(cands, idempotent, rng.Uint64())
+		if !ok {
+			i = len(cands)
+		}
+		n[i] += 1.0 / draws
+	}
+	return n
+}
+
+func cand(state choose.State, own, peers int) choose.Candidate {
+	return choose.Candidate{
+		State: state, Weight: 1, SameDataCentre: true,
+		InFlight: own, PeerInFlight: peers, Limit: 2 - peers, Slots: 2,
+	}
+}
+
+var _ = Describe("Pick", func() {
+	far := func(c choose.Candidate) choose.Candidate { c.SameDataCentre = false; return c }
+	ranked := func(c choose.Candidate, r uint64) choose.Candidate { c.Rank = r; return c }
+
+	DescribeTable("prefers the first over the second",
+		func(a, b choose.Candidate) {
+			Expect(shares([]choose.Candidate{a, b}, true)[0]).To(BeNumerically("~", 1, 1e-9))
+			Expect(shares([]choose.Candidate{b, a}, true)[1]).To(BeNumerically("~", 1, 1e-9))
+		},
+		Entry("ready over avoided, although it is busier and farther", far(cand(choose.Ready, 1, 0)), cand(choose.Avoided, 0, 0)),
+		Entry("a free slot over none", cand(choose.Avoided, 0, 0), cand(choose.Ready, 1, 1)),
+		Entry("same data centre over less work", cand(choose.Ready, 1, 0), far(cand(choose.Ready, 0, 0))),
+		Entry("another data centre over a busy target", far(cand(choose.Ready, 1, 0)), cand(choose.Ready, 2, 0)),
+		Entry("less own work", cand(choose.Ready, 0, 0), cand(choose.Ready, 1, 0)),
+		Entry("less work of peers", cand(choose.Ready, 0, 0), cand(choose.Ready, 0, 1)),
+		Entry("the lower rank among two equals", ranked(cand(choose.Ready, 0, 0), 1), ranked(cand(choose.Ready, 0, 0), 2)),
+		Entry("anything over closed", cand(choose.Avoided, 1, 0), cand(choose.Closed, 0, 0)),
+	)
+
+	It("gives a target in slow start its weight's part of a fair share", func() {
+		cands := []choose.Candidate{cand(choose.Ready, 0, 0), cand(choose.Ready, 0, 0), cand(choose.Ready, 0, 0), cand(choose.SlowStart, 0, 0)}
+		for i := range cands {
+			cands[i].Rank = choose.Rank("vm", fleet.TargetID(fmt.Sprint(i)))
+		}
+		cands[3].Weight = 0
+		Expect(shares(cands, true)[3]).To(BeZero())
+		cands[3].Weight = 1
+		full := shares(cands, true)[3]
+		cands[3].Weight = 0.1
+		Expect(shares(cands, true)[3]).To(BeNumerically("~", full/10, 0.01))
+	})
+
+	It("uses a target in slow start when no ready one is free", func() {
+		slow := cand(choose.SlowStart, 0, 0)
+		slow.Weight = 0
+		Expect(shares([]choose.Candidate{cand(choose.Ready, 2, 0), slow}, false)[1]).To(BeNumerically("~", 1, 1e-9))
+	})
+
+	It("sends trials only idempotent requests, one at a time, where allowed", func() {
+		trial := cand(choose.Trial, 0, 0)
+		trial.Weight, trial.TrialAllowed = 0.1, true
+		Expect(shares([]choose.Candidate{cand(choose.Ready, 0, 0), trial}, true)[1]).To(BeNumerically("~", 0.1, 0.01))
+		Expect(shares([]choose.Candidate{trial}, true)[0]).To(BeNumerically("~", 1, 1e-9))
+		Expect(shares([]choose.Candidate{trial}, false)[1]).To(BeNumerically("~", 1, 1e-9), "not idempotent")
+		trial.InFlight = 1
+		Expect(shares([]choose.Candidate{trial}, true)[1]).To(BeNumerically("~", 1, 1e-9), "a trial is running")
+		trial.InFlight, trial.TrialAllowed = 0, false
+		Expect(shares([]choose.Candidate{trial}, true)[1]).To(BeNumerically("~", 1, 1e-9), "not allowed")
+	})
+
+	It("spreads over many equals and favours the better ranks", func() {
+		var cands []choose.Candidate
+		for r := range 10 {
+			cands = append(cands, ranked(cand(choose.Ready, 0, 0), uint64(r)))
+		}
+		n := shares(cands, true)
+		Expect(n[0]).To(BeNumerically("~", 0.19, 0.02))
+		Expect(n[9]).To(BeNumerically("~", 0.01, 0.005))
+	})
+
+	It("allocates nothing", func() {
+		cands := make([]choose.Candidate, 40)
+		for i := range cands {
+			cands[i] = cand(choose.Ready, 0, 0)
+		}
+		Expect(testing.AllocsPerRun(100, func() { choose.Pick(cands, true, 7) })).To(BeZero())
+	})
+})
+
+var _ = It("ranks targets differently for different daemons", func() {
+	first := map[fleet.TargetID]int{}
+	for d := range 100 {
+		var best fleet.TargetID
+		low := ^uint64(0)
+		for i := range 5 {
+			id := fleet.TargetID(fmt.Sprintf("t%d", i))
+			if r := choose.Rank(fleet.VMID(fmt.Sprintf("vm%d", d)), id); r < low {
+				best, low = id, r
+			}
+		}
+		first[best]++
+	}
+	Expect(first).To(HaveLen(5))
+	for id, n := range first {
+		Expect(n).To(BeNumerically("<", 40), "%s is first for too many daemons", id)
+	}
+})
--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -130,7 +130,8 @@
 		if now >= v.until {
 			return nil
 		}
-		i, limit := g.pick(v, ask, now, false)
+		var room [stackTargets]choose.Candidate
+		i, limit := g.pick(v, ask, v.look(now, room[:0]))
 		if i < 0 {
 			return nil
 		}
@@ -161,22 +162,23 @@
 	g.dispatch(g.now())
 }
 
-// pick returns the position of the best entry for ask and its limit, or -1. With
-// lifted set, what peers report does not limit the first slot of a target.
-func (g *Gate) pick(v *view, ask *Ask, now time.Duration, lifted bool) (pos, limit int) {
-	var room [stackTargets]choose.Candidate
-	cands := room[:0]
+// look appends the candidates of the view at this moment.
+func (v *view) look(now time.Duration, cands []choose.Candidate) []choose.Candidate {
 	for i := range v.entries {
-		e := &v.entries[i]
-		c := e.candidate(now)
-		if lifted && !e.shed(now) {
-			c.Limit = min(max(c.Limit, 1), c.Slots)
-		}
-		if len(ask.Exclude) > 0 && (c.State == choose.Trial || slices.Contains(ask.Exclude, e.slot.id)) {
+		cands = append(cands, v.entries[i].candidate(now))
+	}
+	return cands
+}
+
+// pick returns the position of the best candidate for ask and its limit, or -1.
+func (g *Gate) pick(v *view, ask *Ask, cands []choose.Candidate) (pos, limit int) {
+	if len(ask.Exclude) > 0 {
+		for i := range cands {
 			// A request that failed once is not spent on a trial as well.
-			c.State = choose.Closed
+			if cands[i].State == choose.Trial || slices.Contains(ask.Exclude, v.entries[i].slot.id) {
+				cands[i].State = choose.Closed
+			}
 		}
-		cands = append(cands, c)
 	}
 	i, ok := choose.Pick(cands, ask.Idempotent, g.draw())
 	if !ok {
--- a/core/limit/wait.go
+++ b/core/limit/wait.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"wisteriarelay.example/core/choose"
 	"wisteriarelay.example/core/fault"
 	"wisteriarelay.example/core/fleet"
 )
@@ -13,47 +12,47 @@
 	// retryLeast and retryMost bound the advised wait of a refusal.
 	retryLeast = 50 * time.Millisecond
 	retryMost  = 5 * time.Second
-	// idleCheck bounds how long a waiter sleeps without looking at the clock.
+	// idleCheck bounds the sleep of a waiter: a report or shed response that comes
+	// meanwhile may set an earlier time to look again.
 	idleCheck = time.Second
 )
 
 // enter queues the request, serves the queue and refuses or waits.
 func (g *Gate) enter(ctx context.Context, ask Ask, now time.Duration) (*Grant, error) {
 	w := &waiter{ask: &ask, done: make(chan struct{})}
-	sleep, err := g.admit(w, now)
-	if err != nil {
-		return nil, err
+	if sleep := g.admit(w, now); sleep > 0 {
+		return g.wait(ctx, w, now, sleep)
 	}
-	if w.grant != nil {
-		return w.grant, nil
-	}
-	return g.wait(ctx, w, now, sleep)
+	return w.grant, w.err
 }
 
-// admit queues w and serves the queue. If w is still waiting, it returns how long
-// until the queue must be looked at again.
-func (g *Gate) admit(w *waiter, now time.Duration) (time.Duration, error) {
+// admit queues w and serves the queue. It returns how long until the queue must be
+// looked at again for w, or 0 if w is granted or refused. While w waits, its grant
+// and error belong to the holder of mu.
+func (g *Gate) admit(w *waiter, now time.Duration) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.until(w.ask) <= now {
 		g.counts.refusedEarly.Add(1)
-		return 0, fault.New(fault.DeadlineExceeded, "deadline has passed")
+		w.err = fault.New(fault.DeadlineExceeded, "deadline has passed")
+		return 0
 	}
 	if !g.fresh(now).usable(w.ask) {
 		g.counts.refusedNoTarget.Add(1)
-		return 0, noTarget()
+		w.err = noTarget()
+		return 0
 	}
 	g.queue.add(w)
 	g.recount()
 	g.dispatch(now)
 	if w.finished() {
-		return 0, w.err
+		return 0
 	}
 	if need := g.need(w); now+need > g.until(w.ask) {
 		g.counts.refusedEarly.Add(1)
 		g.refuse(w, fault.New(fault.DeadlineExceeded, "deadline cannot be met: about %v needed", need).
 			WithRetryAfter(bounded(now+need-g.until(w.ask))))
-		return 0, w.err
+		return 0
 	}
 	if g.queue.len() > g.view.Load().queueLength {
 		v := g.queue.victim()
@@ -61,7 +60,10 @@
 		g.refuse(v, fault.New(fault.QueueFull, "%d requests wait already", g.queue.len()).
 			WithRetryAfter(bounded(g.need(v))))
 	}
-	return g.sleep(w, now), w.err
+	if w.finished() {
+		return 0
+	}
+	return g.sleep(w, now)
 }
 
 func noTarget() error {
@@ -145,7 +147,7 @@
 			at = min(at, u)
 		}
 	}
-	return max(at-now, 0)
+	return max(at-now, 1)
 }
 
 // need is the time until w would have its response: the queue ahead of it at the
@@ -203,97 +205,3 @@
 	}
 	return g.view.Load()
 }
-
-// dispatch grants free slots to waiters; mu is held.
-func (g *Gate) dispatch(now time.Duration) {
-	if g.queue.len() == 0 {
-		return
-	}
-	v := g.fresh(now)
-	for g.dispatchOne(v, now) {
-		continue
-	}
-	g.recount()
-}
-
-// dispatchOne grants a slot to the first waiter in order that can use one.
-func (g *Gate) dispatchOne(v *view, now time.Duration) bool {
-	if g.queue.urgent() > 0 {
-		next := g.queue.next
-		served, blocked := g.dispatchBand(v, next, now)
-		if served || blocked {
-			return served
-		}
-		served, _ = g.dispatchBand(v, other(next), now)
-		return served
-	}
-	if g.queue.len() == 0 || g.free(v, now) <= g.reserve(now) {
-		return false
-	}
-	served, _ := g.dispatchBand(v, fleet.Batch, now)
-	return served
-}
-
-// dispatchBand grants a slot to the first waiter of the kind that can use one.
-// blocked says that no waiter of any kind can, so that the search may end.
-func (g *Gate) dispatchBand(v *view, k fleet.Kind, now time.Duration) (served, blocked bool) {
-	for w := range g.queue.bands[k].all() {
-		if g.until(w.ask) <= now {
-			continue
-		}
-		if s := g.take(v, w.ask, now); s != nil {
-			g.queue.serve(w)
-			w.grant = g.grant(s, k, now)
-			close(w.done)
-			return true, false
-		}
-		if w.ask.Idempotent && len(w.ask.Exclude) == 0 {
-			return false, true
-		}
-	}
-	return false, false
-}
-
-// take claims a slot for ask, beyond the peers' reports if this daemon has less
-// than its fair share of the slots in use; mu is held.
-func (g *Gate) take(v *view, ask *Ask, now time.Duration) *slot {
-	if s := g.claim(v, ask, now, false); s != nil {
-		return s
-	}
-	if g.own(v) >= v.fair {
-		return nil
-	}
-	return g.claim(v, ask, now, true)
-}
-
-func (g *Gate) claim(v *view, ask *Ask, now time.Duration, lifted bool) *slot {
-	for {
-		i, limit := g.pick(v, ask, now, lifted)
-		if i < 0 {
-			return nil
-		}
-		if s := v.entries[i].slot; s.claim(limit) {
-			return s
-		}
-	}
-}
-
-// free is the number of slots that this daemon may still use without the lift.
-func (g *Gate) free(v *view, now time.Duration) int {
-	n := 0
-	for i := range v.entries {
-		c := v.entries[i].candidate(now)
-		if c.State != choose.Closed && c.State != choose.Trial {
-			n += max(c.Limit-c.InFlight, 0)
-		}
-	}
-	return n
-}
-
-// reserve is the number of free slots that batch requests leave.
-func (g *Gate) reserve(now time.Duration) int {
-	if int64(now)-g.lastUrgent.Load() < int64(urgentRecent) {
-		return 1
-	}
-	return 0
-}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,163 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/retry"
+)
+
+func TestRetry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "retry")
+}
+
+var (
+	start  = time.Unix(1_700_000_000, 0)
+	lookup = &fleet.Route{Kind: fleet.Lookup, Idempotent: true, Attempts: 2, Refusal: &fleet.Refusal{Status: 503}}
+	order  = &fleet.Route{Kind: fleet.Order, Attempts: 1, Refusal: &fleet.Refusal{Status: 503}}
+	plain  = &fleet.Route{Kind: fleet.Order, Attempts: 1}
+)
+
+// ample returns a budget with many retries in hand.
+func ample() *retry.Budget {
+	b := retry.NewBudget(1, start)
+	for range 100 {
+		b.Request()
+	}
+	return b
+}
+
+var _ = Describe("Decide", func() {
+	DescribeTable("states the outcome of each ending and repeats only what is safe",
+		func(e retry.Ending, outcome fault.Outcome, again, orderAgain bool) {
+			d := retry.Decide(lookup, retry.Attempt{Number: 1, Ending: e}, ample(), start)
+			Expect(d.Outcome).To(Equal(outcome))
+			Expect(d.Retry).To(Equal(again), "lookup")
+			d = retry.Decide(order, retry.Attempt{Number: 1, Ending: e}, ample(), start)
+			Expect(d.Outcome).To(Equal(outcome))
+			Expect(d.Retry).To(Equal(orderAgain), "order")
+		},
+		Entry(nil, retry.OK, fault.Run, false, false),
+		Entry(nil, retry.NotDialled, fault.NotRun, true, true),
+		Entry(nil, retry.DialRefused, fault.NotRun, true, true),
+		Entry(nil, retry.DialTimeout, fault.NotRun, true, false),
+		Entry(nil, retry.WriteFailed, fault.Unknown, true, false),
+		Entry(nil, retry.NoResponse, fault.Unknown, true, false),
+		Entry(nil, retry.TimedOut, fault.Unknown, true, false),
+		Entry(nil, retry.Truncated, fault.Unknown, true, false),
+		Entry(nil, retry.FailedStatus, fault.Unknown, true, false),
+		Entry(nil, retry.BodyFailure, fault.Unknown, true, false),
+		Entry(nil, retry.RefusedBeforeStart, fault.NotRun, true, true),
+		Entry(nil, retry.CallerGone, fault.Unknown, false, false),
+		Entry("an unlisted ending", retry.Ending(200), fault.Unknown, true, false),
+	)
+
+	It("has a row with the outcome of its kind for each ending but those that know more", func() {
+		for _, e := range retry.Endings() {
+			Expect(e.String()).NotTo(BeEmpty())
+			if e != retry.OK {
+				Expect(e.Row().Outcome).To(Equal(e.Row().Kind.Answer().Outcome), e.String())
+			}
+		}
+	})
+
+	It("believes a refusal only on a route with a refusal rule", func() {
+		d := retry.Decide(plain, retry.Attempt{Number: 1, Ending: retry.RefusedBeforeStart}, ample(), start)
+		Expect(d.Retry).To(BeFalse())
+		Expect(d.Outcome).To(Equal(fault.Unknown))
+	})
+
+	DescribeTable("stops",
+		func(route *fleet.Route, a retry.Attempt, why retry.Reason, outcome fault.Outcome) {
+			b := ample()
+			before := b.Stats()
+			d := retry.Decide(route, a, b, start)
+			Expect(d.Reason).To(Equal(why))
+			Expect(d.Outcome).To(Equal(outcome))
+			Expect(b.Stats().Tokens).To(Equal(before.Tokens), "a retry was taken without being allowed")
+		},
+		Entry("after the last attempt", lookup, retry.Attempt{Number: 2, Ending: retry.DialRefused}, retry.NoAttemptLeft, fault.NotRun),
+		Entry("after two refusals of an order", order, retry.Attempt{Number: 2, Ending: retry.DialRefused, Earlier: fault.NotRun}, retry.NoAttemptLeft, fault.NotRun),
+		Entry("with an order that may have run earlier", order, retry.Attempt{Number: 1, Ending: retry.DialRefused, Earlier: fault.Unknown}, retry.NotIdempotent, fault.Unknown),
+		Entry("when the deadline leaves less than a service time", lookup, retry.Attempt{Number: 1, Ending: retry.TimedOut, Deadline: start.Add(time.Second), Expected: time.Second}, retry.NoTimeLeft, fault.Unknown),
+		Entry("once response bytes were passed on", lookup, retry.Attempt{Number: 1, Ending: retry.Truncated, Streaming: true}, retry.NotRepeatable, fault.Unknown),
+		Entry("and keeps an earlier unknown outcome", lookup, retry.Attempt{Number: 2, Ending: retry.DialRefused, Earlier: fault.Unknown}, retry.NoAttemptLeft, fault.Unknown),
+	)
+})
+
+var _ = Describe("Budget", func() {
+	// A fleet in which every target fails must not receive much more than the
+	// callers' own requests.
+	It("bounds amplification when all targets fail", func() {
+		const requests, ratio = 10_000, 0.1
+		eager := &fleet.Route{Idempotent: true, Attempts: 5, HedgeAfter: time.Millisecond}
+		b := retry.NewBudget(ratio, start)
+		now, sent := start, 0
+		for range requests {
+			now = now.Add(time.Millisecond)
+			b.Request()
+			sent++
+			if retry.DecideHedge(eager, retry.Pending{Started: now.Add(-time.Second), Copies: 1}, b, now).Send {
+				sent++
+			}
+			for n := 1; retry.Decide(eager, retry.Attempt{Number: n, Ending: retry.FailedStatus}, b, now).Retry; n++ {
+				sent++
+			}
+		}
+		seconds := now.Sub(start).Seconds()
+		Expect(float64(sent)).To(BeNumerically("<=", requests*(1+ratio)+seconds+1))
+		Expect(float64(sent)).To(BeNumerically(">=", requests*(1+ratio)), "the budget is not used in full")
+	})
+
+	It("lets a quiet service retry once a second and saves a bounded number", func() {
+		b := retry.NewBudget(0, start)
+		Expect(b.Take(start)).To(BeTrue())
+		Expect(b.Take(start)).To(BeFalse())
+		Expect(b.Take(start.Add(time.Second))).To(BeTrue())
+		later, n := start.Add(time.Hour), 0
+		for b.Take(later) {
+			n++
+		}
+		Expect(n).To(Equal(32))
+	})
+
+	It("takes back a retry that was not sent", func() {
+		b := retry.NewBudget(0, start)
+		Expect(b.Take(start)).To(BeTrue())
+		b.Return()
+		Expect(b.Take(start)).To(BeTrue())
+		Expect(b.Stats()).To(Equal(retry.BudgetStats{Spent: 1}))
+	})
+})
+
+var _ = Describe("DecideHedge", func() {
+	hedged := &fleet.Route{Idempotent: true, HedgeAfter: 20 * time.Millisecond}
+	sent := retry.Pending{Started: start, Copies: 1}
+
+	It("waits for the delay, then sends one copy", func() {
+		b := ample()
+		Expect(retry.DecideHedge(hedged, sent, b, start)).To(Equal(retry.Hedge{Wait: 20 * time.Millisecond}))
+		Expect(retry.DecideHedge(hedged, sent, b, start.Add(20*time.Millisecond))).To(Equal(retry.Hedge{Send: true}))
+		Expect(retry.DecideHedge(hedged, retry.Pending{Started: start, Copies: 2}, b, start.Add(time.Second))).To(BeZero())
+	})
+
+	It("never copies a request that is not idempotent, is not to be hedged or cannot be in time", func() {
+		late := start.Add(time.Second)
+		Expect(retry.DecideHedge(&fleet.Route{HedgeAfter: 1}, sent, ample(), late)).To(BeZero())
+		Expect(retry.DecideHedge(lookup, sent, ample(), late)).To(BeZero())
+		short := retry.Pending{Started: start, Copies: 1, Deadline: start.Add(30 * time.Millisecond), Expected: 10 * time.Millisecond}
+		Expect(retry.DecideHedge(hedged, short, ample(), start)).To(BeZero())
+	})
+
+	It("sends no copy without budget", func() {
+		b := retry.NewBudget(0, start)
+		Expect(b.Take(start)).To(BeTrue())
+		Expect(retry.DecideHedge(hedged, sent, b, start.Add(30*time.Millisecond))).To(BeZero())
+	})
+})
