--- a/core/detect/assess.go
+++ b/core/detect/assess.go
@@ -66,6 +66,10 @@
 	defer s.mu.Unlock()
 	x := s.newExam(now)
 	s.suspect = map[fleet.TargetID]bool{}
+	s.typical = 0
+	if code, ok := others(x.codes, ""); ok {
+		s.typical = latencyOf(code)
+	}
 	var verdicts []Verdict
 	for _, id := range x.targets {
 		if v, ok := x.judge(id); ok {
--- /dev/null
+++ b/core/detect/ejector_test.go
@@ -0,0 +1,265 @@
+package detect
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/store"
+)
+
+// fakeTable is a table service with one row; fate, if set, decides for each
+// Apply whether it takes effect and what the caller is told.
+type fakeTable struct {
+	mu            sync.Mutex
+	row           store.Row
+	gets, applies int
+	getFate       func() error
+	fate          func() (effect bool, err error)
+}
+
+func (f *fakeTable) table() store.Table {
+	return store.Table{Get: f.get, Apply: f.apply}
+}
+
+func (f *fakeTable) get(context.Context, string) (store.Row, error) {
+	time.Sleep(2 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gets++
+	if f.getFate != nil {
+		if err := f.getFate(); err != nil {
+			return store.Row{}, err
+		}
+	}
+	if f.row.Version == 0 {
+		return store.Row{}, fault.New(fault.RowMissing, "no row")
+	}
+	return f.row, nil
+}
+
+func (f *fakeTable) apply(_ context.Context, tx store.Tx) error {
+	time.Sleep(10 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.applies++
+	effect, err := true, error(nil)
+	if f.fate != nil {
+		effect, err = f.fate()
+	}
+	if effect && tx.Conds[0].Version != f.row.Version {
+		return fault.New(fault.StoreConflict, "version %d", f.row.Version)
+	}
+	if effect {
+		f.row = store.Row{Key: tx.Puts[0].Key, Version: f.row.Version + 1, Value: tx.Puts[0].Value}
+	}
+	return err
+}
+
+func (f *fakeTable) list(t *testing.T, id fleet.ServiceID) Ejections {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.row.Version == 0 {
+		return NewEjections(id)
+	}
+	j, err := DecodeEjections(id, f.row.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
+// behave changes the fates.
+func (f *fakeTable) behave(fate func() (bool, error), getFate func() error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fate, f.getFate = fate, getFate
+}
+
+func (f *fakeTable) counts() (gets, applies int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gets, f.applies
+}
+
+func ambiguous() error { return fault.New(fault.StoreAmbiguous, "reply lost") }
+func down() error      { return fault.New(fault.StoreUnavailable, "down") }
+
+// ejectorTest runs body in a bubble with n ejectors on one table, ranked by number.
+func ejectorTest(t *testing.T, n int, body func(g *gomega.WithT, f *fakeTable, es []*Ejector)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fakeTable{}
+		var es []*Ejector
+		for i := range n {
+			e := NewEjector("reservas", fleet.NewIncarnation(vmName(i)), f.table(), WithRank(func(fleet.TargetID) int { return i }))
+			e.Start(ctx)
+			es = append(es, e)
+		}
+		body(gomega.NewWithT(t), f, es)
+		cancel()
+		for _, e := range es {
+			e.Wait()
+		}
+	})
+}
+
+func submitAll(es []*Ejector, svc *fleet.Service, vs ...Verdict) {
+	for _, e := range es {
+		e.Submit(Assessment{Service: svc, Verdicts: vs, Typical: 10 * time.Millisecond})
+	}
+}
+
+// Guards against six carriers that all write the same ejection.
+func TestEjectorsShareTheDuty(t *testing.T) {
+	ejectorTest(t, 6, func(g *gomega.WithT, f *fakeTable, es []*Ejector) {
+		submitAll(es, testService(6), condemned("a"), condemned("b"))
+		time.Sleep(3 * time.Second)
+		j := f.list(t, "reservas")
+		g.Expect(j.Entries).To(gomega.HaveLen(2))
+		_, applies := f.counts()
+		g.Expect(applies).To(gomega.Equal(1), "one write for both targets")
+		g.Expect(es[5].Current().Entries).To(gomega.HaveLen(2))
+	})
+}
+
+// Guards against a dead first carrier that keeps a target in service.
+func TestEjectorNextInRankWrites(t *testing.T) {
+	ejectorTest(t, 3, func(g *gomega.WithT, f *fakeTable, es []*Ejector) {
+		submitAll(es[1:], testService(6), condemned("a"))
+		time.Sleep(time.Second)
+		g.Expect(f.list(t, "reservas").Entries).To(gomega.HaveLen(1))
+	})
+}
+
+// Guards against a second ejection, or a false report to the operator, after
+// the reply to a write was lost.
+func TestEjectorResolvesLostReplies(t *testing.T) {
+	for _, effect := range []bool{true, false} {
+		ejectorTest(t, 1, func(g *gomega.WithT, f *fakeTable, es []*Ejector) {
+			submitAll(es, testService(6))
+			first := true
+			f.behave(func() (bool, error) {
+				if first {
+					first = false
+					return effect, ambiguous()
+				}
+				return true, nil
+			}, nil)
+			g.Expect(es[0].EjectByHand(context.Background(), "a", "alma", "disk swap")).To(gomega.Succeed())
+			j := f.list(t, "reservas")
+			g.Expect(j.Sequence).To(gomega.Equal(uint64(1)))
+			g.Expect(j.Entries[0].By).To(gomega.Equal("alma"))
+			g.Expect(es[0].ReturnByHand(context.Background(), "a", "alma", "done")).To(gomega.Succeed())
+			g.Expect(f.list(t, "reservas").Entries).To(gomega.BeEmpty())
+		})
+	}
+}
+
+// Guards against a change that is reported as made or not made while nobody can know.
+func TestEjectorReportsUnresolvedWrite(t *testing.T) {
+	ejectorTest(t, 1, func(g *gomega.WithT, f *fakeTable, es []*Ejector) {
+		submitAll(es, testService(6))
+		time.Sleep(time.Second)
+		f.behave(func() (bool, error) { return true, ambiguous() }, down)
+		err := es[0].EjectByHand(context.Background(), "a", "alma", "disk swap")
+		g.Expect(fault.Is(err, fault.StoreAmbiguous)).To(gomega.BeTrue())
+		f.behave(nil, nil)
+		time.Sleep(time.Second)
+		g.Expect(es[0].Current().Entries).To(gomega.HaveLen(1), "read back as soon as the store answers")
+	})
+}
+
+// Guards against a hot loop on a store that is down, and against verdicts that
+// are lost over the outage.
+func TestEjectorBacksOff(t *testing.T) {
+	ejectorTest(t, 1, func(g *gomega.WithT, f *fakeTable, es []*Ejector) {
+		f.behave(func() (bool, error) { return false, down() }, nil)
+		for range 60 {
+			submitAll(es, testService(6), condemned("a"))
+			time.Sleep(time.Second)
+		}
+		_, applies := f.counts()
+		g.Expect(applies).To(gomega.BeNumerically("<", 20))
+		f.behave(nil, nil)
+		for range 16 {
+			submitAll(es, testService(6), condemned("a"))
+			time.Sleep(time.Second)
+		}
+		g.Expect(f.list(t, "reservas").Entries).To(gomega.HaveLen(1))
+	})
+}
+
+// Guards against verdicts from before a pause that are carried out after it.
+func TestEjectorIgnoresOldVerdicts(t *testing.T) {
+	ejectorTest(t, 1, func(g *gomega.WithT, f *fakeTable, es []*Ejector) {
+		f.behave(nil, down)
+		submitAll(es, testService(6), condemned("a"))
+		time.Sleep(2 * assessmentHold)
+		f.behave(nil, nil)
+		time.Sleep(longBackoff * 2)
+		g.Expect(f.list(t, "reservas").Entries).To(gomega.BeEmpty())
+	})
+}
+
+// Guards against a daemon that uses an old row although a peer knows a newer one.
+func TestEjectorFollowsTheRow(t *testing.T) {
+	ejectorTest(t, 2, func(g *gomega.WithT, f *fakeTable, es []*Ejector) {
+		time.Sleep(time.Second)
+		submitAll(es[:1], testService(6), condemned("a"))
+		time.Sleep(time.Second)
+		own := es[0].Current()
+		g.Expect(es[1].Current().Version).To(gomega.BeZero())
+		es[1].Hear(own.Version)
+		time.Sleep(100 * time.Millisecond)
+		g.Expect(es[1].Current().Version).To(gomega.Equal(own.Version))
+		before, _ := f.counts()
+		es[1].Hear(own.Version + 7)
+		time.Sleep(rereadInterval / 2)
+		after, _ := f.counts()
+		g.Expect(after-before).To(gomega.BeNumerically("<=", 2), "a version that the table does not have is forgotten")
+		g.Expect(es[1].Offer(9, []byte(`{"service":"x"}`))).NotTo(gomega.Succeed())
+		g.Expect(es[1].Offer(own.Version-1, own.Value)).To(gomega.Succeed())
+		g.Expect(es[1].Current().Version).To(gomega.Equal(own.Version))
+	})
+}
+
+// Guards against targets that stay out for good, or come back although they fail.
+func TestEjectorRunsTrials(t *testing.T) {
+	ejectorTest(t, 1, func(g *gomega.WithT, f *fakeTable, es []*Ejector) {
+		e, svc := es[0], testService(6)
+		submitAll(es, svc, condemned("a"), condemned("b"), condemned("c"))
+		time.Sleep(time.Second)
+		submitAll(es, svc)
+		time.Sleep(11 * time.Second)
+		for _, id := range []fleet.TargetID{"a", "b", "c"} {
+			entry, _ := e.Current().Find(id)
+			g.Expect(entry.Phase).To(gomega.Equal(PhaseTrial))
+		}
+		for range trialSuccesses {
+			e.Trial("a", OK, 10*time.Millisecond)
+			e.Trial("b", OK, time.Second)
+		}
+		e.TrialProbe("c", OK)
+		time.Sleep(time.Second)
+		j := e.Current().Ejections
+		states := States(svc, j, nil, nil, nil, time.Now())
+		g.Expect(stateOf(states, "a")).To(gomega.Equal(SlowStart))
+		g.Expect(stateOf(states, "b")).To(gomega.Equal(Ejected), "as slow as before")
+		entry, _ := j.Find("b")
+		g.Expect(entry.Period()).To(gomega.Equal(20 * time.Second))
+		g.Expect(stateOf(states, "c")).To(gomega.Equal(Trial))
+		e.TrialProbe("c", OK)
+		e.TrialProbe("c", OK)
+		time.Sleep(trialProbeGrace)
+		_, listed := e.Current().Find("c")
+		g.Expect(listed).To(gomega.BeFalse(), "probes decide where no request may be tried")
+	})
+}
--- a/core/detect/leaving.go
+++ b/core/detect/leaving.go
@@ -55,7 +55,7 @@
 
 	mu    sync.Mutex
 	marks map[fleet.TargetID]*[sourceCount]mark
-	// changed is closed and replaced when a first-hand sign changes.
+	// changed is closed and replaced when a first-hand sign comes or goes.
 	changed chan struct{}
 }
 
@@ -97,7 +97,7 @@
 		l.set(FromProbe, id, now, time.Time{})
 		return
 	}
-	l.clear(id, FromProbe, FromResponse)
+	l.clear(now, id, FromProbe, FromResponse)
 }
 
 // Peers takes the signs that one or more peers report first-hand.
@@ -117,7 +117,7 @@
 	}
 	for id := range l.Signs() {
 		if !drained[id] {
-			l.clear(id, FromDrain)
+			l.clear(now, id, FromDrain)
 		}
 	}
 }
@@ -169,7 +169,7 @@
 	l.publish(now)
 }
 
-func (l *LeavingTracker) clear(id fleet.TargetID, sources ...Source) {
+func (l *LeavingTracker) clear(now time.Time, id fleet.TargetID, sources ...Source) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	m := l.marks[id]
@@ -177,10 +177,12 @@
 		return
 	}
 	for _, src := range sources {
+		if m[src].holds(now) && src != FromDrain {
+			l.announce()
+		}
 		m[src] = mark{}
 	}
-	l.announce()
-	l.publish(time.Now())
+	l.publish(now)
 }
 
 func (l *LeavingTracker) announce() {
--- /dev/null
+++ b/core/detect/prober_test.go
@@ -0,0 +1,122 @@
+package detect
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/fleet"
+)
+
+// Guards against two probes of one target at a time, probes of targets of
+// other daemons, and a probe rate other than the policy's.
+func TestProberKeepsItsRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		svc := testService(3)
+		rec, leaving := NewRecorder(svc), NewLeavingTracker()
+		var atOnce, most, ofB, ofC atomic.Int64
+		var suspect, owner atomic.Bool
+		owner.Store(true)
+		probe := func(ctx context.Context, target fleet.Target, _ fleet.Probe) ProbeAnswer {
+			most.Store(max(most.Load(), atOnce.Add(1)))
+			defer atOnce.Add(-1)
+			if target.ID == "c" {
+				ofC.Add(1)
+			}
+			ofB.Add(1)
+			<-ctx.Done()
+			return ProbeAnswer{Result: TimedOut}
+		}
+		p := NewProber(svc, probe,
+			WithAssigned(func(id fleet.TargetID) bool { return id == "b" && owner.Load() }),
+			WithSuspect(func(fleet.TargetID) bool { return suspect.Load() }),
+			WithReport(Observe(rec, leaving, nil)))
+		ctx, cancel := context.WithCancel(t.Context())
+		p.Start(ctx)
+		time.Sleep(60 * time.Second)
+		g.Expect(ofB.Load()).To(gomega.BeNumerically("~", 11, 2))
+		g.Expect(rec.Drain()[0].ProbesFailed).To(gomega.BeNumerically(">=", 9))
+		suspect.Store(true)
+		before := ofB.Load()
+		time.Sleep(60 * time.Second)
+		g.Expect(ofB.Load()-before).To(gomega.BeNumerically("~", 30, 3), "1 s of timeout and 1 s of wait")
+		for range 20 {
+			owner.Store(!owner.Load())
+			time.Sleep(500 * time.Millisecond)
+		}
+		g.Expect(most.Load()).To(gomega.Equal(int64(1)))
+		g.Expect(ofC.Load()).To(gomega.BeZero())
+		cancel()
+		p.Wait()
+	})
+}
+
+var _ = Describe("HTTPProbe", func() {
+	DescribeTable("reads status and leaving header",
+		func(status int, leaving string, want ProbeAnswer) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Location", "/elsewhere")
+				w.Header().Set(LeavingHeader, leaving)
+				w.WriteHeader(status)
+			}))
+			defer s.Close()
+			target := fleet.Target{Address: strings.TrimPrefix(s.URL, "http://")}
+			got := HTTPProbe(s.Client())(context.Background(), target, fleet.Probe{Path: "/health"})
+			gomega.Expect(got).To(gomega.Equal(want))
+		},
+		Entry("good", 200, "", ProbeAnswer{Result: OK, Answered: true}),
+		Entry("leaving", 503, "true", ProbeAnswer{Result: Failed, Leaving: true, Answered: true}),
+		Entry("shed", 429, "", ProbeAnswer{Result: Shed, Answered: true}),
+		Entry("redirect", 302, "", ProbeAnswer{Result: Failed, Answered: true}),
+	)
+
+	It("tells unreachable targets", func() {
+		got := HTTPProbe(http.DefaultClient)(context.Background(), fleet.Target{Address: "127.0.0.1:1"}, fleet.Probe{Path: "/"})
+		gomega.Expect(got).To(gomega.Equal(ProbeAnswer{Result: Unreachable}))
+	})
+})
+
+var _ = Describe("LeavingTracker", func() {
+	var l *LeavingTracker
+	BeforeEach(func() { l = NewLeavingTracker() })
+
+	It("keeps a probe's sign until the target answers without it", func() {
+		l.Response("a", true, epoch)
+		l.Probe("a", true, epoch)
+		l.Expire(epoch.Add(time.Hour))
+		gomega.Expect(l.Is("a")).To(gomega.BeTrue())
+		l.Probe("a", false, epoch.Add(time.Hour))
+		gomega.Expect(l.Is("a")).To(gomega.BeFalse())
+	})
+
+	It("does not pass on what peers said, so that a sign does not circle", func() {
+		l.Peers([]fleet.TargetID{"a"}, epoch)
+		gomega.Expect(l.Is("a")).To(gomega.BeTrue())
+		gomega.Expect(l.FirstHand(epoch)).To(gomega.BeEmpty())
+		l.Expire(epoch.Add(peerHold))
+		gomega.Expect(l.Is("a")).To(gomega.BeFalse())
+	})
+
+	It("announces a change of a first-hand sign once", func() {
+		c := l.Changed()
+		l.Drains([]fleet.TargetID{"b"}, epoch)
+		l.Probe("a", false, epoch)
+		gomega.Expect(c).NotTo(gomega.BeClosed())
+		l.Response("a", true, epoch)
+		gomega.Expect(c).To(gomega.BeClosed())
+		c = l.Changed()
+		l.Response("a", true, epoch)
+		l.Drains(nil, epoch)
+		gomega.Expect(c).NotTo(gomega.BeClosed())
+		gomega.Expect(l.Is("b")).To(gomega.BeFalse())
+	})
+})
--- a/core/detect/service.go
+++ b/core/detect/service.go
@@ -31,6 +31,7 @@
 	started map[fleet.TargetID]time.Time
 	since   map[fleet.TargetID]time.Time
 	suspect map[fleet.TargetID]bool
+	typical time.Duration
 }
 
 // NewService returns an empty collection of evidence at the daemon self.
@@ -195,6 +196,14 @@
 	return false
 }
 
+// Typical returns the median latency over the targets as of the last Assess, or
+// 0 if it is not known.
+func (s *Service) Typical() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.typical
+}
+
 // Suspects returns the targets that need closer observation, as of the last
 // Assess: they are probed and reported on every second.
 func (s *Service) Suspects() map[fleet.TargetID]bool {
--- a/core/detect/transition.go
+++ b/core/detect/transition.go
@@ -26,7 +26,7 @@
 	}
 	period := n.nextPeriod(svc.Policy, v.Target, now)
 	n.Entries = append(n.Entries, Ejection{
-		Target: v.Target, Phase: PhaseEjected, Since: now, Until: now.Add(period), PeriodMS: period.Milliseconds(),
+		Target: v.Target, Phase: PhaseEjected, Since: stored(now), Until: stored(now.Add(period)), PeriodMS: period.Milliseconds(),
 		Severity: v.Severity, By: by, Reason: clip(v.Reason),
 	})
 	return n.seal(j), nil
@@ -39,7 +39,7 @@
 		return j, fault.New(fault.BadRequest, "ejection by hand without an operator")
 	}
 	n := j.fit(svc, now)
-	entry := Ejection{Target: id, Phase: PhaseByHand, Since: now, By: operator, Reason: clip(reason)}
+	entry := Ejection{Target: id, Phase: PhaseByHand, Since: stored(now), By: operator, Reason: clip(reason)}
 	if i := n.index(id); i >= 0 {
 		if n.Entries[i].Phase != PhaseByHand {
 			n.Entries[i] = entry
@@ -62,7 +62,7 @@
 	}
 	n := j.fit(svc, now)
 	if i := n.index(id); i >= 0 {
-		n.retire(i, Past{Target: id, Returned: now, By: operator, Reason: clip(reason)})
+		n.retire(i, Past{Target: id, Returned: stored(now), By: operator, Reason: clip(reason)})
 	}
 	return n.seal(j), nil
 }
@@ -91,11 +91,11 @@
 	}
 	e := &n.Entries[i]
 	if passed {
-		n.retire(i, Past{Target: id, Returned: now, PeriodMS: e.PeriodMS, By: by, Reason: "trial passed"})
+		n.retire(i, Past{Target: id, Returned: stored(now), PeriodMS: e.PeriodMS, By: by, Reason: "trial passed"})
 		return n.seal(j), nil
 	}
 	period := min(2*e.Period(), svc.Policy.Ejection.Max)
-	e.Phase, e.PeriodMS, e.Until, e.By = PhaseEjected, period.Milliseconds(), now.Add(period), by
+	e.Phase, e.PeriodMS, e.Until, e.By = PhaseEjected, period.Milliseconds(), stored(now.Add(period)), by
 	return n.seal(j), nil
 }
 
@@ -130,7 +130,7 @@
 		switch {
 		case !lists(svc, e.Target):
 		case len(n.Entries) >= n.Targets-n.Floor:
-			n.remember(Past{Target: e.Target, Returned: now, PeriodMS: e.PeriodMS, By: e.By, Reason: "floor reached"})
+			n.remember(Past{Target: e.Target, Returned: stored(now), PeriodMS: e.PeriodMS, By: e.By, Reason: "floor reached"})
 		default:
 			n.Entries = append(n.Entries, e)
 		}
@@ -202,3 +202,9 @@
 func clip(reason string) string {
 	return reason[:min(len(reason), maxReason)]
 }
+
+// stored returns the time as the row keeps it: UTC and without the reading of
+// the monotonic clock, so that values compare equal after a round trip.
+func stored(t time.Time) time.Time {
+	return t.Round(0).UTC()
+}
