Run orders through the desk

Cause: orders were refused until the desk existed. Change: a non-idempotent request is read whole, its digest and key go to the desk, and only the verdict run sends it; the outcome is recorded before the caller sees it, a keyed order goes on although its caller has gone, and a refusal before the desk was asked never says not-run for a key.

--- a/core/fault/error.go
+++ b/core/fault/error.go
@@ -13,7 +13,9 @@
 	Outcome    Outcome
 	Detail     string
 	RetryAfter time.Duration
-	Cause      error
+	// Retry replaces the advice of the table if it is set.
+	Retry Retry
+	Cause error
 }
 
 // New returns an error of the kind with the outcome that the table gives it.
@@ -55,6 +57,13 @@
 	return &c
 }
 
+// WithRetry returns a copy of the error with other advice on trying again.
+func (e *Error) WithRetry(r Retry) *Error {
+	c := *e
+	c.Retry = r
+	return &c
+}
+
 // From returns the first Error in the chain of err; any other error becomes
 // one of kind Internal with an unknown outcome.
 func From(err error) *Error {
--- a/core/proxy/attempt.go
+++ b/core/proxy/attempt.go
@@ -35,6 +35,8 @@
 	rest io.ReadCloser
 	// settle frees the slot of the target; it is called once the body has ended.
 	settle func(limit.Result)
+	// ended is told how the streaming of the body ended; it may be nil.
+	ended  func(error)
 	cancel context.CancelFunc
 }
 
@@ -189,7 +191,7 @@
 	switch {
 	case route.Refusal != nil && matchesRefusal(route.Refusal, resp):
 		a.ending = retry.RefusedBeforeStart
-	case resp.StatusCode >= http.StatusInternalServerError:
+	case resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusTooManyRequests:
 		a.ending = retry.FailedStatus
 	case route.BodyFailure != nil && matchesBodyFailure(route.BodyFailure, resp, a.body):
 		a.ending = retry.BodyFailure
@@ -274,7 +276,8 @@
 // statusResult takes 429, and 503 with advice when to come back, as load
 // shedding, which is no sign of sickness.
 func statusResult(a *answer) detect.Result {
-	if a.status == http.StatusServiceUnavailable && a.header.Get("Retry-After") != "" {
+	retryAfter := a.header.Get("Retry-After") != ""
+	if a.status == http.StatusTooManyRequests || a.status == http.StatusServiceUnavailable && retryAfter {
 		return detect.Shed
 	}
 	return detect.Failed
@@ -282,7 +285,7 @@
 
 func gateResult(a *answer, r detect.Result) limit.Result {
 	switch {
-	case r == detect.Shed || a.status == http.StatusTooManyRequests:
+	case r == detect.Shed:
 		return limit.Shed
 	case r == detect.OK:
 		return limit.Served
--- a/core/proxy/bench_test.go
+++ b/core/proxy/bench_test.go
@@ -62,7 +62,7 @@
 		Service: func(fleet.ServiceID) (*fleet.Service, bool) { return service, true },
 		Ready:   func() bool { return true },
 		Leaving: func() bool { return false },
-	})
+	}, nil)
 	return benchServe(b, relay)
 }
 
@@ -167,7 +167,7 @@
 		Carrier: func(fleet.ServiceID) (*Carrier, bool) { return carrier, true },
 		Ready:   func() bool { return true },
 		Leaving: func() bool { return false },
-	})
+	}, nil)
 	b.ReportAllocs()
 	for b.Loop() {
 		r := benchRequest()
--- a/core/proxy/inbound.go
+++ b/core/proxy/inbound.go
@@ -79,16 +79,20 @@
 		in.buffered = true
 		return nil
 	}
-	if r.ContentLength > bufferLimit {
+	buffer := int64(bufferLimit)
+	if !in.route.Idempotent {
+		buffer = maxOrderBody
+	}
+	if r.ContentLength > buffer && in.route.Idempotent {
 		return nil
 	}
-	limit := min(bufferLimit, in.route.MaxBody)
+	limit := min(buffer, in.route.MaxBody)
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	switch {
 	case err != nil:
 		return fault.Wrap(err, fault.BadRequest, "request body broke off")
-	case int64(len(body)) > in.route.MaxBody:
-		return fault.New(fault.RequestTooLarge, "body is larger than %d bytes", in.route.MaxBody)
+	case int64(len(body)) > in.route.MaxBody, int64(len(body)) > limit && !in.route.Idempotent:
+		return fault.New(fault.RequestTooLarge, "body is larger than %d bytes", limit)
 	case int64(len(body)) > limit:
 		in.body = body
 		return nil
--- a/core/proxy/problem.go
+++ b/core/proxy/problem.go
@@ -44,11 +44,14 @@
 		Retry:     answer.Retry,
 		RequestID: id,
 	}
-	if answer.Retry == fault.RetryNever {
+	if e.Retry != "" {
+		p.Retry = e.Retry
+	}
+	if p.Retry == fault.RetryNever {
 		return p
 	}
 	wait := e.RetryAfter
-	if wait == 0 && answer.Retry == fault.RetryLater {
+	if wait == 0 && p.Retry == fault.RetryLater {
 		wait = defaultRetryAfter
 	}
 	p.RetryAfterMs = wait.Milliseconds()
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -19,6 +19,7 @@
 	"wisteriarelay.example/core/choose"
 	"wisteriarelay.example/core/fleet"
 	"wisteriarelay.example/core/limit"
+	"wisteriarelay.example/core/order"
 	"wisteriarelay.example/core/stand"
 )
 
@@ -65,12 +66,18 @@
 		},
 		Ready:   func() bool { return true },
 		Leaving: func() bool { return false },
-	})
+	}, newDesk())
 	rg.server = httptest.NewServer(rg.relay)
 	DeferCleanup(rg.server.Close)
 	return rg
 }
 
+func newDesk() *order.Desk {
+	signer, err := order.NewSigner([]byte("0123456789abcdef"))
+	Expect(err).NotTo(HaveOccurred())
+	return order.NewDesk(fleet.NewIncarnation("vm1"), signer)
+}
+
 func (rg *rig) do(method, path string, header http.Header, body io.Reader) *http.Response {
 	req, err := http.NewRequestWithContext(context.Background(), method, rg.server.URL+path, body)
 	Expect(err).NotTo(HaveOccurred())
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -12,6 +12,7 @@
 
 	"wisteriarelay.example/core/fault"
 	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/order"
 	"wisteriarelay.example/core/stats"
 )
 
@@ -39,7 +40,8 @@
 	self   fleet.VM
 	domain string
 	fleet  Fleet
-	orders Orders
+	desk   *order.Desk
+	bodies orderBodies
 	logger log.Logger
 	meters *stats.Set
 	router http.Handler
@@ -64,14 +66,10 @@
 	return func(rl *Relay) { rl.meters = s }
 }
 
-// WithOrders sets the decisions about orders; without it orders are refused.
-func WithOrders(o Orders) RelayOption {
-	return func(rl *Relay) { rl.orders = o }
-}
-
-// NewRelay returns the handler of the callers' port of the daemon self.
-func NewRelay(self fleet.VM, f Fleet, opts ...RelayOption) *Relay {
-	rl := &Relay{self: self, fleet: f, logger: log.NewNopLogger(), meters: stats.New()}
+// NewRelay returns the handler of the callers' port of the daemon self; desk
+// decides which orders may run.
+func NewRelay(self fleet.VM, f Fleet, desk *order.Desk, opts ...RelayOption) *Relay {
+	rl := &Relay{self: self, fleet: f, desk: desk, bodies: newOrderBodies(), logger: log.NewNopLogger(), meters: stats.New()}
 	for _, o := range opts {
 		o(rl)
 	}
@@ -145,6 +143,12 @@
 		v.serveElsewhere()
 		return
 	}
+	release, err := rl.bodies.reserveFor(carrier.Service(), v.request)
+	if err != nil {
+		v.refuse(fault.From(err))
+		return
+	}
+	defer release()
 	in, err := newInbound(v.request, carrier.Service(), v.requestID, v.arrived)
 	if err != nil {
 		v.refuse(fault.From(err))
@@ -181,6 +185,10 @@
 // refuse answers with a problem and logs the reason.
 func (v *visit) refuse(e *fault.Error) {
 	rl := v.relay
+	if v.in == nil && v.request.Header.Get(HeaderOrderKey) != "" && e.Outcome == fault.NotRun {
+		// An earlier copy under the key may have run; nobody has asked yet.
+		e = e.WithOutcome(fault.Unknown)
+	}
 	rl.count("refused", e.Kind.String())
 	rl.logRefusal(v, e)
 	if e.Kind == fault.CallerGone {
--- a/core/proxy/respond.go
+++ b/core/proxy/respond.go
@@ -58,6 +58,9 @@
 func (v *visit) stream(a *answer) {
 	v.writer.WriteHeader(a.status)
 	err := v.copy(a)
+	if a.ended != nil {
+		a.ended(err)
+	}
 	_ = a.rest.Close()
 	a.settle(v.streamResult(err))
 	a.cancel()
