--- /dev/null
+++ b/core/member/bench_test.go
@@ -0,0 +1,91 @@
+package member
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/inner"
+	"wisteriarelay.example/core/store"
+)
+
+// makeScale returns a table with the planned number of VMs and services; each
+// VM counts as heard if heard is set.
+func makeScale(vms, services int, heard bool) *Table {
+	self := makeVM("a0")
+	t := New(self, fleet.NewIncarnation("a0"), Hooks{})
+	list := store.VMChanges{Version: 1, Full: true}
+	for i := range vms {
+		list.Live = append(list.Live, makeVM(fmt.Sprintf("%c%d", 'a'+i%5, i)))
+	}
+	t.apply(list, time.Now())
+	var compiled []*fleet.Service
+	for i := range services {
+		compiled = append(compiled, makeService(fmt.Sprintf("service-%03d", i)))
+		compiled[i].Policy.Carriers = 6
+	}
+	t.SetServices(compiled)
+	for i := 1; heard && i < vms; i++ {
+		r := t.record(list.Live[i].ID)
+		r.run, r.heardAt, r.expected = uint64(i), time.Now(), true
+		r.note([]inner.ServiceReport{{Service: "service-000"}}, time.Now())
+	}
+	t.mu.Lock()
+	t.republish(time.Now())
+	t.mu.Unlock()
+	return t
+}
+
+// BenchmarkHeap measures the memory for each VM of the list, and for each VM
+// that is a peer as well.
+func BenchmarkHeap(b *testing.B) {
+	const vms = 690
+	for name, heard := range map[string]bool{"known": false, "peer": true} {
+		b.Run(name, func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				t := makeScale(vms, 360, heard)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(t)
+			}
+			b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/vms, "heap-bytes/vm")
+		})
+	}
+}
+
+// BenchmarkReceive measures a report that changes no placement, at 16 peers.
+func BenchmarkReceive(b *testing.B) {
+	t := makeScale(690, 360, false)
+	t.mu.Lock()
+	for _, vm := range t.View().Live[1:17] {
+		t.record(vm.ID).heardAt = time.Now()
+	}
+	t.mu.Unlock()
+	from := t.View().Live[3].ID
+	m := &inner.ReportMsg{Run: 9, Started: 9, Ready: true, Heard: []uint32{inner.HeardKey(t.incarnation)}, Services: []inner.ServiceReport{{Service: "service-000"}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Sequence++
+		if _, err := t.Receive(b.Context(), from, m); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkApply measures a change of one VM in the list.
+func BenchmarkApply(b *testing.B) {
+	t := makeScale(690, 360, false)
+	vm := t.View().Live[5]
+	version := uint64(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		version++
+		vm.Leaving = !vm.Leaving
+		t.apply(store.VMChanges{Version: version, Live: []fleet.VM{vm}}, time.Now())
+	}
+}
