--- a/core/place/prober.go
+++ b/core/place/prober.go
@@ -39,7 +39,7 @@
 // targetItem hashes a target of a service. The rotation keeps service "a" with
 // target "b" apart from service "b" with target "a".
 func targetItem(service fleet.ServiceID, target fleet.TargetID) uint64 {
-	return bits.RotateLeft64(hashItem(string(service)), itemTurn) ^ hashItem(string(target))
+	return bits.RotateLeft64(hashItem(string(service)), itemRotation) ^ hashItem(string(target))
 }
 
 func outranks(item uint64, a, b fleet.VMID) bool {
