--- a/core/limit/gate_test.go
+++ b/core/limit/gate_test.go
@@ -16,76 +16,65 @@
 
 // A grant released twice must not free a second slot.
 func TestReleaseOnce(t *testing.T) {
-	inBubble(t, func(r *rig) {
-		gate := r.open(ready(1, 2))
-		a, b := r.granted(lookup("w")), r.granted(lookup("w"))
+	inBubble(t, ready(1, 2), func(r *rig) {
+		a, b := r.granted(lookup), r.granted(lookup)
 		a.Release(limit.Served)
 		a.Release(limit.Shed)
-		r.Expect(gate.InFlight()).To(gomega.Equal([]limit.Load{{Target: "t00", InFlight: 1}}))
-		r.Expect(gate.Stats().Shed).To(gomega.BeZero())
+		r.Expect(r.gate.InUse()).To(gomega.Equal(map[fleet.TargetID]int{"t00": 1}))
+		r.Expect(r.gate.Stats().Shed).To(gomega.BeZero())
 		b.Release(limit.Served)
-		r.Expect(gate.InFlight()).To(gomega.BeEmpty())
+		r.Expect(r.gate.InUse()).To(gomega.BeEmpty())
 	})
 }
 
 // A caller that leaves must free its place at once, and its slot if it was granted
 // at the same moment.
 func TestCancelLeaksNothing(t *testing.T) {
-	inBubble(t, func(r *rig) {
-		gate := r.open(ready(1, 1))
-		holder := r.granted(lookup("w"))
-		first, second := r.launch("", lookup("w")), r.launch("", order("w"))
-		r.Expect(gate.Stats().Waiting).To(gomega.Equal(2))
+	inBubble(t, ready(1, 1), func(r *rig) {
+		holder := r.granted(lookup)
+		first, second := r.launch("", lookup), r.launch("", order)
+		r.Expect(r.gate.Stats().Waiting).To(gomega.Equal(2))
 		first.cancel()
 		synctest.Wait()
 		r.refused(first, fault.CallerGone)
-		r.Expect(gate.Stats().Waiting).To(gomega.Equal(1))
+		r.Expect(r.gate.Stats().Waiting).To(gomega.Equal(1))
 		second.cancel()
 		holder.Release(limit.Served)
 		synctest.Wait()
 		if second.grant() != nil {
 			second.grant().Release(limit.Unused)
 		}
-		r.Expect(gate.InFlight()).To(gomega.BeEmpty())
-		r.Expect(gate.Stats().Waiting).To(gomega.BeZero())
+		r.Expect(r.gate.InUse()).To(gomega.BeEmpty())
+		r.Expect(r.gate.Stats().Waiting).To(gomega.BeZero())
 	})
 }
 
 // A workspace with many requests must not hold up one with few.
 func TestWorkspacesTakeTurns(t *testing.T) {
-	inBubble(t, func(r *rig) {
-		r.open(ready(1, 1))
-		holder := r.granted(lookup("a"))
+	inBubble(t, ready(1, 1), func(r *rig) {
+		holder := r.granted(lookup)
 		var calls []*call
-		for i := range 20 {
-			calls = append(calls, r.launch(fmt.Sprint("a", i), lookup("a")))
-		}
-		for _, ws := range []fleet.WorkspaceID{"b", "c"} {
-			calls = append(calls, r.launch(string(ws)+"0", lookup(ws)), r.launch(string(ws)+"1", lookup(ws)))
+		for i := range 24 {
+			ws := []string{"a", "b", "c"}[max(i-18, 0)/2%3]
+			calls = append(calls, r.launch(fmt.Sprint(ws, i), ask(fleet.Lookup, fleet.WorkspaceID(ws))))
 		}
 		served := serveAll(holder, calls, time.Millisecond)
 		r.Expect(served).To(gomega.HaveLen(24))
-		r.Expect(served[:7]).To(gomega.Equal([]string{"a0", "b0", "c0", "a1", "b1", "c1", "a2"}))
+		r.Expect(served[:7]).To(gomega.Equal([]string{"a0", "b20", "c22", "a1", "b21", "c23", "a2"}))
 	})
 }
 
 // Neither orders nor lookups may starve the other, and batch comes last.
 func TestKindsTakeTurns(t *testing.T) {
-	inBubble(t, func(r *rig) {
-		r.open(ready(1, 1))
-		holder := r.granted(order("w"))
+	inBubble(t, ready(1, 1), func(r *rig) {
+		holder := r.granted(order)
 		var calls []*call
-		for i := range 2 {
-			calls = append(calls, r.launch(fmt.Sprint("b", i), batch("w")))
-		}
-		for i := range 6 {
-			calls = append(calls, r.launch(fmt.Sprint("l", i), lookup("w")))
-		}
-		for i := range 3 {
-			calls = append(calls, r.launch(fmt.Sprint("o", i), order("w")))
+		for i, a := range []limit.Ask{batch, batch, lookup, lookup, lookup, lookup, lookup, lookup, order, order, order} {
+			calls = append(calls, r.launch(fmt.Sprintf("%v%d", a.Kind, i), a))
 		}
-		served := serveAll(holder, calls, 2*time.Second)
-		r.Expect(served).To(gomega.Equal([]string{"l0", "o0", "l1", "o1", "l2", "o2", "l3", "l4", "l5", "b0", "b1"}))
+		r.Expect(serveAll(holder, calls, 2*time.Second)).To(gomega.Equal([]string{
+			"lookup2", "order8", "lookup3", "order9", "lookup4", "order10", "lookup5", "lookup6", "lookup7", "batch0", "batch1",
+		}))
 	})
 }
 
@@ -93,148 +82,132 @@
 // slot if orders or lookups came in the last second.
 func TestBatchUsesWhatIsLeft(t *testing.T) {
 	const service = 100 * time.Millisecond
-	inBubble(t, func(r *rig) {
-		r.open(ready(1, 2))
-		held := []*limit.Grant{r.granted(batch("n")), r.granted(batch("n"))}
-		waiting := []*call{r.launch("", batch("n")), r.launch("", batch("n"))}
-		asked := time.Now()
-		urgent := r.launch("", lookup("w"))
+	inBubble(t, ready(1, 2), func(r *rig) {
+		first, second := r.granted(batch), r.granted(batch)
+		a, b := r.launch("", batch), r.launch("", batch)
+		urgent := r.launch("", lookup)
 		time.Sleep(service)
-		held[0].Release(limit.Served)
-		held[1].Release(limit.Served)
+		first.Release(limit.Served)
+		second.Release(limit.Served)
 		synctest.Wait()
 		r.Expect(urgent.grant()).NotTo(gomega.BeNil())
-		r.Expect(urgent.grant().Waited).To(gomega.BeNumerically("<=", time.Since(asked)))
-		r.Expect(waiting[0].done()).To(gomega.BeFalse(), "batch took the slot in hand")
+		r.Expect(urgent.grant().Waited).To(gomega.BeNumerically("<=", service))
+		r.waits(a, "batch took the slot in hand")
 		urgent.grant().Release(limit.Served)
 		synctest.Wait()
-		r.Expect(waiting[0].grant()).NotTo(gomega.BeNil())
-		r.Expect(waiting[1].done()).To(gomega.BeFalse(), "batch took the slot in hand")
-		time.Sleep(time.Second)
-		synctest.Wait()
-		r.Expect(waiting[1].grant()).NotTo(gomega.BeNil(), "the slot in hand is kept for longer than a second")
+		r.Expect(a.grant()).NotTo(gomega.BeNil())
+		r.waits(b, "batch took the slot in hand")
+		later(time.Second)
+		r.Expect(b.grant()).NotTo(gomega.BeNil(), "the slot in hand is kept for longer than a second")
 	})
 }
 
 // A request that cannot be in time must learn so at once, not at its deadline.
 func TestEarlyRefusal(t *testing.T) {
-	inBubble(t, func(r *rig) {
-		gate := r.open(ready(1, 1))
-		holder := r.granted(lookup("w"))
+	inBubble(t, ready(1, 1), func(r *rig) {
+		holder := r.granted(lookup)
 		time.Sleep(100 * time.Millisecond)
 		holder.Release(limit.Served)
-		r.granted(lookup("w"))
-		r.Expect(r.launch("", within(lookup("w"), 250*time.Millisecond)).done()).To(gomega.BeFalse())
+		r.granted(lookup)
+		r.waits(r.launch("", within(lookup, 250*time.Millisecond)), "")
 		asked := time.Now()
-		late := r.launch("", within(lookup("w"), 250*time.Millisecond))
-		e := r.refused(late, fault.DeadlineExceeded)
+		e := r.refused(r.launch("", within(lookup, 250*time.Millisecond)), fault.DeadlineExceeded)
 		r.Expect(e.RetryAfter).To(gomega.BeNumerically(">=", 50*time.Millisecond))
 		r.Expect(time.Since(asked)).To(gomega.BeZero())
-		r.Expect(r.launch("", within(lookup("w"), 350*time.Millisecond)).done()).To(gomega.BeFalse())
-		r.Expect(gate.Stats().RefusedEarly).To(gomega.BeEquivalentTo(1))
+		r.waits(r.launch("", within(lookup, 350*time.Millisecond)), "refused although it can be in time")
+		r.Expect(r.gate.Stats().RefusedEarly).To(gomega.BeEquivalentTo(1))
 	})
 }
 
 // Without a measurement nothing is refused early, and a waiting request is refused
 // when its deadline passes.
 func TestLateRefusal(t *testing.T) {
-	inBubble(t, func(r *rig) {
-		gate := r.open(ready(1, 1))
-		r.granted(lookup("w"))
-		c := r.launch("", within(order("w"), 30*time.Millisecond))
-		time.Sleep(30*time.Millisecond - 1)
-		synctest.Wait()
-		r.Expect(c.done()).To(gomega.BeFalse())
-		time.Sleep(time.Nanosecond)
-		synctest.Wait()
+	inBubble(t, ready(1, 1), func(r *rig) {
+		r.granted(lookup)
+		c := r.launch("", within(order, 30*time.Millisecond))
+		later(30*time.Millisecond - time.Nanosecond)
+		r.waits(c, "refused before its deadline")
+		later(time.Nanosecond)
 		r.refused(c, fault.DeadlineExceeded)
-		r.Expect(gate.Stats()).To(gomega.Equal(limit.Stats{Granted: 1, RefusedLate: 1}))
+		r.Expect(r.gate.Stats()).To(gomega.Equal(limit.Stats{Granted: 1, RefusedLate: 1}))
 	})
 }
 
 // A service that was slow once must not refuse everything for ever: requests that
 // find a free slot are granted whatever the estimate says, and correct it.
 func TestSlowEstimateRecovers(t *testing.T) {
-	inBubble(t, func(r *rig) {
-		gate := r.open(ready(1, 1))
-		slow := r.granted(lookup("w"))
-		time.Sleep(time.Minute)
-		slow.Release(limit.Served)
-		for range 80 {
-			gr := r.granted(within(lookup("w"), time.Second))
+	inBubble(t, ready(1, 1), func(r *rig) {
+		for i := range 80 {
+			gr := r.granted(within(lookup, time.Second))
 			time.Sleep(10 * time.Millisecond)
+			if i == 0 {
+				time.Sleep(time.Minute)
+			}
 			gr.Release(limit.Served)
 		}
-		r.Expect(gate.Expected(fleet.Lookup)).To(gomega.BeNumerically("<", 20*time.Millisecond))
+		r.Expect(r.gate.Expected(fleet.Lookup)).To(gomega.BeNumerically("<", 20*time.Millisecond))
 	})
 }
 
 // The queue must stay within its bound and give up what waits most.
 func TestQueueIsBounded(t *testing.T) {
-	inBubble(t, func(r *rig) {
-		snap := ready(1, 1)
-		snap.QueueLength = 4
-		gate := r.open(snap)
-		r.granted(lookup("w"))
-		b := r.launch("", batch("w"))
+	snap := ready(1, 1)
+	snap.QueueLength = 4
+	inBubble(t, snap, func(r *rig) {
+		r.granted(lookup)
+		b := r.launch("", batch)
 		var ls []*call
 		for range 4 {
-			ls = append(ls, r.launch("", lookup("w")))
+			ls = append(ls, r.launch("", lookup))
 		}
-		e := r.refused(b, fault.QueueFull)
-		r.Expect(e.RetryAfter).To(gomega.BeNumerically(">", 0))
-		r.refused(r.launch("", lookup("w")), fault.QueueFull)
-		o := r.launch("", order("w"))
-		r.Expect(o.done()).To(gomega.BeFalse(), "lookups keep orders out of the queue")
+		r.Expect(r.refused(b, fault.QueueFull).RetryAfter).To(gomega.BeNumerically(">", 0))
+		r.refused(r.launch("", lookup), fault.QueueFull)
+		r.waits(r.launch("", order), "lookups keep orders out of the queue")
 		r.refused(ls[3], fault.QueueFull)
-		r.Expect(r.launch("", lookup("x")).done()).To(gomega.BeFalse(), "a workspace keeps another out of the queue")
+		r.waits(r.launch("", ask(fleet.Lookup, "x")), "a workspace keeps another out of the queue")
 		r.refused(ls[2], fault.QueueFull)
-		r.Expect(gate.Stats().Waiting).To(gomega.Equal(4))
+		r.Expect(r.gate.Stats().Waiting).To(gomega.Equal(4))
 	})
 }
 
 // Replacing the targets must neither lose nor double the count of work in flight.
 func TestUpdateInFlight(t *testing.T) {
-	inBubble(t, func(r *rig) {
-		one, both := ready(1, 1), ready(2, 1)
-		gate := r.open(one)
-		first := r.granted(lookup("w"))
-		w := r.launch("", lookup("w"))
-		gate.Update(both)
+	inBubble(t, ready(1, 1), func(r *rig) {
+		both := ready(2, 1)
+		first := r.granted(lookup)
+		w := r.launch("", lookup)
+		r.gate.Update(both)
 		synctest.Wait()
 		r.Expect(w.grant()).NotTo(gomega.BeNil(), "the added target is not used")
 		r.Expect(w.grant().Target).To(gomega.Equal(fleet.TargetID("t01")))
 
-		gate.Update(&limit.Snapshot{Targets: both.Targets[1:]})
-		gate.Update(both)
-		r.Expect(gate.InFlight()).To(gomega.HaveLen(2), "the work at a removed target was forgotten")
+		r.gate.Update(&limit.Snapshot{Targets: both.Targets[1:]})
+		r.gate.Update(both)
+		r.Expect(r.gate.InUse()).To(gomega.HaveLen(2), "the work at a removed target was forgotten")
 		both.Targets[1].State = choose.Closed
-		gate.Update(both)
+		r.gate.Update(both)
 		w.grant().Release(limit.Served)
-		stuck := r.launch("", lookup("w"))
-		r.Expect(stuck.done()).To(gomega.BeFalse(), "a closed target received a grant")
-		gate.Update(&limit.Snapshot{})
+		stuck := r.waits(r.launch("", lookup), "a closed target received a grant")
+		r.gate.Update(&limit.Snapshot{})
 		synctest.Wait()
 		r.refused(stuck, fault.NoTarget)
 		first.Release(limit.Served)
-		r.Expect(gate.InFlight()).To(gomega.BeEmpty())
+		r.Expect(r.gate.InUse()).To(gomega.BeEmpty())
 	})
 }
 
 // A retry must go elsewhere, and fail at once if there is nowhere else.
 func TestExclude(t *testing.T) {
-	inBubble(t, func(r *rig) {
-		r.open(ready(2, 1))
-		again := lookup("w")
+	inBubble(t, ready(2, 1), func(r *rig) {
+		again := lookup
 		again.Exclude = []fleet.TargetID{"t00"}
 		r.Expect(r.granted(again).Target).To(gomega.Equal(fleet.TargetID("t01")))
-		held := r.granted(lookup("w"))
-		w := r.launch("", again)
-		plain := r.launch("", lookup("w"))
+		held := r.granted(lookup)
+		w, plain := r.launch("", again), r.launch("", lookup)
 		held.Release(limit.Served)
 		synctest.Wait()
 		r.Expect(plain.grant()).NotTo(gomega.BeNil(), "a free slot idles behind a request that excludes it")
-		r.Expect(w.done()).To(gomega.BeFalse())
+		r.waits(w, "an excluded target was granted")
 		again.Exclude = []fleet.TargetID{"t00", "t01"}
 		r.refused(r.launch("", again), fault.NoTarget)
 	})
@@ -242,18 +215,14 @@
 
 // A shed response halves the share for a second.
 func TestShed(t *testing.T) {
-	inBubble(t, func(r *rig) {
-		r.open(ready(1, 4))
-		for range 2 {
-			r.granted(lookup("w"))
-		}
-		r.granted(lookup("w")).Release(limit.Shed)
-		c := r.launch("", lookup("w"))
-		time.Sleep(time.Second - 1)
-		synctest.Wait()
-		r.Expect(c.done()).To(gomega.BeFalse())
-		time.Sleep(time.Nanosecond)
-		synctest.Wait()
+	inBubble(t, ready(1, 4), func(r *rig) {
+		r.granted(lookup)
+		r.granted(lookup)
+		r.granted(lookup).Release(limit.Shed)
+		c := r.launch("", lookup)
+		later(time.Second - time.Nanosecond)
+		r.waits(c, "the share is not halved for a second")
+		later(time.Nanosecond)
 		r.Expect(c.grant()).NotTo(gomega.BeNil(), "the share stays halved for more than a second")
 	})
 }
--- a/core/limit/peers.go
+++ b/core/limit/peers.go
@@ -121,3 +121,16 @@
 	})
 	return loads
 }
+
+// InUse returns the slots in use by this daemon at this moment, by target.
+func (g *Gate) InUse() map[fleet.TargetID]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	used := make(map[fleet.TargetID]int, len(g.slots))
+	for id, s := range g.slots {
+		if n := s.inFlight.Load(); n > 0 {
+			used[id] = int(n)
+		}
+	}
+	return used
+}
--- a/core/limit/property_test.go
+++ b/core/limit/property_test.go
@@ -31,8 +31,8 @@
 	switch n := m.rng.IntN(20); {
 	case n < 8:
 		m.calls = append(m.calls, m.launch("", m.ask()))
-	case n < 14:
-		m.end(limit.Result(m.rng.IntN(4)))
+	case n < 14 && len(m.calls) > 0:
+		m.end(m.calls[m.rng.IntN(len(m.calls))], limit.Result(m.rng.IntN(4)))
 	case n < 16:
 		m.snap = m.snapshot()
 		m.gate.Update(m.snap)
@@ -45,8 +45,7 @@
 }
 
 func (m *model) ask() limit.Ask {
-	kinds := []func(fleet.WorkspaceID) limit.Ask{lookup, order, batch}
-	a := kinds[m.rng.IntN(3)](fleet.WorkspaceID(fmt.Sprint("w", m.rng.IntN(4))))
+	a := ask(fleet.Kind(m.rng.IntN(3)), fleet.WorkspaceID(fmt.Sprint("w", m.rng.IntN(4))))
 	if m.rng.IntN(4) == 0 {
 		a.Exclude = []fleet.TargetID{fleet.TargetID(fmt.Sprintf("t%02d", m.rng.IntN(6)))}
 	}
@@ -56,14 +55,10 @@
 	return a
 }
 
-// end releases a random grant, or cancels a random waiting request.
-func (m *model) end(r limit.Result) {
-	if len(m.calls) == 0 {
-		return
-	}
-	c := m.calls[m.rng.IntN(len(m.calls))]
+// end releases the grant of c, or cancels c if it waits.
+func (m *model) end(c *call, r limit.Result) {
+	c.cancel()
 	if c.grant() == nil {
-		c.cancel()
 		return
 	}
 	if c.seen {
@@ -76,13 +71,11 @@
 func (m *model) snapshot() *limit.Snapshot {
 	s := &limit.Snapshot{QueueLength: 1 + m.rng.IntN(10)}
 	for _, t := range ready(6, 2).Targets {
-		if m.rng.IntN(4) == 0 {
-			continue
+		if m.rng.IntN(4) > 0 {
+			t.Slots, t.State = 1+m.rng.IntN(3), choose.State(m.rng.IntN(5))
+			t.Weight, t.TrialAllowed = m.rng.Float64(), m.rng.IntN(2) == 0
+			s.Targets = append(s.Targets, t)
 		}
-		t.Slots = 1 + m.rng.IntN(3)
-		t.State = choose.State(m.rng.IntN(5))
-		t.Weight, t.TrialAllowed = m.rng.Float64(), m.rng.IntN(2) == 0
-		s.Targets = append(s.Targets, t)
 	}
 	return s
 }
@@ -102,19 +95,15 @@
 		if gr := c.grant(); gr != nil && !c.seen && c.name == "" {
 			c.seen, c.name = true, "granted"
 			m.held[gr.Target]++
-			t := targets[gr.Target]
-			m.Expect(t.State).NotTo(gomega.Equal(choose.Closed), "%s was granted while closed", gr.Target)
-			m.Expect(m.held[gr.Target]).To(gomega.BeNumerically("<=", t.Slots), "%s holds more than its slots", gr.Target)
+			m.Expect(targets[gr.Target].State).NotTo(gomega.Equal(choose.Closed), "%s was granted while closed", gr.Target)
+			m.Expect(m.held[gr.Target]).To(gomega.BeNumerically("<=", targets[gr.Target].Slots), "%s has no slot", gr.Target)
 		}
 	}
 	m.Expect(m.gate.Stats().Waiting).To(gomega.Equal(waiting))
-	m.Expect(waiting).To(gomega.BeNumerically("<=", m.snap.QueueLength+10))
-	reported := map[fleet.TargetID]int{}
-	for _, l := range m.gate.InFlight() {
-		reported[l.Target] = int(l.InFlight)
-	}
+	m.Expect(waiting).To(gomega.BeNumerically("<=", 10))
+	used := m.gate.InUse()
 	for id, n := range m.held {
-		m.Expect(reported[id]).To(gomega.Equal(n), "work in flight at %s", id)
+		m.Expect(used[id]).To(gomega.Equal(n), "slots in use at %s", id)
 	}
 	if !plain || m.peers || m.gate.Stats().Shed > 0 {
 		return
@@ -130,22 +119,19 @@
 // peers, leave no slot idle while a lookup waits.
 func TestAccounting(t *testing.T) {
 	for seed := range uint64(40) {
-		inBubble(t, func(r *rig) {
+		inBubble(t, ready(6, 2), func(r *rig) {
 			m := &model{rig: r, rng: rand.New(rand.NewPCG(seed, 1)), peers: seed%2 == 0, held: map[fleet.TargetID]int{}}
 			m.snap = m.snapshot()
-			r.open(m.snap)
+			r.gate.Update(m.snap)
 			for range 300 {
 				m.step()
 				m.check()
 			}
 			for _, c := range m.calls {
-				c.cancel()
+				m.end(c, limit.Served)
 				synctest.Wait()
-				if c.grant() != nil {
-					c.grant().Release(limit.Served)
-				}
 			}
-			r.Expect(r.gate.InFlight()).To(gomega.BeEmpty(), "seed %d", seed)
+			r.Expect(r.gate.InUse()).To(gomega.BeEmpty(), "seed %d", seed)
 			r.Expect(r.gate.Stats().Waiting).To(gomega.BeZero(), "seed %d", seed)
 		})
 	}
@@ -164,10 +150,7 @@
 	rng := rand.New(rand.NewPCG(seed, 2))
 	for range 300 {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(rng.IntN(2000))*time.Microsecond)
-		gr, err := c.gate.Acquire(ctx, limit.Ask{
-			Kind: fleet.Kind(rng.IntN(3)), Idempotent: true, Workspace: fleet.WorkspaceID(fmt.Sprint(rng.IntN(3))),
-		})
-		if err == nil {
+		if gr, err := c.gate.Acquire(ctx, ask(fleet.Kind(rng.IntN(3)), fleet.WorkspaceID(fmt.Sprint(rng.IntN(3))))); err == nil {
 			n := &c.held[gr.Target[2]-'0']
 			if n.Add(1) > 2 {
 				c.over.Add(1)
@@ -188,13 +171,11 @@
 		go c.run(uint64(i))
 	}
 	for i := range 200 {
-		s := ready(6, 2)
-		s.Targets = s.Targets[i%3:]
-		c.gate.Update(s)
+		c.gate.Update(&limit.Snapshot{Targets: ready(6, 2).Targets[i%3:]})
 		c.gate.SetPeer("p", loads(i%3, 1), time.Now())
 	}
 	c.Wait()
 	g.Expect(c.over.Load()).To(gomega.BeZero())
-	g.Expect(c.gate.InFlight()).To(gomega.BeEmpty())
+	g.Expect(c.gate.InUse()).To(gomega.BeEmpty())
 	g.Expect(c.gate.Stats().Waiting).To(gomega.BeZero())
 }
--- a/core/limit/rig_test.go
+++ b/core/limit/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -9,12 +10,38 @@
 
 	"github.com/onsi/gomega"
 
+	"wisteriarelay.example/core/choose"
 	"wisteriarelay.example/core/fault"
 	"wisteriarelay.example/core/fleet"
 	"wisteriarelay.example/core/limit"
 )
 
-// call is one request of a test, made on its own goroutine.
+// ready returns n ready targets, a third of them near the first of each three daemons.
+func ready(n, slots int) *limit.Snapshot { return near(n, slots, 0) }
+
+func near(n, slots, daemon int) *limit.Snapshot {
+	s := &limit.Snapshot{}
+	for i := range n {
+		id := fleet.TargetID(fmt.Sprintf("t%02d", i))
+		s.Targets = append(s.Targets, limit.Target{ID: id, Slots: slots, State: choose.Ready, SameDataCentre: i%3 == daemon%3})
+	}
+	return s
+}
+
+// ask returns a request without a deadline; only orders are not idempotent.
+func ask(k fleet.Kind, ws fleet.WorkspaceID) limit.Ask {
+	return limit.Ask{Workspace: ws, Kind: k, Idempotent: k != fleet.Order}
+}
+
+func within(a limit.Ask, d time.Duration) limit.Ask {
+	a.Deadline = time.Now().Add(d)
+	return a
+}
+
+var lookup, order, batch = ask(fleet.Lookup, "w"), ask(fleet.Order, "w"), ask(fleet.Batch, "w")
+
+// call is one request of a test, made on its own goroutine; result and err are set
+// when ended is.
 type call struct {
 	name   string
 	ask    limit.Ask
@@ -22,11 +49,11 @@
 	seen   bool
 	ended  atomic.Bool
 	result *limit.Grant
-	fault  error
+	err    error
 }
 
 func (c *call) run(ctx context.Context, g *limit.Gate) {
-	c.result, c.fault = g.Acquire(ctx, c.ask)
+	c.result, c.err = g.Acquire(ctx, c.ask)
 	c.ended.Store(true)
 }
 
@@ -40,13 +67,6 @@
 	return c.result
 }
 
-func (c *call) err() error {
-	if !c.done() {
-		return nil
-	}
-	return c.fault
-}
-
 // rig runs one test on the paused clock; its calls end with the test.
 type rig struct {
 	*gomega.WithT
@@ -54,21 +74,15 @@
 	gate *limit.Gate
 }
 
-func inBubble(t *testing.T, f func(r *rig)) {
+func inBubble(t *testing.T, s *limit.Snapshot, f func(r *rig)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		f(&rig{WithT: gomega.NewWithT(t), ctx: ctx})
+		f(&rig{WithT: gomega.NewWithT(t), ctx: ctx, gate: limit.New("vm", limit.WithSnapshot(s))})
 	})
 }
 
-// open makes the gate of the rig.
-func (r *rig) open(s *limit.Snapshot) *limit.Gate {
-	r.gate = limit.New("vm", limit.WithSnapshot(s))
-	return r.gate
-}
-
 // launch makes a request and returns when it is granted, refused or waiting.
 func (r *rig) launch(name string, ask limit.Ask) *call {
 	c := &call{name: name, ask: ask}
@@ -82,56 +96,45 @@
 // granted makes a request that must be granted at once.
 func (r *rig) granted(ask limit.Ask) *limit.Grant {
 	c := r.launch("", ask)
-	r.ExpectWithOffset(1, c.err()).NotTo(gomega.HaveOccurred())
-	r.ExpectWithOffset(1, c.grant()).NotTo(gomega.BeNil(), "the request waits")
+	r.ExpectWithOffset(1, c.grant()).NotTo(gomega.BeNil(), "the request waits or is refused")
 	return c.grant()
 }
 
+// waits checks that a request is neither granted nor refused.
+func (r *rig) waits(c *call, why string) *call {
+	r.ExpectWithOffset(1, c.done()).To(gomega.BeFalse(), why)
+	return c
+}
+
 // refused checks the kind of a refusal and that it is certain not to have run.
 func (r *rig) refused(c *call, k fault.Kind) *fault.Error {
 	r.ExpectWithOffset(1, c.done()).To(gomega.BeTrue(), "the request waits")
-	r.ExpectWithOffset(1, c.err()).To(gomega.HaveOccurred())
-	e := fault.From(c.err())
-	r.ExpectWithOffset(1, e.Kind).To(gomega.Equal(k), c.err().Error())
+	r.ExpectWithOffset(1, c.err).To(gomega.HaveOccurred())
+	e := fault.From(c.err)
+	r.ExpectWithOffset(1, e.Kind).To(gomega.Equal(k), c.err.Error())
 	r.ExpectWithOffset(1, e.Outcome).To(gomega.Equal(fault.NotRun))
 	return e
 }
 
+// later lets time pass until every goroutine waits again.
+func later(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
 // serveAll releases the holder and then each request as soon as it is granted. It
-// returns the names in the order of the grants; service is the time of each.
-func serveAll(holder *limit.Grant, calls []*call, service time.Duration) []string {
-	var order []string
-	for {
+// returns the names in the order of the grants.
+func serveAll(holder *limit.Grant, calls []*call, service time.Duration) (served []string) {
+	for holder != nil {
 		time.Sleep(service)
 		holder.Release(limit.Served)
 		synctest.Wait()
 		holder = nil
 		for _, c := range calls {
 			if c.grant() != nil && !c.seen {
-				c.seen = true
-				order = append(order, c.name)
-				holder = c.grant()
+				c.seen, holder, served = true, c.grant(), append(served, c.name)
 			}
 		}
-		if holder == nil {
-			return order
-		}
 	}
-}
-
-func lookup(ws fleet.WorkspaceID) limit.Ask {
-	return limit.Ask{Workspace: ws, Kind: fleet.Lookup, Idempotent: true}
-}
-
-func order(ws fleet.WorkspaceID) limit.Ask {
-	return limit.Ask{Workspace: ws, Kind: fleet.Order}
-}
-
-func batch(ws fleet.WorkspaceID) limit.Ask {
-	return limit.Ask{Workspace: ws, Kind: fleet.Batch, Idempotent: true}
-}
-
-func within(a limit.Ask, d time.Duration) limit.Ask {
-	a.Deadline = time.Now().Add(d)
-	return a
+	return served
 }
