Report the mean work in flight instead of one instant

A report is up to 2 s old when a peer uses it, while a request takes about 40 ms, so the work at the instant of the report said little about the interval. InFlight now reports the mean since the last call, from sums that each grant and release adds to.

--- a/core/limit/peers.go
+++ b/core/limit/peers.go
@@ -23,6 +23,11 @@
 	peerHalving = 2 * time.Second
 	// peerGone is the age at which a report is dropped; by then it counts 1/8.
 	peerGone = peerFresh + 3*peerHalving
+	// meanWindow is the least time over which the reported mean is taken; it is shorter
+	// than the interval of the reports, also while a target is suspect.
+	meanWindow = 900 * time.Millisecond
+	// leastReported is the least mean that is worth a row.
+	leastReported = 1.0 / 32
 	// never lies after any time of the gate's clock.
 	never = time.Duration(math.MaxInt64)
 )
@@ -105,15 +110,18 @@
 	return int(math.Round(min(w, most)))
 }
 
-// InFlight returns this daemon's work by target, for the report to the peers.
+// InFlight returns this daemon's work by target for the report to the peers, as the
+// mean over the time since the last call. A report is up to one interval old when it
+// is used, so the work at one instant would say little about short requests.
 // Targets without work are omitted; the order is by target.
 func (g *Gate) InFlight() []Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.now()
 	loads := make([]Load, 0, len(g.slots))
 	for id, s := range g.slots {
-		if n := s.inFlight.Load(); n > 0 {
-			loads = append(loads, Load{Target: id, InFlight: float64(n)})
+		if mean := s.sample(now); mean >= leastReported {
+			loads = append(loads, Load{Target: id, InFlight: mean})
 		}
 	}
 	slices.SortFunc(loads, func(a, b Load) int {
--- a/core/limit/peers_test.go
+++ b/core/limit/peers_test.go
@@ -64,3 +64,17 @@
 		r.Expect(rest.grant()).NotTo(gomega.BeNil(), "a peer that left keeps its slots")
 	})
 }
+
+// The report is the mean since the last one, so that one instant does not stand for
+// an interval.
+func TestReportIsMean(t *testing.T) {
+	inBubble(t, ready(1, 2), func(r *rig) {
+		gr := r.granted(lookup)
+		time.Sleep(500 * time.Millisecond)
+		gr.Release(limit.Served)
+		time.Sleep(1500 * time.Millisecond)
+		r.Expect(r.gate.InFlight()).To(gomega.Equal([]limit.Load{{Target: "t00", InFlight: 0.25}}))
+		time.Sleep(2 * time.Second)
+		r.Expect(r.gate.InFlight()).To(gomega.BeEmpty())
+	})
+}
--- a/core/limit/snapshot.go
+++ b/core/limit/snapshot.go
@@ -42,6 +42,20 @@
 	// worked is the sum of the ends minus the sum of the starts of all work, so that
 	// worked + inFlight*now is the work done up to now in slot-nanoseconds.
 	worked atomic.Int64
+	// mean is the work in flight over the last window, which ended at sampled.
+	mean        float64
+	sampled     time.Duration
+	sampledWork int64
+}
+
+// sample returns the mean work in flight over the last window; mu is held.
+func (s *slot) sample(now time.Duration) float64 {
+	if span := now - s.sampled; span >= meanWindow {
+		work := s.worked.Load() + s.inFlight.Load()*int64(now)
+		s.mean = max(float64(work-s.sampledWork)/float64(span), 0)
+		s.sampled, s.sampledWork = now, work
+	}
+	return s.mean
 }
 
 // claim takes one slot below limit.
