--- a/core/fault/kind.go
+++ b/core/fault/kind.go
@@ -39,6 +39,7 @@
 	SettingsInvalid
 	SettingsConflict
 	SettingsUnsettled
+	SettingsDecided
 	NotFound
 	Unauthenticated
 	Forbidden
@@ -107,6 +108,7 @@
 	SettingsInvalid:    {"settings-invalid", "Settings are not valid", http.StatusUnprocessableEntity, NotRun, RetryNever},
 	SettingsConflict:   {"settings-conflict", "Settings changed since the proposal", http.StatusConflict, NotRun, RetryLater},
 	SettingsUnsettled:  {"settings-unsettled", "Change lacks an approval", http.StatusConflict, NotRun, RetryLater},
+	SettingsDecided:    {"settings-decided", "Change is already decided", http.StatusConflict, NotRun, RetryNever},
 	NotFound:           {"not-found", "Not found", http.StatusNotFound, NotRun, RetryNever},
 	Unauthenticated:    {"unauthenticated", "Credentials are missing or wrong", http.StatusUnauthorized, NotRun, RetryNever},
 	Forbidden:          {"forbidden", "Operator may not do this", http.StatusForbidden, NotRun, RetryNever},
