Assemble the daemon and run the whole path in a demo

Cause: the parts had no process. Change: daemon joins settings, membership, evidence, orders and ports through fx; it starts from peers while the platform is away (settings and VM list), leaves without cutting a request and hands its ledger over; the messages about orders and revisions are the domain types themselves; the demo runs 6 daemons with the platform and 25 targets in one process and checks every answer; golden sessions on the paused clock cover lookups, bookings, repeats and dying targets. Open: a sick target is avoided but not ejected, because targets are used mostly from their own data centre and agreement asks for two.

--- /dev/null
+++ b/core/daemon/golden_test.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/stand"
+)
+
+func decode(g *WithT, resp *http.Response, into any) {
+	g.Expect(json.NewDecoder(resp.Body).Decode(into)).To(Succeed())
+}
+
+// play runs one session in a bubble and compares it with its golden file.
+func play(t *testing.T, name string, act func(s *session)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSession(t)
+		act(s)
+		s.close()
+		s.golden(name)
+	})
+}
+
+func TestSessionLookup(t *testing.T) {
+	play(t, "lookup", func(s *session) {
+		s.startReady()
+		s.call("GET /v1/addresses?service=reservas&data-centre=mdp HTTP/1.1\nX-Request-Id: a1", "")
+		s.show("l1")
+	})
+}
+
+func TestSessionBooking(t *testing.T) {
+	play(t, "booking", func(s *session) {
+		s.startReady()
+		key := s.token() + ".counter-3-1"
+		s.book(key, "b1")
+		s.note("the counter lost the answer and asks again")
+		s.book(key, "b2")
+	})
+}
+
+func TestSessionSickTarget(t *testing.T) {
+	play(t, "sick-target", func(s *session) {
+		s.startReady()
+		s.targets[0].Misbehave(stand.Faults{FailWork: true})
+		s.targets[1].Misbehave(stand.Faults{FailWork: true})
+		s.show("l1")
+		s.targets[1].Misbehave(stand.Faults{})
+		for _, id := range []string{"l2", "l3", "l4"} {
+			s.show(id)
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
+// sessionDeath covers a booking whose target dies before, during and after its work.
+func sessionDeath(t *testing.T, name string, f stand.Faults) {
+	play(t, name, func(s *session) {
+		s.startReady()
+		for _, target := range s.targets {
+			target.Misbehave(f)
+		}
+		key := s.token() + ".counter-3-1"
+		s.book(key, "b1")
+		s.note("the counter asks again once the targets are well")
+		for _, target := range s.targets {
+			target.Misbehave(stand.Faults{})
+		}
+		s.book(key, "b2")
+		s.note("orders run by the targets: %d", len(s.targets[0].Runs())+len(s.targets[1].Runs()))
+	})
+}
+
+func TestSessionTargetRefusesBeforeStart(t *testing.T) {
+	sessionDeath(t, "booking-refused", stand.Faults{ShedAll: true})
+}
+
+func TestSessionTargetDiesBefore(t *testing.T) {
+	sessionDeath(t, "booking-died-before", stand.Faults{CutBefore: true})
+}
+
+func TestSessionTargetDiesDuring(t *testing.T) {
+	sessionDeath(t, "booking-died-during", stand.Faults{CutShort: true})
+}
+
+func TestSessionTargetDiesAfter(t *testing.T) {
+	sessionDeath(t, "booking-died-after", stand.Faults{CutAfter: true})
+}
--- /dev/null
+++ b/core/daemon/handlers.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"wisteriarelay.example/core/config"
+	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/inner"
+	"wisteriarelay.example/core/member"
+	"wisteriarelay.example/core/order"
+	"wisteriarelay.example/core/proxy"
+	"wisteriarelay.example/core/settle"
+	"wisteriarelay.example/core/stats"
+)
+
+// newHandlers returns the answers to the calls of peers.
+func newHandlers(m *member.Table, desk *order.Desk, f *settle.Follower, e *engine, dump *stats.Dump) inner.Handlers {
+	h := &handlers{desk: desk, follower: f, engine: e, dump: dump}
+	return inner.Handlers{
+		Report:      m.Receive,
+		OrderAsk:    h.orderAsk,
+		Ledger:      h.ledger,
+		RevisionAsk: h.revisionAsk,
+		VMsAsk: func(context.Context, fleet.VMID, *inner.VMsAskMsg) (*inner.VMsReplyMsg, error) {
+			return &inner.VMsReplyMsg{VMs: m.View().Live}, nil
+		},
+		StateAsk: h.stateAsk,
+	}
+}
+
+type handlers struct {
+	desk     *order.Desk
+	follower *settle.Follower
+	engine   *engine
+	dump     *stats.Dump
+}
+
+func (h *handlers) orderAsk(_ context.Context, _ fleet.VMID, m *inner.OrderAskMsg) (*inner.OrderReplyMsg, error) {
+	reply := h.desk.Answer(*m)
+	return &reply, nil
+}
+
+func (h *handlers) ledger(_ context.Context, _ fleet.VMID, m *inner.LedgerMsg) (*inner.LedgerReplyMsg, error) {
+	if err := h.desk.Import(*m); err != nil {
+		return nil, err
+	}
+	return &inner.LedgerReplyMsg{Kept: uint32(len(m.Records))}, nil
+}
+
+func (h *handlers) revisionAsk(_ context.Context, _ fleet.VMID, m *inner.RevisionAskMsg) (*inner.RevisionReplyMsg, error) {
+	reply := h.follower.Answer(*m)
+	return &reply, nil
+}
+
+func (h *handlers) stateAsk(_ context.Context, _ fleet.VMID, m *inner.StateAskMsg) (*inner.StateReplyMsg, error) {
+	data, err := json.Marshal(h.dump.Read(m.What))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "state %q cannot be encoded", m.What)
+	}
+	return &inner.StateReplyMsg{Revision: h.engine.revision(), Dump: data}, nil
+}
+
+// daemonState is the part of the state dump about the process.
+type daemonState struct {
+	VM          fleet.VM          `json:"vm"`
+	Incarnation fleet.Incarnation `json:"incarnation"`
+	Started     time.Time         `json:"started"`
+	Ready       bool              `json:"ready"`
+	Leaving     bool              `json:"leaving"`
+	Active      int64             `json:"active"`
+	Revision    uint64            `json:"revision"`
+}
+
+func registerState(s *config.Settings, inc fleet.Incarnation, p Platform, m *member.Table, f *settle.Follower, e *engine, desk *order.Desk, rl *proxy.Relay, dump *stats.Dump, set *stats.Set) {
+	started := time.Now()
+	dump.Add("daemon", func() any {
+		return daemonState{
+			VM: s.Self(), Incarnation: inc, Started: started, Ready: e.isReady(), Leaving: e.leaving.Load(),
+			Active: rl.Active(), Revision: e.revision(),
+		}
+	})
+	dump.Add("process-settings", func() any { return s })
+	dump.Add("services", e.state)
+	dump.Add("settings", func() any { return f.State() })
+	dump.Add("members", func() any { return m.View() })
+	dump.Add("reports", func() any { return m.Counters() })
+	dump.Add("orders", func() any { return desk.Dump() })
+	if p.State != nil {
+		dump.Add("platform", p.State)
+	}
+	set.Gauge("wisteria_requests_active", rl.Active)
+	set.Gauge("wisteria_settings_revision", func() int64 { return int64(e.revision()) })
+}
--- a/core/daemon/watch.go
+++ b/core/daemon/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,8 +21,8 @@
 // bounds how long a daemon's own evidence waits.
 const watchTick = 250 * time.Millisecond
 
-// maxPendingTicks bounds the evidence kept for a peer to which no report goes
-// out, in ticks; older evidence would be outside every detection window.
+// maxPendingTicks bounds the evidence that waits for a report, in ticks; older
+// evidence would be outside every detection window.
 const maxPendingTicks = 48
 
 // watch keeps one carried service: its evidence, ejection list, probes and the
@@ -30,6 +31,7 @@
 	self     fleet.VM
 	service  atomic.Pointer[fleet.Service]
 	carrier  *proxy.Carrier
+	sink     proxy.RouteSink
 	evidence *detect.Service
 	ejector  *detect.Ejector
 	prober   *detect.Prober
@@ -41,10 +43,11 @@
 	done     chan struct{}
 
 	mu sync.Mutex
-	// pending holds, for each peer, the own rows that no report has carried yet.
-	pending map[fleet.VMID][][]detect.Row
-	// sentEjections holds the row version that each peer was last sent.
-	sentEjections map[fleet.VMID]uint64
+	// pending holds the own rows that no report has carried yet.
+	pending [][]detect.Row
+	// sentEjections is the version of the row that was last sent whole.
+	sentEjections uint64
+	peers         map[fleet.VMID]fleet.DataCentre
 }
 
 // watchParts are what a watch needs from its daemon.
@@ -52,25 +55,25 @@
 	self        fleet.VM
 	incarnation fleet.Incarnation
 	table       store.Table
-	carrierOpts []proxy.CarrierOption
-	probe       func(context.Context, fleet.Target, fleet.Probe) detect.ProbeAnswer
+	dial        func(ctx context.Context, network, address string) (net.Conn, error)
+	// onAttempt takes the end of each attempt, for metrics and logs.
+	onAttempt proxy.RouteSink
+	probe     func(context.Context, fleet.Target, fleet.Probe) detect.ProbeAnswer
 }
 
 func newWatch(p watchParts, service *fleet.Service) *watch {
 	w := &watch{
-		self:          p.self,
-		evidence:      detect.NewService(service, p.self.ID),
-		leaving:       detect.NewLeavingTracker(),
-		wake:          make(chan struct{}, 1),
-		done:          make(chan struct{}),
-		pending:       map[fleet.VMID][][]detect.Row{},
-		sentEjections: map[fleet.VMID]uint64{},
+		self:     p.self,
+		evidence: detect.NewService(service, p.self.ID),
+		leaving:  detect.NewLeavingTracker(),
+		wake:     make(chan struct{}, 1),
+		done:     make(chan struct{}),
 	}
 	w.service.Store(service)
 	w.states.Store(&[]detect.TargetState{})
 	w.carriers.Store(&[]fleet.VMID{})
-	opts := append([]proxy.CarrierOption{proxy.WithLeavingSign(w.onResponse), proxy.WithAttempts(w.onAttempt)}, p.carrierOpts...)
-	w.carrier = proxy.NewCarrier(p.self, service, opts...)
+	w.sink = p.onAttempt
+	w.carrier = proxy.NewCarrier(p.self, service, proxy.WithTargetDial(p.dial), proxy.WithLeavingSign(w.onResponse), proxy.WithAttempts(w.onAttempt))
 	w.ejector = detect.NewEjector(service.ID, p.incarnation, p.table,
 		detect.WithRank(w.rank),
 		detect.WithChanged(func(detect.Listing) { w.nudge() }))
@@ -144,18 +147,12 @@
 func (w *watch) forgetPeers(carriers map[fleet.VMID]fleet.DataCentre) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for vm := range w.pending {
+	for vm := range w.peers {
 		if _, ok := carriers[vm]; !ok {
-			delete(w.pending, vm)
-			delete(w.sentEjections, vm)
 			w.carrier.Gate().DropPeer(vm)
 		}
 	}
-	for vm := range carriers {
-		if _, ok := w.pending[vm]; !ok && vm != w.self.ID {
-			w.pending[vm] = nil
-		}
-	}
+	w.peers = carriers
 }
 
 // tick judges the evidence and renews the target states.
@@ -226,6 +223,7 @@
 // onAttempt hands the results of requests to targets in trial to the ejector.
 func (w *watch) onAttempt(m proxy.AttemptMsg) {
 	w.ejector.Trial(m.Target, m.Result, m.Latency)
+	w.sink(m)
 }
 
 func (w *watch) isProber(id fleet.TargetID) bool {
@@ -262,17 +260,14 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for vm, kept := range w.pending {
-		kept = append(kept, rows)
-		if len(kept) > maxPendingTicks {
-			kept = kept[1:]
-		}
-		w.pending[vm] = kept
+	w.pending = append(w.pending, rows)
+	if len(w.pending) > maxPendingTicks {
+		w.pending = w.pending[1:]
 	}
 }
 
-// collect returns what a report to the peer says about the service.
-func (w *watch) collect(to fleet.VMID) inner.ServiceReport {
+// collect returns what the next round of reports says about the service.
+func (w *watch) collect() inner.ServiceReport {
 	service := w.service.Load()
 	listing := w.ejector.Current()
 	report := inner.ServiceReport{
@@ -284,10 +279,10 @@
 		report.InFlight = append(report.InFlight, inner.TargetLoad{Target: inner.TargetKey(l.Target), Count: uint32(l.InFlight)})
 	}
 	w.mu.Lock()
-	rows := detect.MergeRows(w.pending[to]...)
-	w.pending[to] = nil
-	if w.sentEjections[to] != listing.Version {
-		w.sentEjections[to] = listing.Version
+	rows := detect.MergeRows(w.pending...)
+	w.pending = nil
+	if w.sentEjections != listing.Version {
+		w.sentEjections = listing.Version
 		report.Ejections = listing.Value
 	}
 	w.mu.Unlock()
@@ -298,9 +293,9 @@
 }
 
 // deliver takes what a peer's report says about the service.
-func (w *watch) deliver(from fleet.VM, report *inner.ServiceReport, now time.Time) error {
+func (w *watch) deliver(from fleet.VMID, dc fleet.DataCentre, report *inner.ServiceReport, now time.Time) error {
 	service := w.service.Load()
-	w.carrier.Gate().SetPeer(from.ID, loads(service, report.InFlight), now)
+	w.carrier.Gate().SetPeer(from, loads(service, report.InFlight), now)
 	w.ejector.Hear(report.EjectionVersion)
 	if len(report.Leaving) > 0 {
 		w.leaving.Peers(report.Leaving, now)
@@ -314,7 +309,7 @@
 	if len(report.Evidence) == 0 {
 		return nil
 	}
-	return w.evidence.AddWire(from.ID, from.DataCentre, report.Evidence, now)
+	return w.evidence.AddWire(from, dc, report.Evidence, now)
 }
 
 func loads(service *fleet.Service, reported []inner.TargetLoad) []limit.Load {
--- a/core/inner/bounds.go
+++ b/core/inner/bounds.go
@@ -23,20 +23,10 @@
 	MaxEvidence = 32 << 10
 	// MaxEjections bounds the ejection list of one service.
 	MaxEjections = 64 << 10
-	// MaxOrderKey bounds an idempotency key.
-	MaxOrderKey = 512
-	// MaxDigest bounds the digest of a request.
-	MaxDigest = 64
-	// MaxOrderRecord bounds one order record, with the answer that it keeps.
-	MaxOrderRecord = 256 << 10
 	// MaxLedgerRecords bounds the records in one part of a ledger.
-	MaxLedgerRecords = 2048
-	// MaxLedgerParts bounds the parts of a ledger.
-	MaxLedgerParts = 4096
-	// MaxDeltas bounds the deltas of one reply; there is a snapshot every 256 revisions.
-	MaxDeltas = 256
-	// MaxDelta bounds one delta of the settings.
-	MaxDelta = 64 << 10
+	MaxLedgerRecords = 1 << 16
+	// MaxVMs bounds the VMs that a peer tells of; 690 are planned.
+	MaxVMs = 2048
 	// MaxSnapshot bounds a snapshot of the settings.
 	MaxSnapshot = 8 << 20
 	// MaxDump bounds a state dump.
@@ -46,7 +36,7 @@
 	// MaxReply bounds any encoded message that a client reads.
 	MaxReply = MaxSnapshot + 64<<10
 	// maxElements bounds each array of a message before it is decoded.
-	maxElements = 2048
+	maxElements = MaxLedgerRecords
 )
 
 // checker collects the first violation of a bound.
@@ -79,11 +69,6 @@
 	}
 }
 
-func (c *checker) incarnation(field string, i fleet.Incarnation) {
-	c.size(field, len(i), MaxID)
-	c.demand(i.VM() != "" && i.Run() != 0, "%s is malformed", field)
-}
-
 func (c *checker) vm(field string, vm *fleet.VM) {
 	c.id(field+" id", len(vm.ID))
 	c.size(field+" region", len(vm.Region), MaxID)
--- a/core/inner/client.go
+++ b/core/inner/client.go
@@ -122,6 +122,11 @@
 	return call[RevisionAskMsg, RevisionReplyMsg](ctx, c, to, rpcRevisionAsk, m)
 }
 
+// VMsAsk asks for the VMs that the peer knows.
+func (c *Client) VMsAsk(ctx context.Context, to Peer, m *VMsAskMsg) (*VMsReplyMsg, error) {
+	return call[VMsAskMsg, VMsReplyMsg](ctx, c, to, rpcVMsAsk, m)
+}
+
 // StateAsk asks for a state dump.
 func (c *Client) StateAsk(ctx context.Context, to Peer, m *StateAskMsg) (*StateReplyMsg, error) {
 	return call[StateAskMsg, StateReplyMsg](ctx, c, to, rpcStateAsk, m)
--- a/core/inner/client_test.go
+++ b/core/inner/client_test.go
@@ -16,6 +16,7 @@
 
 	"wisteriarelay.example/core/fault"
 	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/order"
 )
 
 // fixture is a server "b" and a client "a" on an in-memory network.
@@ -93,17 +94,17 @@
 				return &LedgerReplyMsg{Kept: uint32(len(m.Records))}, nil
 			},
 			RevisionAsk: func(context.Context, fleet.VMID, *RevisionAskMsg) (*RevisionReplyMsg, error) {
-				return &RevisionReplyMsg{Revision: 1, SnapshotRevision: 1, Snapshot: make([]byte, MaxSnapshot)}, nil
+				return &RevisionReplyMsg{Revision: 1, Snapshot: make([]byte, MaxSnapshot)}, nil
 			},
 		})
 		ctx := context.Background()
 		reply := r.mustReport()
 		r.g.Expect(reply.Revision).To(gomega.Equal(uint64(4_001)))
 		r.g.Expect(from).To(gomega.Equal(fleet.VMID("a")))
-		_, err := r.client.OrderAsk(ctx, r.peer, &OrderAskMsg{Home: fleet.IncarnationOf("b", 1), Service: "s", Key: "k", Run: 1})
+		_, err := r.client.OrderAsk(ctx, r.peer, &OrderAskMsg{Ledger: fleet.IncarnationOf("b", 1), Epoch: 1, Key: order.Hash{1}})
 		r.expectFault(err, fault.OrderClosed)
 		r.g.Expect(fault.From(err).Detail).To(gomega.Equal("closed: for good"))
-		kept, err := r.client.Ledger(ctx, r.peer, &LedgerMsg{Home: fleet.IncarnationOf("a", 1), Parts: 1, Records: [][]byte{{1}}})
+		kept, err := r.client.Ledger(ctx, r.peer, ledgerPart(1))
 		r.g.Expect(err).NotTo(gomega.HaveOccurred())
 		r.g.Expect(kept.Kept).To(gomega.Equal(uint32(1)))
 		revision, err := r.client.RevisionAsk(ctx, r.peer, &RevisionAskMsg{})
--- a/core/inner/codec.go
+++ b/core/inner/codec.go
@@ -87,17 +87,21 @@
 	case *ReportReplyMsg:
 		return m.Check()
 	case *OrderAskMsg:
-		return m.Check()
+		return m.Validate()
 	case *OrderReplyMsg:
-		return m.Check()
+		return m.Validate()
 	case *LedgerMsg:
-		return m.Check()
+		return m.Validate()
 	case *LedgerReplyMsg:
 		return m.Check()
 	case *RevisionAskMsg:
-		return m.Check()
+		return nil
 	case *RevisionReplyMsg:
 		return m.Check()
+	case *VMsAskMsg:
+		return m.Check()
+	case *VMsReplyMsg:
+		return m.Check()
 	case *StateAskMsg:
 		return m.Check()
 	case *StateReplyMsg:
--- a/core/inner/fuzz_test.go
+++ b/core/inner/fuzz_test.go
@@ -42,6 +42,7 @@
 func FuzzLedgerReply(f *testing.F)   { fuzzDecode(f, new(LedgerReplyMsg)) }
 func FuzzRevisionAsk(f *testing.F)   { fuzzDecode(f, new(RevisionAskMsg)) }
 func FuzzRevisionReply(f *testing.F) { fuzzDecode(f, new(RevisionReplyMsg)) }
+func FuzzVMsReply(f *testing.F)      { fuzzDecode(f, new(VMsReplyMsg)) }
 func FuzzStateAsk(f *testing.F)      { fuzzDecode(f, new(StateAskMsg)) }
 func FuzzStateReply(f *testing.F)    { fuzzDecode(f, new(StateReplyMsg)) }
 
--- a/core/inner/handlers.go
+++ b/core/inner/handlers.go
@@ -17,6 +17,7 @@
 	OrderAsk    func(ctx context.Context, from fleet.VMID, m *OrderAskMsg) (*OrderReplyMsg, error)
 	Ledger      func(ctx context.Context, from fleet.VMID, m *LedgerMsg) (*LedgerReplyMsg, error)
 	RevisionAsk func(ctx context.Context, from fleet.VMID, m *RevisionAskMsg) (*RevisionReplyMsg, error)
+	VMsAsk      func(ctx context.Context, from fleet.VMID, m *VMsAskMsg) (*VMsReplyMsg, error)
 	StateAsk    func(ctx context.Context, from fleet.VMID, m *StateAskMsg) (*StateReplyMsg, error)
 }
 
@@ -27,12 +28,13 @@
 	rpcLedger      = "ledger"
 	rpcRevisionAsk = "revision"
 	rpcStateAsk    = "state"
+	rpcVMsAsk      = "vms"
 )
 
 // description lists the calls for the drpc mux.
 type description struct{}
 
-const methodCount = 5
+const methodCount = 6
 
 // NumMethods returns the number of calls.
 func (description) NumMethods() int {
@@ -52,6 +54,8 @@
 		return rpcRevisionAsk, Codec{}, receiver((*Handlers).revisionAsk), (*Handlers).revisionAsk, true
 	case 4:
 		return rpcStateAsk, Codec{}, receiver((*Handlers).stateAsk), (*Handlers).stateAsk, true
+	case 5:
+		return rpcVMsAsk, Codec{}, receiver((*Handlers).vmsAsk), (*Handlers).vmsAsk, true
 	default:
 		return "", nil, nil, nil, false
 	}
@@ -84,6 +88,10 @@
 	return handle(ctx, rpcStateAsk, h.StateAsk, m)
 }
 
+func (h *Handlers) vmsAsk(ctx context.Context, m *VMsAskMsg) (*VMsReplyMsg, error) {
+	return handle(ctx, rpcVMsAsk, h.VMsAsk, m)
+}
+
 type handler[In, Out any] func(context.Context, fleet.VMID, *In) (*Out, error)
 
 func handle[In, Out any](ctx context.Context, rpc string, h handler[In, Out], m *In) (*Out, error) {
--- a/core/inner/inner_test.go
+++ b/core/inner/inner_test.go
@@ -5,10 +5,10 @@
 	"context"
 	"net"
 	"reflect"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -16,6 +16,8 @@
 
 	"wisteriarelay.example/core/fault"
 	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/order"
+	"wisteriarelay.example/core/settle"
 )
 
 func TestInner(t *testing.T) {
@@ -102,6 +104,16 @@
 	return m
 }
 
+// ledgerPart returns a part with n records.
+func ledgerPart(n int) *LedgerMsg {
+	p := &LedgerMsg{Ledger: fleet.IncarnationOf("vm-1", 1), Parts: 1, First: 1, Last: 1, Keep: time.Hour, Export: 5}
+	for i := range n {
+		key := order.Hash{1, byte(i), byte(i >> 8)}
+		p.Records = append(p.Records, order.Record{Epoch: 1, Key: key, Digest: order.Hash{2}, State: order.StateNotRun})
+	}
+	return p
+}
+
 // samples returns one valid message of each type.
 func samples() []drpc.Message {
 	home := fleet.NewIncarnation("vm-1")
@@ -112,12 +124,14 @@
 	return []drpc.Message{
 		report,
 		&ReportReplyMsg{Run: 7, Revision: 9, Standing: Unlisted},
-		&OrderAskMsg{Home: home, Service: "s", Key: "token.suffix", Digest: []byte{1}, Want: Close, Run: 3},
-		&OrderReplyMsg{State: 4, Record: []byte("answer")},
-		&LedgerMsg{Home: home, Part: 1, Parts: 2, Records: [][]byte{[]byte("a"), []byte("b")}},
+		&OrderAskMsg{Ledger: home, Epoch: 2, Key: order.Hash{1}, Digest: order.Hash{2}, Want: order.WantRelease, Asker: &order.Grant{Holder: home, Epoch: 1}},
+		&OrderReplyMsg{State: order.StateRun, Response: &order.Response{Status: 200, Body: []byte("answer")}},
+		ledgerPart(2),
 		&LedgerReplyMsg{Kept: 2},
-		&RevisionAskMsg{Have: 8, HeadOnly: true},
-		&RevisionReplyMsg{Revision: 9, HeadRead: true, HeadAge: 1500, Snapshot: []byte("s"), SnapshotRevision: 7, Deltas: []Delta{{8, []byte("d")}, {9, nil}}},
+		&RevisionAskMsg{Have: 8},
+		&RevisionReplyMsg{Revision: 9, HeadRead: true, HeadAge: 1500, Snapshot: []byte("s")},
+		&VMsAskMsg{},
+		&VMsReplyMsg{VMs: []fleet.VM{{ID: "vm-1", Inner: "1.2.3.4:81"}}},
 		&StateAskMsg{What: "peers"},
 		&StateReplyMsg{Revision: 3, Dump: []byte("{}")},
 	}
@@ -162,15 +176,16 @@
 		ginkgo.Entry("ejections", &ReportMsg{Run: 1, Started: 1, Sequence: 1, Services: []ServiceReport{{Service: "a", Ejections: make([]byte, MaxEjections+1)}}}),
 		ginkgo.Entry("leaving target", &ReportMsg{Run: 1, Started: 1, Sequence: 1, Services: []ServiceReport{{Service: "a", Leaving: []fleet.TargetID{""}}}}),
 		ginkgo.Entry("reply", &ReportReplyMsg{Run: 1, Standing: standingCount}),
-		ginkgo.Entry("order home", &OrderAskMsg{Home: "vm", Service: "s", Key: "k", Run: 1}),
-		ginkgo.Entry("order key", &OrderAskMsg{Home: fleet.IncarnationOf("v", 1), Service: "s", Key: string(make([]byte, MaxOrderKey+1)), Run: 1}),
-		ginkgo.Entry("order want", &OrderAskMsg{Home: fleet.IncarnationOf("v", 1), Service: "s", Key: "k", Run: 1, Want: wantCount}),
-		ginkgo.Entry("order record", &OrderReplyMsg{Record: make([]byte, MaxOrderRecord+1)}),
-		ginkgo.Entry("ledger part", &LedgerMsg{Home: fleet.IncarnationOf("v", 1), Part: 2, Parts: 2}),
-		ginkgo.Entry("ledger size", &LedgerMsg{Home: fleet.IncarnationOf("v", 1), Parts: 1, Records: slices.Repeat([][]byte{make([]byte, MaxOrderRecord)}, 5)}),
+		ginkgo.Entry("order home", &OrderAskMsg{Epoch: 1, Key: order.Hash{1}}),
+		ginkgo.Entry("order release without asker", &OrderAskMsg{Ledger: fleet.IncarnationOf("v", 1), Epoch: 1, Key: order.Hash{1}, Want: order.WantRelease}),
+		ginkgo.Entry("order response missing", &OrderReplyMsg{State: order.StateReleased}),
+		ginkgo.Entry("ledger part", &LedgerMsg{Ledger: fleet.IncarnationOf("v", 1), Part: 2, Parts: 2}),
+		ginkgo.Entry("ledger size", ledgerPart(MaxAsk/32)),
 		ginkgo.Entry("ledger reply", &LedgerReplyMsg{Kept: MaxLedgerRecords + 1}),
-		ginkgo.Entry("deltas out of order", &RevisionReplyMsg{Deltas: []Delta{{2, nil}, {2, nil}}}),
-		ginkgo.Entry("snapshot", &RevisionReplyMsg{Snapshot: make([]byte, MaxSnapshot+1), SnapshotRevision: 1}),
+		ginkgo.Entry("deltas out of order", &RevisionReplyMsg{Revision: 2, Deltas: []*settle.Delta{{Revision: 2}, {Revision: 2}}}),
+		ginkgo.Entry("snapshot", &RevisionReplyMsg{Revision: 1, Snapshot: make([]byte, MaxReply+1)}),
+		ginkgo.Entry("VMs", &VMsReplyMsg{VMs: make([]fleet.VM, MaxVMs+1)}),
+		ginkgo.Entry("VM without id", &VMsReplyMsg{VMs: make([]fleet.VM, 1)}),
 		ginkgo.Entry("state ask", &StateAskMsg{What: string(make([]byte, MaxID+1))}),
 		ginkgo.Entry("state reply", &StateReplyMsg{Dump: make([]byte, MaxDump+1)}),
 	)
--- a/core/proxy/exchange.go
+++ b/core/proxy/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"wisteriarelay.example/core/fault"
@@ -158,8 +159,25 @@
 
 func (x *exchange) finish(a *answer, d retry.Decision) *answer {
 	a.outcome = d.Outcome
+	if a.ending == retry.RefusedBeforeStart && a.err == nil {
+		x.replaceRefusal(a)
+	}
 	if a.err != nil {
 		a.err = a.err.WithOutcome(d.Outcome)
 	}
 	return a
 }
+
+// replaceRefusal turns a target's refusal into a failure of the daemon, whose
+// problem body says that the request was not run and when to try again.
+func (x *exchange) replaceRefusal(a *answer) {
+	if a.rest != nil {
+		a.discard()
+		a.rest = nil
+	}
+	e := fault.New(fault.TargetShed, "target %s refused the request before it started it", a.target)
+	if seconds, err := strconv.Atoi(a.header.Get("Retry-After")); err == nil && seconds > 0 {
+		e = e.WithRetryAfter(time.Duration(seconds) * time.Second)
+	}
+	a.err = e
+}
--- /dev/null
+++ b/standin/demo/fleet.go
@@ -0,0 +1,322 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/tailscale/hujson"
+
+	"wisteriarelay.example/core/config"
+	"wisteriarelay.example/core/daemon"
+	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/inner"
+	"wisteriarelay.example/core/settle"
+	"wisteriarelay.example/core/stand"
+	"wisteriarelay.example/core/tree"
+)
+
+const (
+	daemonsPerCentre = 2
+	loopback         = "127.0.0.1:0"
+	// startWait bounds the time until all daemons are ready.
+	startWait = 20 * time.Second
+)
+
+// Fleet is the platform, the targets and the daemons of a demo.
+type Fleet struct {
+	Platform  *stand.Platform
+	Doc       *tree.Doc
+	Region    fleet.Region
+	Centres   []fleet.DataCentre
+	authority *inner.Authority
+	logger    log.Logger
+	listeners map[string]net.Listener
+	servers   []*http.Server
+	platform  string
+
+	mu      sync.Mutex
+	targets map[fleet.TargetID]*stand.Target
+	daemons []*Node
+}
+
+// Node is one daemon of the fleet.
+type Node struct {
+	*daemon.Daemon
+	VM fleet.VM
+}
+
+// NewFleet starts the platform and the targets that the settings file names,
+// on loopback addresses in place of the file's.
+func NewFleet(settingsFile string, logger log.Logger) (*Fleet, error) {
+	authority, err := inner.NewAuthority()
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{
+		Platform:  stand.NewPlatform(),
+		authority: authority,
+		logger:    logger,
+		listeners: map[string]net.Listener{},
+		targets:   map[fleet.TargetID]*stand.Target{},
+	}
+	if f.platform, err = f.serve(f.Platform); err != nil {
+		return nil, err
+	}
+	if err := f.loadSettings(settingsFile); err != nil {
+		return nil, err
+	}
+	book := settle.NewBook(f.Platform.Table(), settle.WithObjects(f.Platform.Objects()))
+	_, _, err = book.Bootstrap(context.Background(), f.Doc, f.Doc.Owners()[0])
+	return f, err
+}
+
+// server runs an HTTP server on a listener.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func (s server) run() {
+	_ = s.http.Serve(s.listener)
+}
+
+func (f *Fleet) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: startWait}
+	f.servers = append(f.servers, s)
+	go server{http: s, listener: l}.run()
+	return l.Addr().String(), nil
+}
+
+// loadSettings reads the example's settings and points its targets at stand-ins.
+func (f *Fleet) loadSettings(file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return fault.Wrap(err, fault.ConfigInvalid, "settings file cannot be read")
+	}
+	if data, err = hujson.Standardize(data); err != nil {
+		return fault.Wrap(err, fault.SettingsInvalid, "%s: not valid JSON with comments", file)
+	}
+	var nodes map[string]map[string]json.RawMessage
+	if err := json.Unmarshal(data, &nodes); err != nil {
+		return fault.Wrap(err, fault.SettingsInvalid, "%s: not an object of paths", file)
+	}
+	for path, keys := range nodes {
+		f.notePlace(path)
+		if err := f.startTargets(keys); err != nil {
+			return err
+		}
+	}
+	slices.Sort(f.Centres)
+	nodes["/"]["address-ttl"] = json.RawMessage(`"2s"`)
+	if data, err = json.Marshal(nodes); err != nil {
+		return err
+	}
+	f.Doc, err = tree.Decode(data)
+	return err
+}
+
+func (f *Fleet) notePlace(path string) {
+	if name, ok := strings.CutPrefix(path, "/data-centre/"); ok {
+		f.Centres = append(f.Centres, fleet.DataCentre(name))
+	}
+	if name, ok := strings.CutPrefix(path, "/region/"); ok {
+		f.Region = fleet.Region(name)
+	}
+}
+
+// targetEntry is one entry of the settings key "targets".
+type targetEntry struct {
+	ID         fleet.TargetID   `json:"id"`
+	Address    string           `json:"address"`
+	DataCentre fleet.DataCentre `json:"data-centre"`
+}
+
+func (f *Fleet) startTargets(keys map[string]json.RawMessage) error {
+	raw, ok := keys["targets"]
+	if !ok {
+		return nil
+	}
+	var entries []targetEntry
+	if err := json.Unmarshal(raw, &entries); err != nil {
+		return fault.Wrap(err, fault.SettingsInvalid, "key targets")
+	}
+	for i := range entries {
+		t := stand.NewTarget(string(entries[i].ID))
+		address, err := f.serve(t)
+		if err != nil {
+			return err
+		}
+		entries[i].Address = address
+		f.targets[entries[i].ID] = t
+	}
+	changed, err := json.Marshal(entries)
+	keys["targets"] = changed
+	return err
+}
+
+// Target returns a stand-in target.
+func (f *Fleet) Target(id fleet.TargetID) *stand.Target {
+	return f.targets[id]
+}
+
+// Runs returns how often each order key was executed, over all targets.
+func (f *Fleet) Runs() map[string]int {
+	runs := map[string]int{}
+	for _, t := range f.targets {
+		for _, r := range t.Runs() {
+			runs[strings.Trim(r.Key, `"`)]++
+		}
+	}
+	return runs
+}
+
+// StartDaemons starts the daemons of all data centres and waits until they are ready.
+func (f *Fleet) StartDaemons(ctx context.Context) error {
+	for _, dc := range f.Centres {
+		for i := range daemonsPerCentre {
+			vm, err := f.reserveVM(fleet.VMID(fmt.Sprintf("%s-%d", dc, i+1)), dc)
+			if err != nil {
+				return err
+			}
+			if err := f.Platform.PutVM(ctx, vm); err != nil {
+				return err
+			}
+			f.daemons = append(f.daemons, &Node{VM: vm})
+		}
+	}
+	for _, n := range f.daemons {
+		if err := f.start(ctx, n); err != nil {
+			return err
+		}
+	}
+	return f.waitReady(ctx)
+}
+
+// reserveVM opens the ports of a VM, so that its addresses are known before it starts.
+func (f *Fleet) reserveVM(id fleet.VMID, dc fleet.DataCentre) (fleet.VM, error) {
+	vm := fleet.VM{ID: id, Region: f.Region, DataCentre: dc}
+	for _, address := range []*string{&vm.Caller, &vm.Inner, &vm.Admin} {
+		l, err := net.Listen("tcp", loopback)
+		if err != nil {
+			return vm, err
+		}
+		*address = l.Addr().String()
+		f.listeners[*address] = l
+	}
+	return vm, nil
+}
+
+func (f *Fleet) listen(address string) (net.Listener, error) {
+	return f.listeners[address], nil
+}
+
+func (f *Fleet) start(ctx context.Context, n *Node) error {
+	id, err := f.authority.Issue(n.VM.ID)
+	if err != nil {
+		return err
+	}
+	s := config.Defaults()
+	s.VM, s.Region, s.DataCentre = n.VM.ID, n.VM.Region, n.VM.DataCentre
+	s.CallerAddress, s.InnerAddress, s.AdminAddress = n.VM.Caller, n.VM.Inner, n.VM.Admin
+	s.PlatformURL = "http://" + f.platform
+	s.FleetSecrets = []config.Secret{config.Secret("demo-secret-0123456789")}
+	s.Operators = f.operators()
+	for _, other := range f.Nodes() {
+		if other.VM.ID != n.VM.ID && len(s.Seeds) < maxSeeds {
+			s.Seeds = append(s.Seeds, other.VM.Inner)
+		}
+	}
+	n.Daemon, err = daemon.New(s, daemon.WithIdentity(id), daemon.WithListen(f.listen), daemon.WithLogger(f.logger))
+	if err != nil {
+		return err
+	}
+	return n.Start(ctx)
+}
+
+const maxSeeds = 3
+
+// Nodes returns the daemons.
+func (f *Fleet) Nodes() []*Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.daemons)
+}
+
+// AddDaemon starts one more daemon in a data centre; it is in the VM list only
+// if the platform can be written.
+func (f *Fleet) AddDaemon(ctx context.Context, id fleet.VMID, dc fleet.DataCentre) (*Node, error) {
+	vm, err := f.reserveVM(id, dc)
+	if err != nil {
+		return nil, err
+	}
+	_ = f.Platform.PutVM(ctx, vm)
+	n := &Node{VM: vm}
+	if err := f.start(ctx, n); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	f.daemons = append(f.daemons, n)
+	f.mu.Unlock()
+	return n, nil
+}
+
+func (f *Fleet) waitReady(ctx context.Context) error {
+	deadline := time.Now().Add(startWait)
+	for _, n := range f.Nodes() {
+		for !n.Ready() {
+			if !pause(ctx, readyPoll) || time.Now().After(deadline) {
+				return fault.New(fault.NotReady, "daemon %s is not ready", n.VM.ID)
+			}
+		}
+	}
+	return nil
+}
+
+const readyPoll = 20 * time.Millisecond
+
+// pause waits for d and returns false if ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// stateOf returns a target's state and the reason for it at the first daemon
+// that carries its service.
+func (f *Fleet) stateOf(id fleet.TargetID) (state, reason string) {
+	for _, n := range f.Nodes() {
+		if s, r, ok := n.TargetState(id); ok {
+			return s, r
+		}
+	}
+	return "", ""
+}
+
+// Close ends everything at once.
+func (f *Fleet) Close() {
+	for _, n := range f.Nodes() {
+		n.Kill()
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+}
--- a/wisteriad/main.go
+++ b/wisteriad/main.go
@@ -1,4 +1,80 @@
-// Package main is a placeholder.
+// Command wisteriad is the daemon of wisteriarelay: it carries requests from
+// callers to the targets of the services that fall to its VM.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/urfave/cli/v3"
+
+	"wisteriarelay.example/core/config"
+	"wisteriarelay.example/core/daemon"
+)
+
+func main() {
+	if err := newCommand().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "wisteriad:", err)
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cli.Command {
+	return &cli.Command{
+		Name:                  "wisteriad",
+		Usage:                 "carry requests from callers to targets",
+		EnableShellCompletion: true,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "process settings file, in JSON with comments"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			settings, err := config.Load(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			return serve(ctx, settings)
+		},
+	}
+}
+
+// serve runs the daemon until a signal. The first one lets it leave without
+// cutting a request; a second one ends the wait for callers that may still hold
+// its address.
+func serve(ctx context.Context, settings *config.Settings) error {
+	logger := newLogger(settings.LogLevel)
+	d, err := daemon.New(settings, daemon.WithLogger(logger))
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if err := d.Start(ctx); err != nil {
+		return err
+	}
+	<-signals
+	h := &hurrier{daemon: d, signals: signals}
+	go h.run()
+	return d.Stop(ctx)
+}
+
+// hurrier shortens the shutdown at a second signal.
+type hurrier struct {
+	daemon  *daemon.Daemon
+	signals <-chan os.Signal
+}
+
+func (h *hurrier) run() {
+	<-h.signals
+	h.daemon.Hurry()
+}
+
+func newLogger(name string) log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	logger = log.With(logger, "time", log.DefaultTimestampUTC)
+	return level.NewFilter(logger, level.Allow(level.ParseDefault(name, level.InfoValue())))
+}
