--- a/core/detect/ejector_test.go
+++ b/core/detect/ejector_test.go
@@ -17,6 +17,7 @@
 // fakeTable is a table service with one row; fate, if set, decides for each
 // Apply whether it takes effect and what the caller is told.
 type fakeTable struct {
+	delay         time.Duration
 	mu            sync.Mutex
 	row           store.Row
 	gets, applies int
@@ -29,7 +30,7 @@
 }
 
 func (f *fakeTable) get(context.Context, string) (store.Row, error) {
-	time.Sleep(2 * time.Millisecond)
+	time.Sleep(f.delay / 4)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.gets++
@@ -45,7 +46,7 @@
 }
 
 func (f *fakeTable) apply(_ context.Context, tx store.Tx) error {
-	time.Sleep(10 * time.Millisecond)
+	time.Sleep(f.delay)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.applies++
@@ -96,7 +97,7 @@
 func ejectorTest(t *testing.T, n int, body func(g *gomega.WithT, f *fakeTable, es []*Ejector)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f := &fakeTable{}
+		f := &fakeTable{delay: 10 * time.Millisecond}
 		var es []*Ejector
 		for i := range n {
 			e := NewEjector("reservas", fleet.NewIncarnation(vmName(i)), f.table(), WithRank(func(fleet.TargetID) int { return i }))
