Measure the policy against two others

Cause: the weights of the policy were guesses. Change: a simulation of one service with six carriers on a virtual clock, three policies side by side (go test -run xxx -bench Policy/ -benchtime 1x ./core/detect, 101 s), and a rule that slowness must show in both halves of the window.

--- a/core/detect/assess.go
+++ b/core/detect/assess.go
@@ -44,22 +44,6 @@
 
 func (v *view) sick() bool { return v.failing || v.slow }
 
-// exam is the work of one Assess.
-type exam struct {
-	s       *Service
-	p       fleet.Detection
-	now     time.Time
-	recent  time.Time
-	wide    time.Time
-	targets []fleet.TargetID
-	// counted observers do not fail against most targets.
-	counted []*observer
-	own     *observer
-	pooled  map[fleet.TargetID]tally
-	codes   map[fleet.TargetID]float64
-	ratios  map[fleet.TargetID]float64
-}
-
 // Assess judges all targets by the evidence up to now, the worst first.
 func (s *Service) Assess(now time.Time) []Verdict {
 	s.mu.Lock()
@@ -67,12 +51,12 @@
 	x := s.newExam(now)
 	s.suspect = map[fleet.TargetID]bool{}
 	s.typical = 0
-	if code, ok := others(x.codes, ""); ok {
+	if code, ok := x.codes.median(); ok {
 		s.typical = latencyOf(code)
 	}
 	var verdicts []Verdict
-	for _, id := range x.targets {
-		if v, ok := x.judge(id); ok {
+	for t, id := range x.targets {
+		if v, ok := x.judge(t); ok {
 			verdicts = append(verdicts, v)
 			s.suspect[id] = true
 		}
@@ -101,131 +85,50 @@
 	s.since = next
 }
 
-func (s *Service) newExam(now time.Time) *exam {
-	p := s.svc.Policy.Detection
-	x := &exam{
-		s: s, p: p, now: now, recent: now.Add(-p.Window), wide: now.Add(-wideWindows * p.Window),
-		pooled: map[fleet.TargetID]tally{}, codes: map[fleet.TargetID]float64{}, ratios: map[fleet.TargetID]float64{},
-		own: s.observers[s.self],
-	}
-	for i := range s.svc.Targets {
-		t := &s.svc.Targets[i]
-		if !s.held[t.ID] && !t.Drained {
-			x.targets = append(x.targets, t.ID)
-		}
-	}
-	for _, o := range s.observers {
-		if !x.failsEverywhere(o) {
-			x.counted = append(x.counted, o)
-		}
-	}
-	slices.SortFunc(x.counted, func(a, b *observer) int { return cmp.Compare(a.id, b.id) })
-	for _, id := range x.targets {
-		x.pool(id)
-	}
-	return x
-}
-
-// failsEverywhere reports whether the observer fails against most targets it
-// used, which points at the observer or at the service rather than at a target.
-func (x *exam) failsEverywhere(o *observer) bool {
-	used, failing := 0, 0
-	for _, id := range x.targets {
-		t := o.series[id].since(x.recent)
-		if t.requests() == 0 {
-			continue
-		}
-		used++
-		if t.ratio() >= x.p.FailureRatio {
-			failing++
-		}
-	}
-	return failing > 1 && 2*failing > used
-}
-
-func (x *exam) pool(id fleet.TargetID) {
-	recent, wide := tally{}, tally{}
-	for _, o := range x.counted {
-		recent.merge(o.series[id].since(x.recent))
-		wide.merge(o.series[id].since(x.wide))
-	}
-	if recent.requests() < x.p.MinRequests {
-		recent = wide
-	}
-	x.pooled[id] = recent
-	if recent.requests() >= x.p.MinRequests {
-		x.ratios[id] = recent.ratio()
-	}
-	if int(recent.counts[OK]) >= x.p.MinRequests {
-		x.codes[id] = recent.code()
-	}
-}
-
-// mostFail reports whether more than half of the targets with evidence fail,
-// so that the service as a whole is at fault.
-func (x *exam) mostFail() bool {
-	failing := 0
-	for _, r := range x.ratios {
-		if r >= x.p.FailureRatio {
-			failing++
-		}
-	}
-	return failing > 1 && 2*failing > len(x.ratios)
-}
-
-// others returns the median over all targets but one.
-func others(of map[fleet.TargetID]float64, but fleet.TargetID) (float64, bool) {
-	var values []float64
-	for id, v := range of {
-		if id != but {
-			values = append(values, v)
-		}
-	}
-	if len(values) == 0 {
-		return 0, false
-	}
-	slices.Sort(values)
-	mid := len(values) / 2
-	if len(values)%2 == 1 {
-		return values[mid], true
-	}
-	return (values[mid-1] + values[mid]) / 2, true
+// measure is what a target is compared with.
+type measure struct {
+	limit    float64 // failure ratio
+	base     float64 // median latency code of the other targets
+	haveBase bool
+	steady   bool // slowness lasts
 }
 
 // judge gives the verdict on one target, if there is one.
-func (x *exam) judge(id fleet.TargetID) (Verdict, bool) {
-	typical, _ := others(x.ratios, id)
-	limit := typical + (1-typical)*x.p.FailureRatio
-	base, haveBase := others(x.codes, id)
-	poolFails, pool := x.poolFails(id, limit)
-	probesFail := x.probesFail(id)
+func (x *exam) judge(t int) (Verdict, bool) {
+	id := x.targets[t]
+	typical, _ := x.ratios.without(t)
+	m := measure{limit: typical + (1-typical)*x.p.FailureRatio}
+	m.base, m.haveBase = x.codes.without(t)
+	m.steady = m.haveBase && x.isSteadilySlow(t, m.base)
+	poolFails, pool := x.poolFails(t, m.limit)
+	probesFail := x.probesFail(t)
 
 	agree, against := []*view{}, 0
-	for _, o := range x.counted {
-		v := x.view(o, id, limit, base, haveBase)
+	for i := range x.counted {
+		v := x.view(&x.counted[i], t, m)
 		switch {
-		case v.sick(), poolFails && v.joins(limit), probesFail && x.confirmsProbes(o, id):
+		case v.sick(), poolFails && v.joins(m.limit), probesFail && x.confirmsProbes(v.o, id):
 			agree = append(agree, v)
 		case v.enough:
 			against++
 		}
-		if v.basis.failures() >= suspectFailures && v.basis.ratio() >= limit/2 {
+		if v.basis.failures() >= suspectFailures && v.basis.ratio() >= m.limit/2 {
 			x.s.suspect[id] = true
 		}
 	}
 	if x.agreed(agree, against) {
-		return x.condemn(id, agree, pool, limit, base), true
+		return x.condemn(id, agree, pool, m), true
 	}
-	return x.avoid(id, limit, base, haveBase, probesFail)
+	return x.avoid(t, m, probesFail)
 }
 
 // view judges one target by the evidence of one observer. The window decides
 // if it holds enough requests; else the newest requests of the wide window do.
 // A burst of failures in the newest requests decides before the window is
 // full, at a limit halfway to certainty.
-func (x *exam) view(o *observer, id fleet.TargetID, limit, base float64, haveBase bool) *view {
-	se := o.series[id]
-	v := &view{o: o, basis: se.since(x.recent)}
+func (x *exam) view(w *witness, t int, m measure) *view {
+	se := w.o.series[x.targets[t]]
+	v := &view{o: w.o, basis: w.recent[t]}
 	if v.basis.requests() < x.p.MinRequests {
 		v.basis = se.newest(x.p.MinRequests, x.wide)
 	}
@@ -233,11 +136,13 @@
 	if !v.enough {
 		return v
 	}
-	v.failing = v.basis.ratio() >= limit
-	if burst := se.newest(x.p.MinRequests, x.recent); burst.requests() >= x.p.MinRequests && burst.ratio() >= (1+limit)/2 {
-		v.failing, v.basis = true, burst
+	v.failing = v.basis.ratio() >= m.limit
+	if !v.failing && w.recent[t].failures() > 0 {
+		if burst := se.newest(x.p.MinRequests, x.recent); burst.requests() >= x.p.MinRequests && burst.ratio() >= (1+m.limit)/2 {
+			v.failing, v.basis = true, burst
+		}
 	}
-	v.slow = haveBase && int(v.basis.counts[OK]) >= x.p.MinRequests && x.isSlow(id, v.basis.code(), base)
+	v.slow = m.steady && int(v.basis.counts[OK]) >= x.p.MinRequests && x.isSlow(x.targets[t], v.basis.code(), m.base)
 	return v
 }
 
@@ -253,19 +158,47 @@
 	return code-base > codesPerOctave*math.Log2(factor) && latencyOf(code)-latencyOf(base) > slowMargin
 }
 
+// isSteadilySlow reports whether the target is slow in both halves of the
+// window, or of a longer span if the window holds too few requests, by the
+// evidence of all counted observers. A burst of requests that
+// queue at one target, which takes a second or two to pass, is not slowness of
+// the target. Once there is a verdict, little or no work follows, so the check
+// is not repeated.
+func (x *exam) isSteadilySlow(t int, base float64) bool {
+	id := x.targets[t]
+	if _, ok := x.s.since[id]; ok {
+		return true
+	}
+	if all := x.pooled[t]; all.counts[OK] == 0 || !x.isSlow(id, all.code(), base) {
+		return false
+	}
+	for span := x.p.Window; span <= wideWindows*x.p.Window; span *= 2 {
+		early, late := x.poolSince(t, span), x.poolSince(t, span/2)
+		if int(early.counts[OK]) < 2*x.p.MinRequests {
+			continue
+		}
+		early.subtract(late)
+		return x.halfSlow(id, early, base) && x.halfSlow(id, late, base)
+	}
+	return false
+}
+
+func (x *exam) halfSlow(id fleet.TargetID, half tally, base float64) bool {
+	return half.counts[OK] > 0 && x.isSlow(id, half.code(), base)
+}
+
 // poolFails judges the newest evidence of all counted observers together,
 // which suffices long before each observer has enough of its own. The span
 // grows from a quarter of the window until it holds enough requests, up to the
 // wide window for a target with little traffic.
-func (x *exam) poolFails(id fleet.TargetID, limit float64) (bool, tally) {
+func (x *exam) poolFails(t int, limit float64) (bool, tally) {
+	if x.pooled[t].failures() < pooledFailures {
+		return false, tally{}
+	}
 	need := x.p.MinRequests * max(1, x.p.MinObservers)
 	for span := x.p.Window / poolSteps; span <= wideWindows*x.p.Window; span *= 2 {
-		var t tally
-		for _, o := range x.counted {
-			t.merge(o.series[id].since(x.now.Add(-span)))
-		}
-		if t.requests() >= need {
-			return t.ratio() >= limit, t
+		if pool := x.poolSince(t, span); pool.requests() >= need {
+			return pool.ratio() >= limit, pool
 		}
 	}
 	return false, tally{}
@@ -273,16 +206,20 @@
 
 // probesFail reports whether probes fail and nothing better is known: probes
 // are evidence of second rank, so one good request outweighs them.
-func (x *exam) probesFail(id fleet.TargetID) bool {
+func (x *exam) probesFail(t int) bool {
+	id := x.targets[t]
 	span := max(x.p.Window, probeFailures*x.s.svc.Policy.Probe.Interval)
-	var t tally
-	for _, o := range x.counted {
-		t.merge(o.series[id].since(x.now.Add(-span)))
+	failed := false
+	for i := range x.counted {
+		se := x.counted[i].o.series[id]
+		failed = failed || se != nil && x.now.Sub(se.probeFailed) < span
 	}
-	if t.probesFailed > 0 {
-		x.s.suspect[id] = true
+	if !failed {
+		return false
 	}
-	return t.probesFailed >= probeFailures && t.probesOK == 0 && t.counts[OK] == 0
+	x.s.suspect[id] = true
+	all := x.poolSince(t, span)
+	return all.probesFailed >= probeFailures && all.probesOK == 0 && all.counts[OK] == 0
 }
 
 func (x *exam) confirmsProbes(o *observer, id fleet.TargetID) bool {
@@ -322,7 +259,7 @@
 	return dcs
 }
 
-func (x *exam) condemn(id fleet.TargetID, agree []*view, pool tally, limit, base float64) Verdict {
+func (x *exam) condemn(id fleet.TargetID, agree []*view, pool tally, m measure) Verdict {
 	var all tally
 	failing := false
 	for _, v := range agree {
@@ -332,7 +269,7 @@
 	if all.requests() == 0 {
 		all = pool
 	}
-	v := x.verdict(id, Condemn, all, limit, base, failing || all.failures() > 0 && all.ratio() >= limit)
+	v := x.verdict(id, Condemn, all, m, failing || all.failures() > 0 && all.ratio() >= m.limit)
 	v.Observers, v.DataCentres = len(agree), len(dataCentres(agree))
 	v.Reason += fmt.Sprintf("; %d observers in %d data centres agree", v.Observers, v.DataCentres)
 	return v
@@ -340,7 +277,8 @@
 
 // avoid gives this daemon's own view. It needs another target in good order,
 // since avoiding all of them gains nothing.
-func (x *exam) avoid(id fleet.TargetID, limit, base float64, haveBase, probesFail bool) (Verdict, bool) {
+func (x *exam) avoid(t int, m measure, probesFail bool) (Verdict, bool) {
+	id := x.targets[t]
 	if probesFail {
 		return Verdict{
 			Target: id, Action: Avoid, Cause: CauseProbes, Severity: 1, Observers: 1, DataCentres: 1,
@@ -350,33 +288,33 @@
 	if x.own == nil {
 		return Verdict{}, false
 	}
-	own := x.view(x.own, id, limit, base, haveBase)
-	if !own.sick() || !x.ownAlternative(id) {
+	own := x.view(x.own, t, m)
+	if !own.sick() || !x.ownAlternative(t) {
 		return Verdict{}, false
 	}
-	v := x.verdict(id, Avoid, own.basis, limit, base, own.failing)
+	v := x.verdict(id, Avoid, own.basis, m, own.failing)
 	v.Observers, v.DataCentres = 1, 1
 	v.Reason += "; not confirmed by other observers"
 	return v, true
 }
 
-func (x *exam) ownAlternative(but fleet.TargetID) bool {
-	for _, id := range x.targets {
-		t := x.own.series[id].since(x.recent)
-		if id != but && t.requests() > 0 && t.ratio() < x.p.FailureRatio {
+func (x *exam) ownAlternative(but int) bool {
+	for t := range x.targets {
+		seen := &x.own.recent[t]
+		if t != but && seen.requests() > 0 && seen.ratio() < x.p.FailureRatio {
 			return true
 		}
 	}
 	return false
 }
 
-func (x *exam) verdict(id fleet.TargetID, a Action, t tally, limit, base float64, failing bool) Verdict {
+func (x *exam) verdict(id fleet.TargetID, a Action, t tally, m measure, failing bool) Verdict {
 	v := Verdict{Target: id, Action: a}
 	if failing {
-		v.Cause, v.Severity, v.Reason = causeOf(t), 1+t.ratio(), failingReason(t, limit)
+		v.Cause, v.Severity, v.Reason = causeOf(t), 1+t.ratio(), failingReason(t, m.limit)
 		return v
 	}
-	v.Cause, v.Reason = CauseSlow, slowReason(t.code(), base)
-	v.Severity = min(1, (t.code()-base)/math.MaxUint8)
+	v.Cause, v.Reason = CauseSlow, slowReason(t.code(), m.base)
+	v.Severity = min(1, (t.code()-m.base)/math.MaxUint8)
 	return v
 }
--- a/core/detect/carry.go
+++ b/core/detect/carry.go
@@ -32,11 +32,11 @@
 
 func (e *Ejector) obey(o order) error {
 	if e.listing.Load().Read.IsZero() || e.stale {
-		if err := e.read(o.ctx); err != nil {
+		if err := e.read(o.ctx, time.Now()); err != nil {
 			return err
 		}
 	}
-	return e.write(o.ctx, o.change)
+	return e.write(o.ctx, o.change, time.Now())
 }
 
 // step does what is due. After a failure of the store it waits with growing,
@@ -54,7 +54,7 @@
 
 func (e *Ejector) attend(ctx context.Context, now time.Time) error {
 	if e.stale || !now.Before(e.nextRead) || e.heard.Load() > e.listing.Load().Version {
-		if err := e.read(ctx); err != nil {
+		if err := e.read(ctx, now); err != nil {
 			return err
 		}
 	}
@@ -74,11 +74,11 @@
 	// A daemon that is not first reads before it writes: reads are cheaper
 	// than writes, and the first one has most likely written by now.
 	if !first {
-		if err := e.read(ctx); err != nil {
+		if err := e.read(ctx, now); err != nil {
 			return err
 		}
 	}
-	err := e.write(ctx, func(j Ejections) (Ejections, error) { return e.advance(j, a, time.Now()), nil })
+	err := e.write(ctx, func(j Ejections) (Ejections, error) { return e.advance(j, a, now), nil }, now)
 	if fault.Is(err, fault.StoreConflict) {
 		return nil
 	}
@@ -172,12 +172,11 @@
 // read fetches the row; a missing row is an empty list with version 0. The
 // table decides about versions that peers report: one that it does not have is
 // forgotten.
-func (e *Ejector) read(ctx context.Context) error {
+func (e *Ejector) read(ctx context.Context, now time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	heard, before := e.heard.Load(), e.listing.Load()
 	row, err := e.table.Get(ctx, RowKey(e.service))
-	now := time.Now()
 	switch {
 	case fault.Is(err, fault.RowMissing):
 		e.listing.CompareAndSwap(before, &Listing{Ejections: NewEjections(e.service), Read: now})
@@ -198,7 +197,7 @@
 
 // write carries a change into the row by compare-and-swap. The write id in the
 // row tells, after a lost reply, whether an earlier attempt took effect.
-func (e *Ejector) write(ctx context.Context, change transition) error {
+func (e *Ejector) write(ctx context.Context, change transition, now time.Time) error {
 	var ids []string
 	lost := false
 	for range writeAttempts {
@@ -219,7 +218,7 @@
 		case err == nil:
 			// Apply does not tell the new version, so the row is read back.
 			e.stale = true
-			_ = e.read(ctx)
+			_ = e.read(ctx, now)
 			return nil
 		case fault.Is(err, fault.StoreUnavailable), fault.Is(err, fault.MessageInvalid):
 			return err
@@ -227,7 +226,7 @@
 			lost = true
 		}
 		e.stale = true
-		if err := e.read(ctx); err != nil {
+		if err := e.read(ctx, now); err != nil {
 			return e.unresolved(lost, err)
 		}
 	}
--- a/core/detect/ejector.go
+++ b/core/detect/ejector.go
@@ -153,7 +153,11 @@
 
 // Submit replaces the assessment that the Ejector acts on.
 func (e *Ejector) Submit(a Assessment) {
-	e.latest.Store(&submission{Assessment: a, at: time.Now()})
+	e.submit(a, time.Now())
+}
+
+func (e *Ejector) submit(a Assessment, now time.Time) {
+	e.latest.Store(&submission{Assessment: a, at: now})
 }
 
 // Hear takes the version of the row that a peer reports; a higher one is read at once.
@@ -247,7 +251,7 @@
 			return false
 		}
 		if e.listing.CompareAndSwap(old, &l) {
-			e.trials.follow(l.Ejections, time.Now())
+			e.trials.follow(l.Ejections, l.Read)
 			e.changed(l)
 			return true
 		}
--- a/core/detect/evidence.go
+++ b/core/detect/evidence.go
@@ -32,6 +32,15 @@
 	t.probesFailed += o.probesFailed
 }
 
+func (t *tally) subtract(o tally) {
+	for i := range o.counts {
+		t.counts[i] -= o.counts[i]
+	}
+	t.codes -= o.codes
+	t.probesOK -= o.probesOK
+	t.probesFailed -= o.probesFailed
+}
+
 func (t *tally) failures() int {
 	return int(t.counts[Failed] + t.counts[TimedOut] + t.counts[Short] + t.counts[BodyFailure] + t.counts[Unreachable])
 }
@@ -65,6 +74,8 @@
 // series is what one observer reported about one target, oldest first.
 type series struct {
 	samples []sample
+	// probeFailed is when the last failed probe was reported.
+	probeFailed time.Time
 }
 
 // add keeps what is younger than keep.
@@ -76,6 +87,9 @@
 	if old > 0 {
 		s.samples = append(s.samples[:0], s.samples[old:]...)
 	}
+	if r.ProbesFailed > 0 {
+		s.probeFailed = now
+	}
 	s.samples = append(s.samples, sample{at: now, row: r})
 }
 
--- a/core/detect/result.go
+++ b/core/detect/result.go
@@ -9,7 +9,12 @@
 type Result uint8
 
 // The results of a request. Shed, Cancelled and a target that leaves are no
-// sign of sickness.
+// sign of sickness. BodyFailure is a failure inside a success status, which a
+// route's body-failure rule recognises: a server may answer 200 first and fail
+// in the body, and layers that decide from the status line miss it (described
+// in the change note "fix: retry CompleteMultipartUpload on transient backend
+// errors", s3proxy-python PR #138). docs/policy.md has the figures with and
+// without the rule.
 const (
 	OK Result = iota
 	Failed
