Judge the service as a whole by its newest evidence

Cause: with all targets failing, the observers that fail everywhere were all left out, so nothing was left by which to see that most targets fail, and at the onset some targets passed the limit first. Change: no verdicts while more than half of the observers fail everywhere, or more than half of the targets fail in the newest quarter of the window.

--- a/core/detect/exam.go
+++ b/core/detect/exam.go
@@ -24,8 +24,9 @@
 	wide    time.Time
 	targets []fleet.TargetID
 	// counted observers do not fail against most targets.
-	counted []witness
-	own     *witness
+	counted  []witness
+	excluded int
+	own      *witness
 	// pooled is the evidence of all counted observers, of the window or, with
 	// too few requests, of the wide window.
 	pooled []tally
@@ -50,7 +51,9 @@
 		if o.id == s.self {
 			x.own = &w
 		}
-		if !x.failsEverywhere(&w) {
+		if x.failsEverywhere(&w) {
+			x.excluded++
+		} else {
 			x.counted = append(x.counted, w)
 		}
 	}
@@ -113,16 +116,38 @@
 	return all
 }
 
-// mostFail reports whether more than half of the targets with evidence fail,
-// so that the service as a whole is at fault.
+// mostFail reports whether more than half of the targets with evidence fail, or
+// more than half of the observers fail everywhere, so that the service as a
+// whole is at fault.
 func (x *exam) mostFail() bool {
+	if x.excluded > len(x.counted) {
+		return true
+	}
+	return x.mostFailing(x.ratios.sorted) || x.mostFailing(x.onset())
+}
+
+// onset returns the failure ratios over the shortest span that holds enough
+// requests, by the evidence of all observers. When a whole service begins to
+// fail, some targets pass the limit of the window before others; the newest
+// evidence shows earlier that most of them fail.
+func (x *exam) onset() []float64 {
+	ratios := make([]float64, 0, len(x.targets))
+	for t := range x.targets {
+		if newest := x.poolSince(t, x.p.Window/poolSteps); newest.requests() >= x.p.MinRequests/2 {
+			ratios = append(ratios, newest.ratio())
+		}
+	}
+	return ratios
+}
+
+func (x *exam) mostFailing(ratios []float64) bool {
 	failing := 0
-	for _, r := range x.ratios.sorted {
+	for _, r := range ratios {
 		if r >= x.p.FailureRatio {
 			failing++
 		}
 	}
-	return failing > 1 && 2*failing > len(x.ratios.sorted)
+	return failing > 1 && 2*failing > len(ratios)
 }
 
 // column holds one figure for each target that has it.
--- a/core/detect/policy_test.go
+++ b/core/detect/policy_test.go
@@ -38,6 +38,7 @@
 	gray := ill{res: Failed, share: 0.8}
 	cases := []simCase{
 		{name: "healthy", span: 10 * minute},
+		{name: "herding", span: 10 * minute, trust: 1},
 		{name: "gray", sick: always(1, gray), faulty: 1},
 		{name: "gray-half", sick: always(1, ill{res: Failed, share: 0.5}), faulty: 1},
 		{name: "gray-low-traffic", sick: always(1, gray), faulty: 1, load: 0.02},
@@ -86,6 +87,9 @@
 		if c.span == 0 {
 			c.span = minute
 		}
+		if c.trust == 0 {
+			c.trust = 0.25
+		}
 		for _, p := range []simPolicy{productPolicy, consecutivePolicy, localPolicy} {
 			b.Run(c.name+"/"+string(p), func(b *testing.B) {
 				var r simResult
