Divide the slots among the daemons of a service

Daemons that all act on the same reports move to the same target at once and together overrun it until the next report. All daemons now compute the same division of the slots from members and targets, in their own data centre first; a daemon prefers its share within a data centre, may use it whatever peers report, and beyond it keeps own plus reported work, rounded up, within the slots. TestPeersTakeSlots now also expects one slot of the target that a peer reports as full, since that slot is the daemon's share; TestSharesAddUp checks in exchange that the shares of six daemons add up to exactly the slots when each reports everything as its own. Kept: the share also replaces the separate fair share against stale reports.

--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -34,6 +34,8 @@
 	InFlight int
 	// PeerInFlight is the work of the other daemons as last reported.
 	PeerInFlight int
+	// Share is the part of Slots that the division among the daemons gives this one.
+	Share int
 	// Limit is the most own work allowed at the target now.
 	Limit int
 	// Slots is the number of requests the target works on at once.
@@ -66,7 +68,9 @@
 
 const (
 	loadBits = 32
-	farBit   = 1 << loadBits
+	// beyondBit marks work beyond the daemon's share, farBit another data centre.
+	beyondBit = 1 << loadBits
+	farBit    = 2 << loadBits
 	// loadUnit is the load of a target whose slots are all in use. Loads are
 	// compared in 1/1024, so that targets with 2 and with 3 slots are comparable.
 	loadUnit = 1024
@@ -132,7 +136,10 @@
 	if class == classNone {
 		return noKey
 	}
-	k := uint64(class) << (loadBits + 1)
+	k := uint64(class) << (loadBits + 2)
+	if c.InFlight >= c.Share {
+		k |= beyondBit
+	}
 	if !c.SameDataCentre {
 		k |= farBit
 	}
--- a/core/limit/dispatch.go
+++ b/core/limit/dispatch.go
@@ -14,7 +14,7 @@
 	view  *view
 	now   time.Duration
 	cands []choose.Candidate
-	// lift says that this daemon has less than its fair share in flight.
+	// lift says that this daemon has less in flight than it may always have.
 	lift bool
 	// raced says that a claim failed because of a concurrent one.
 	raced bool
@@ -29,7 +29,7 @@
 	for {
 		v := g.fresh(now)
 		s := scene{view: v, now: now, cands: v.look(now, room[:0])}
-		s.lift = s.own() < v.fair
+		s.lift = s.own() < v.least
 		if !g.dispatchOne(&s) && !s.raced {
 			break
 		}
@@ -75,8 +75,8 @@
 	return false, false
 }
 
-// take claims a slot for ask, beyond the peers' reports if this daemon has less
-// than its fair share of the slots in use.
+// take claims a slot for ask, whatever the peers report if this daemon has less in
+// flight than it may always have.
 func (g *Gate) take(s *scene, ask *Ask) *slot {
 	var room [stackTargets]choose.Candidate
 	i, limit := g.pick(s.view, ask, append(room[:0], s.cands...))
--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -54,6 +54,7 @@
 
 	mu          sync.Mutex
 	targets     []Target
+	centres     map[fleet.VMID]fleet.DataCentre
 	queueLength int
 	slots       map[fleet.TargetID]*slot
 	peers       map[fleet.VMID]*peer
--- a/core/limit/peers.go
+++ b/core/limit/peers.go
@@ -28,6 +28,8 @@
 	meanWindow = 900 * time.Millisecond
 	// leastReported is the least mean that is worth a row.
 	leastReported = 1.0 / 32
+	// idlePeers is the mean work below which the peers do not keep a target busy.
+	idlePeers = 0.5
 	// never lies after any time of the gate's clock.
 	never = time.Duration(math.MaxInt64)
 )
@@ -41,9 +43,9 @@
 // shares is the work of all peers by target.
 type shares struct {
 	work map[fleet.TargetID]float64
-	// peers is the number of peers whose report still counts.
-	peers int
-	until time.Duration
+	// members are this daemon and the peers whose reports still count, in order.
+	members []fleet.VMID
+	until   time.Duration
 }
 
 // SetPeer replaces the work that a peer reports. Reports older than the last one
@@ -80,7 +82,7 @@
 			delete(g.peers, vm)
 			continue
 		}
-		s.peers++
+		s.members = append(s.members, vm)
 		s.until = min(s.until, p.at+nextDecay(age))
 		for _, l := range p.loads {
 			if l.InFlight > 0 {
@@ -88,6 +90,8 @@
 			}
 		}
 	}
+	s.members = append(s.members, g.daemon)
+	slices.Sort(s.members)
 	return s
 }
 
@@ -104,12 +108,6 @@
 	return peerFresh + time.Duration(halvings(age))*peerHalving
 }
 
-// roundWork rounds to whole requests; reports may be means.
-func roundWork(w float64) int {
-	const most = 1 << 20
-	return int(math.Round(min(w, most)))
-}
-
 // InFlight returns this daemon's work by target for the report to the peers, as the
 // mean over the time since the last call. A report is up to one interval old when it
 // is used, so the work at one instant would say little about short requests.
--- a/core/limit/snapshot.go
+++ b/core/limit/snapshot.go
@@ -1,6 +1,8 @@
 package limit
 
 import (
+	"maps"
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -20,6 +22,8 @@
 	Weight         float64
 	TrialAllowed   bool
 	SameDataCentre bool
+	// DataCentre is compared with Snapshot.Members when the slots are divided.
+	DataCentre fleet.DataCentre
 }
 
 // Snapshot is the state of a service's targets that a Gate works with.
@@ -27,6 +31,9 @@
 	Targets []Target
 	// QueueLength is the most requests that wait; 0 stands for DefaultQueueLength.
 	QueueLength int
+	// Members is the data centre of this daemon and its peers, as far as known. The
+	// division of the slots gives targets to daemons in their own data centre first.
+	Members map[fleet.VMID]fleet.DataCentre
 }
 
 // DefaultQueueLength is the queue length of a Snapshot that states none.
@@ -78,8 +85,9 @@
 	entries []entry
 	// until is when the peers' shares must be computed again.
 	until time.Duration
-	// fair is the work that this daemon may have in flight whatever peers report.
-	fair        int
+	// least is the work that this daemon may have in flight whatever peers report; it
+	// is 1 if the daemon has no share of any target, and else the shares suffice.
+	least       int
 	queueLength int
 }
 
@@ -90,6 +98,7 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	g.targets = slices.Clone(s.Targets)
+	g.centres = maps.Clone(s.Members)
 	g.queueLength = s.QueueLength
 	if g.queueLength <= 0 {
 		g.queueLength = DefaultQueueLength
@@ -105,27 +114,31 @@
 	v := &view{entries: make([]entry, 0, len(g.targets)), queueLength: g.queueLength}
 	shares := g.shares(now)
 	v.until = shares.until
-	open := 0
-	for _, t := range g.targets {
-		v.entries = append(v.entries, g.entry(t, shares.work[t.ID]))
-		if t.State != choose.Closed {
-			open += t.Slots
+	v.least = 1
+	for i, share := range g.divide(shares.members) {
+		t := g.targets[i]
+		v.entries = append(v.entries, g.entry(t, shares.work[t.ID], share))
+		if share > 0 {
+			v.least = 0
 		}
 	}
-	v.fair = max(1, open/(shares.peers+1))
 	g.view.Store(v)
 }
 
-func (g *Gate) entry(t Target, peers float64) entry {
-	busy := roundWork(peers)
-	e := entry{slot: g.slotOf(t.ID), alone: busy == 0}
+// entry joins a target with the peers' work there and this daemon's share of it. The
+// peers' work is rounded up, so that own and reported work stay within the slots; the
+// share stays usable when peers overrun it.
+func (g *Gate) entry(t Target, peers float64, share int) entry {
+	busy := int(math.Ceil(min(peers, float64(t.Slots))))
+	e := entry{slot: g.slotOf(t.ID), alone: peers < idlePeers}
 	e.cand = choose.Candidate{
 		State:          t.State,
 		Weight:         t.Weight,
 		TrialAllowed:   t.TrialAllowed,
 		SameDataCentre: t.SameDataCentre,
 		PeerInFlight:   busy,
-		Limit:          max(t.Slots-busy, 0),
+		Share:          share,
+		Limit:          max(t.Slots-busy, share),
 		Slots:          t.Slots,
 		Rank:           choose.Rank(g.daemon, t.ID),
 	}
