--- a/core/order/claim.go
+++ b/core/order/claim.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/fxamacker/cbor/v2"
 
 	"wisteriarelay.example/core/fault"
@@ -70,6 +69,8 @@
 	table       store.Table
 	rowResponse int64
 	wake        chan struct{}
+	// random fills claim ids; the property test replaces it.
+	random func([]byte) (int, error)
 
 	mu      sync.Mutex
 	waiting []outcomeWrite
@@ -84,16 +85,16 @@
 }
 
 func newClaims(table store.Table, rowResponse int64) *Claims {
-	return &Claims{table: table, rowResponse: rowResponse, wake: make(chan struct{}, 1)}
+	return &Claims{table: table, rowResponse: rowResponse, wake: make(chan struct{}, 1), random: rand.Read}
 }
 
 func claimKey(workspace fleet.WorkspaceID, key Hash) string {
 	return "orders/" + string(workspace) + "/" + hex.EncodeToString(key[:])
 }
 
-func newClaimID() string {
+func (c *Claims) newID() string {
 	var b [claimIDBytes]byte
-	_, _ = rand.Read(b[:])
+	_, _ = c.random(b[:])
 	return hex.EncodeToString(b[:])
 }
 
@@ -166,18 +167,17 @@
 // flush writes the waiting outcomes, with growing waits while the store is
 // away, until none is left or ctx ends.
 func (c *Claims) flush(ctx context.Context) error {
-	waits := backoff.NewExponentialBackOff()
-	for {
+	for attempt := 0; ; attempt++ {
 		o, ok := c.next()
 		if !ok {
 			return nil
 		}
 		if err := c.write(ctx, o); err == nil {
 			c.remove(o)
-			waits.Reset()
+			attempt = -1
 			continue
 		}
-		timer := time.NewTimer(waits.NextBackOff())
+		timer := time.NewTimer(store.RetryWait(o.row.ID, attempt))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
--- a/core/order/copy.go
+++ b/core/order/copy.go
@@ -159,7 +159,7 @@
 	}
 	key := claimKey(c.req.Workspace, c.hash)
 	row := ClaimRow{
-		ID:     newClaimID(),
+		ID:     c.desk.claims.newID(),
 		Holder: Grant{Holder: c.desk.self, Epoch: max(epoch, 1)},
 		Digest: c.req.Digest,
 		State:  StateRunning,
--- a/core/order/handover.go
+++ b/core/order/handover.go
@@ -1,8 +1,12 @@
 package order
 
 import (
+	"bytes"
+	"cmp"
 	"crypto/rand"
 	"encoding/binary"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,14 +57,14 @@
 	l.mu.Lock()
 	first, last := l.epochs[0].number, l.epochs[len(l.epochs)-1].number
 	l.mu.Unlock()
-	p := newParts(LedgerPart{Ledger: l.self, First: first, Last: last, Keep: l.keep})
+	var records []Record
 	for i := range l.shards {
-		l.shards[i].export(p)
+		records = l.shards[i].export(records)
 	}
-	return p.done()
+	return LedgerPart{Ledger: l.self, First: first, Last: last, Keep: l.keep}.cut(records)
 }
 
-func (s *shard) export(p *parts) {
+func (s *shard) export(into []Record) []Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range s.tables {
@@ -69,44 +73,45 @@
 			if r.state == StateRunning {
 				out.State = StateUnknown
 			}
-			p.add(out)
+			into = append(into, out)
 		}
 	}
+	return into
 }
 
-// parts cuts the records of one ledger into parts.
-type parts struct {
-	head LedgerPart
-	list []LedgerPart
-	size int64
-}
-
-func newParts(head LedgerPart) *parts {
-	var b [8]byte
-	_, _ = rand.Read(b[:])
-	head.Export = binary.LittleEndian.Uint64(b[:])
-	return &parts{head: head, list: []LedgerPart{head}}
-}
-
-func (p *parts) add(r Record) {
-	size := int64(recordBytes)
-	if r.Response != nil {
-		size += r.Response.Size()
+// cut returns the records of one ledger in parts, in order.
+func (p LedgerPart) cut(records []Record) []LedgerPart {
+	slices.SortFunc(records, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(a.Epoch, b.Epoch), bytes.Compare(a.Key[:], b.Key[:]))
+	})
+	var id [8]byte
+	_, _ = rand.Read(id[:])
+	p.Export = binary.LittleEndian.Uint64(id[:])
+	var list []LedgerPart
+	for len(records) > 0 || len(list) == 0 {
+		n := partLength(records)
+		p.Records, records = records[:n:n], records[n:]
+		list = append(list, p)
 	}
-	if p.size > 0 && p.size+size > partBytes && len(p.list) < maxParts {
-		p.list = append(p.list, p.head)
-		p.size = 0
+	for i := range list {
+		list[i].Part, list[i].Parts = i, len(list)
 	}
-	p.size += size
-	last := &p.list[len(p.list)-1]
-	last.Records = append(last.Records, r)
+	return list
 }
 
-func (p *parts) done() []LedgerPart {
-	for i := range p.list {
-		p.list[i].Part, p.list[i].Parts = i, len(p.list)
+// partLength returns how many of the records go into the next part.
+func partLength(records []Record) int {
+	size := int64(0)
+	for i, r := range records {
+		size += recordBytes
+		if r.Response != nil {
+			size += r.Response.Size()
+		}
+		if size > partBytes && i > 0 {
+			return i
+		}
 	}
-	return p.list
+	return len(records)
 }
 
 // holdings are the closed ledgers that other incarnations handed over.
@@ -227,15 +232,16 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var all []LedgerPart
-	for inc, l := range h.ledgers {
+	for _, inc := range slices.Sorted(maps.Keys(h.ledgers)) {
+		l := h.ledgers[inc]
 		if len(l.missing) > 0 || !now.Before(l.until) {
 			continue
 		}
-		p := newParts(LedgerPart{Ledger: inc, First: l.first, Last: l.last, Keep: l.until.Sub(now)})
+		var records []Record
 		for k, r := range l.records {
-			p.add(Record{Epoch: k.epoch, Key: k.key, Digest: r.digest, State: r.state, Response: r.res, Grant: r.grant})
+			records = append(records, Record{Epoch: k.epoch, Key: k.key, Digest: r.digest, State: r.state, Response: r.res, Grant: r.grant})
 		}
-		all = append(all, p.done()...)
+		all = append(all, LedgerPart{Ledger: inc, First: l.first, Last: l.last, Keep: l.until.Sub(now)}.cut(records)...)
 	}
 	return all
 }
--- a/core/order/token.go
+++ b/core/order/token.go
@@ -60,6 +60,8 @@
 // Signer signs and verifies tokens with the fleet's secrets.
 type Signer struct {
 	secrets atomic.Pointer[[]*secret]
+	// random fills serial numbers; the property test replaces it.
+	random func([]byte) (int, error)
 }
 
 // secret is one fleet secret with a pool of keyed hashes.
@@ -70,7 +72,7 @@
 // NewSigner returns a signer that signs with the first, newest, secret and
 // accepts signatures of all of them.
 func NewSigner(secrets ...[]byte) (*Signer, error) {
-	s := &Signer{}
+	s := &Signer{random: rand.Read}
 	return s, s.Rotate(secrets...)
 }
 
@@ -106,7 +108,7 @@
 	if t.Service == "" || len(t.Service) > maxTokenName || len(t.Home.VM()) > maxTokenName {
 		return "", fault.New(fault.Internal, "service %q or incarnation %q doesn't fit into a token", t.Service, t.Home)
 	}
-	_, _ = rand.Read(t.Serial[:])
+	_, _ = s.random(t.Serial[:])
 	b, err := t.encode()
 	if err != nil {
 		return "", err
--- a/core/store/once.go
+++ b/core/store/once.go
@@ -20,8 +20,9 @@
 }
 
 const (
-	onceFirstWait = 50 * time.Millisecond
-	onceMaxWait   = 2 * time.Second
+	retryFirstWait = 50 * time.Millisecond
+	retryMaxWait   = 2 * time.Second
+	retryDoublings = 10
 )
 
 // ApplyOnce applies a conditional transaction and resolves a lost reply by
@@ -84,7 +85,7 @@
 		if fault.Is(err, fault.StoreConflict) {
 			continue
 		}
-		if !wait(ctx, o.pause(attempt)) {
+		if !wait(ctx, RetryWait(o.tx.ID, attempt)) {
 			return fault.Wrap(err, fault.StoreAmbiguous, "transaction %q isn't resolved", o.tx.ID)
 		}
 	}
@@ -103,11 +104,12 @@
 	return o.marker.Mine(row.Value), row.Version == o.version, nil
 }
 
-// pause returns the wait before the next attempt, with a jitter that depends
-// on the transaction, so that the daemons don't retry in step.
-func (o *once) pause(attempt int) time.Duration {
-	d := min(onceFirstWait<<min(attempt, 10), onceMaxWait)
-	hash := xxhash.Sum64String(o.tx.ID) + uint64(attempt)*0x9e3779b97f4a7c15
+// RetryWait returns the wait before the next attempt at a write: doubling, with
+// a jitter that depends on the id, so that the daemons don't retry in step and
+// a test with a fixed seed always takes the same course.
+func RetryWait(id string, attempt int) time.Duration {
+	d := min(retryFirstWait<<min(attempt, retryDoublings), retryMaxWait)
+	hash := xxhash.Sum64String(id) + uint64(attempt)*0x9e3779b97f4a7c15
 	return d/2 + time.Duration(hash%uint64(d))
 }
 
