--- a/core/daemon/watch.go
+++ b/core/daemon/watch.go
@@ -193,25 +193,37 @@
 	detect.Leaving:   choose.Closed,
 }
 
-// trialShare is the share of idempotent requests that a target in trial gets.
-const trialShare = 0.05
+const (
+	// trialShare is the share of idempotent requests that a target in trial gets.
+	trialShare = 0.05
+	// confirmShare is the share of idempotent requests by which a daemon gathers
+	// evidence about a target that only others have found suspect. It ends as
+	// soon as the daemon has the few requests that a judgement needs.
+	confirmShare = 0.2
+)
 
 func (w *watch) gateTargets(service *fleet.Service, states []detect.TargetState) []limit.Target {
+	unconfirmed := w.evidence.Unconfirmed()
 	targets := make([]limit.Target, 0, len(states))
 	for _, s := range states {
 		t := service.Targets[s.Index]
-		weight := s.Weight
-		if s.State == detect.Trial {
-			weight = trialShare
-		}
-		targets = append(targets, limit.Target{
+		g := limit.Target{
 			ID:             s.Target,
 			Slots:          t.Slots,
 			State:          gateStates[s.State],
-			Weight:         weight,
-			TrialAllowed:   w.isProber(s.Target),
+			Weight:         s.Weight,
 			SameDataCentre: t.DataCentre == w.self.DataCentre,
-		})
+		}
+		switch {
+		case s.State == detect.Trial:
+			g.Weight = trialShare
+			g.TrialAllowed = w.isProber(s.Target)
+		case unconfirmed[s.Target] && !g.SameDataCentre && g.State != choose.Closed:
+			g.State = choose.Trial
+			g.Weight = confirmShare
+			g.TrialAllowed = true
+		}
+		targets = append(targets, g)
 	}
 	return targets
 }
--- a/core/detect/assess.go
+++ b/core/detect/assess.go
@@ -64,6 +64,7 @@
 	if x.mostFail() {
 		verdicts = nil
 	}
+	s.unconfirmed = x.unconfirmed()
 	s.stamp(verdicts, now)
 	slices.SortFunc(verdicts, func(a, b Verdict) int {
 		return cmp.Or(cmp.Compare(b.Action, a.Action), cmp.Compare(b.Severity, a.Severity), cmp.Compare(a.Target, b.Target))
@@ -71,6 +72,22 @@
 	return verdicts
 }
 
+// unconfirmed returns the suspects that this daemon has not used enough to judge.
+func (x *exam) unconfirmed() map[fleet.TargetID]bool {
+	out := map[fleet.TargetID]bool{}
+	for id := range x.s.suspect {
+		if x.own == nil {
+			out[id] = true
+			continue
+		}
+		basis := x.own.o.series[id].newest(x.p.MinRequests, x.wide)
+		if basis.requests() < x.p.MinRequests {
+			out[id] = true
+		}
+	}
+	return out
+}
+
 // stamp fills Since, which survives as long as a target has a verdict.
 func (s *Service) stamp(verdicts []Verdict, now time.Time) {
 	next := make(map[fleet.TargetID]time.Time, len(verdicts))
--- a/core/detect/service.go
+++ b/core/detect/service.go
@@ -1,6 +1,7 @@
 package detect
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -31,7 +32,10 @@
 	started map[fleet.TargetID]time.Time
 	since   map[fleet.TargetID]time.Time
 	suspect map[fleet.TargetID]bool
-	typical time.Duration
+	// unconfirmed holds the suspects about which this daemon has too little
+	// evidence of its own.
+	unconfirmed map[fleet.TargetID]bool
+	typical     time.Duration
 }
 
 // NewService returns an empty collection of evidence at the daemon self.
@@ -215,3 +219,13 @@
 	}
 	return out
 }
+
+// Unconfirmed returns the suspects about which this daemon has too little
+// evidence of its own, as of the last Assess. Daemons use targets of their own
+// data centre first, so that without a few requests to these targets the
+// observers of other data centres could never agree or disagree.
+func (s *Service) Unconfirmed() map[fleet.TargetID]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.unconfirmed)
+}
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -8,15 +8,18 @@
 const (
 	// tokenUnit is one retry; tokens are counted in 1/1000.
 	tokenUnit = 1000
-	// perSecond lets a service with little traffic retry at all.
-	perSecond = 1
+	// perSecond lets a service with little traffic retry: a judgement on a sick
+	// target takes 4 to 10 requests, and with one retry a second the callers of a
+	// quiet service saw its failures although another target was healthy. At 97
+	// requests/s it adds 5% to the load of a service that fails as a whole.
+	perSecond = 5
 	// burst is the most retries saved up. A few seconds of failures at one of about
 	// 27 targets fit in it; a failure of all targets does not.
 	burst = 32
 )
 
 // Budget bounds the retries and hedges of one service at one daemon to a ratio of
-// its requests plus one a second. It is safe for concurrent use.
+// its requests plus a few a second. It is safe for concurrent use.
 type Budget struct {
 	ratio  atomic.Int64
 	tokens atomic.Int64
@@ -33,11 +36,11 @@
 	Denied uint64  `json:"denied"`
 }
 
-// NewBudget returns a budget of ratio retries for each request, with one retry in hand.
+// NewBudget returns a budget of ratio retries for each request, with a second's retries in hand.
 func NewBudget(ratio float64, now time.Time) *Budget {
 	b := &Budget{born: now}
 	b.SetRatio(ratio)
-	b.tokens.Store(tokenUnit)
+	b.tokens.Store(perSecond * tokenUnit)
 	return b
 }
 
