Pass over waiting requests that can no longer be in time

At twice the capacity 3% to 4% of all requests were granted a slot and then finished after their deadline, which cost lookups that could have been in time. A waiter with less time left than the measured service time is now passed over and refused when another of its kind can use the slot; if all are late the first is still served, so that a wrong estimate corrects itself, and TestLateRequestGivesWay covers both.

--- a/core/limit/dispatch.go
+++ b/core/limit/dispatch.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriarelay.example/core/choose"
+	"wisteriarelay.example/core/fault"
 	"wisteriarelay.example/core/fleet"
 )
 
@@ -55,26 +56,55 @@
 	return served
 }
 
-// dispatchBand grants a slot to the first waiter of the kind that can use one.
-// blocked says that no waiter of any kind can, so that the search may end.
+// dispatchBand grants a slot to the first waiter of the kind that can use one and be
+// in time; those passed over are refused. If all would be late, the first of them is
+// served, so that a wrong estimate of the service time is corrected. blocked says
+// that no waiter of any kind can use a slot, so that the search may end.
 func (g *Gate) dispatchBand(s *scene, k fleet.Kind) (served, blocked bool) {
+	var late []*waiter
+	service := g.estimate.service(k)
 	for w := range g.queue.bands[k].all() {
-		if g.until(w.ask) <= s.now {
+		if g.until(w.ask)-s.now <= service {
+			late = append(late, w)
 			continue
 		}
-		if t := g.take(s, w.ask); t != nil {
-			g.queue.serve(w)
-			w.grant = g.grant(t, k, s.now)
-			close(w.done)
+		if g.serve(s, w) {
+			g.refuseLate(late, s.now)
 			return true, false
 		}
 		if s.raced || (w.ask.Idempotent && len(w.ask.Exclude) == 0) {
 			return false, true
 		}
 	}
+	for _, w := range late {
+		if g.until(w.ask) > s.now && g.serve(s, w) {
+			return true, false
+		}
+	}
 	return false, false
 }
 
+// serve grants w a slot if one is free for it.
+func (g *Gate) serve(s *scene, w *waiter) bool {
+	t := g.take(s, w.ask)
+	if t == nil {
+		return false
+	}
+	g.queue.serve(w)
+	w.grant = g.grant(t, kindOf(w.ask), s.now)
+	close(w.done)
+	return true
+}
+
+// refuseLate refuses waiters that were passed over.
+func (g *Gate) refuseLate(late []*waiter, now time.Duration) {
+	for _, w := range late {
+		g.counts.refusedLate.Add(1)
+		g.refuse(w, fault.New(fault.DeadlineExceeded, "deadline cannot be met any more: %v left", g.until(w.ask)-now).
+			WithRetryAfter(bounded(g.need(w))))
+	}
+}
+
 // take claims a slot for ask, whatever the peers report if this daemon has less in
 // flight than it may always have.
 func (g *Gate) take(s *scene, ask *Ask) *slot {
--- a/core/limit/gate_test.go
+++ b/core/limit/gate_test.go
@@ -149,6 +149,28 @@
 	})
 }
 
+// A slot must not be spent on a request that can no longer be in time while another
+// can, and must not idle if none can.
+func TestLateRequestGivesWay(t *testing.T) {
+	inBubble(t, ready(1, 1), func(r *rig) {
+		holder := r.granted(lookup)
+		time.Sleep(100 * time.Millisecond)
+		holder.Release(limit.Served)
+		holder = r.granted(lookup)
+		first, second := r.launch("", within(lookup, 250*time.Millisecond)), r.launch("", within(lookup, 900*time.Millisecond))
+		time.Sleep(200 * time.Millisecond)
+		holder.Release(limit.Unused)
+		synctest.Wait()
+		r.refused(first, fault.DeadlineExceeded)
+		r.Expect(second.grant()).NotTo(gomega.BeNil())
+		third := r.launch("", within(lookup, 250*time.Millisecond))
+		time.Sleep(200 * time.Millisecond)
+		second.grant().Release(limit.Unused)
+		synctest.Wait()
+		r.Expect(third.grant()).NotTo(gomega.BeNil(), "the slot idles")
+	})
+}
+
 // The queue must stay within its bound and give up what waits most.
 func TestQueueIsBounded(t *testing.T) {
 	snap := ready(1, 1)
