Read a passed deadline from the context's error

A context with a timeout and a cause of its own was reported as a caller that left, because the gate compared the cause with the deadline error. It now compares the context's error and keeps the cause in the chain. TestLateRefusal covers it and fails without the change (go test -count=20 ./core/limit -run TestLateRefusal with gate.go as before).

--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -219,7 +219,7 @@
 }
 
 func (g *Gate) gone(ctx context.Context) error {
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if ctx.Err() == context.DeadlineExceeded {
 		g.counts.refusedLate.Add(1)
 		return fault.Wrap(context.Cause(ctx), fault.DeadlineExceeded, "deadline passed before a slot was free")
 	}
--- a/core/limit/gate_test.go
+++ b/core/limit/gate_test.go
@@ -1,6 +1,8 @@
 package limit_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -130,6 +132,11 @@
 		later(time.Nanosecond)
 		r.refused(c, fault.DeadlineExceeded)
 		r.Expect(r.gate.Stats()).To(gomega.Equal(limit.Stats{Granted: 1, RefusedLate: 1}))
+
+		ctx, cancel := context.WithTimeoutCause(r.ctx, time.Millisecond, errors.New("attempt timeout"))
+		defer cancel()
+		_, err := r.gate.Acquire(ctx, lookup)
+		r.Expect(fault.Is(err, fault.DeadlineExceeded)).To(gomega.BeTrue(), "a context with its own cause reads as a caller that left")
 	})
 }
 
