Divide the slots of a target among the daemons of its service

Cause: the gate divides slots by member and data centre, and the daemon did not tell it either. Change: each tick passes the carriers with their data centres and the targets' data centres to the gate.

--- a/core/daemon/watch.go
+++ b/core/daemon/watch.go
@@ -155,6 +155,13 @@
 	w.peers = carriers
 }
 
+// members returns the daemons that share the targets' slots.
+func (w *watch) members() map[fleet.VMID]fleet.DataCentre {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.peers
+}
+
 // tick judges the evidence and renews the target states.
 func (w *watch) tick(now time.Time) {
 	service := w.service.Load()
@@ -170,7 +177,7 @@
 	w.ejector.Submit(detect.Assessment{Service: service, Verdicts: verdicts, Signs: signs, Typical: w.evidence.Typical()})
 	states := detect.States(service, listing.Ejections, signs, verdicts, w.evidence.Started(), now)
 	w.states.Store(&states)
-	w.carrier.Update(service, w.gateTargets(service, states))
+	w.carrier.Update(service, w.gateTargets(service, states), w.members())
 	w.carrier.Prune(now)
 }
 
@@ -213,6 +220,7 @@
 			State:          gateStates[s.State],
 			Weight:         s.Weight,
 			SameDataCentre: t.DataCentre == w.self.DataCentre,
+			DataCentre:     t.DataCentre,
 		}
 		switch {
 		case s.State == detect.Trial:
--- a/core/proxy/bench_test.go
+++ b/core/proxy/bench_test.go
@@ -56,7 +56,7 @@
 		states = append(states, limit.Target{ID: id, Slots: 200, State: choose.Ready, Weight: 1, SameDataCentre: true})
 	}
 	carrier := NewCarrier(fleet.VM{ID: "vm1"}, service)
-	carrier.Update(service, states)
+	carrier.Update(service, states, nil)
 	relay := NewRelay(fleet.VM{ID: "vm1"}, Fleet{
 		Carrier: func(fleet.ServiceID) (*Carrier, bool) { return carrier, true },
 		Service: func(fleet.ServiceID) (*fleet.Service, bool) { return service, true },
@@ -162,7 +162,7 @@
 	service := &fleet.Service{ID: "disponible", Routes: []fleet.Route{lookupRoute()}}
 	service.Targets = []fleet.Target{{ID: "t1", Address: target, Slots: 2}}
 	carrier := NewCarrier(fleet.VM{ID: "vm1"}, service)
-	carrier.Update(service, []limit.Target{{ID: "t1", Slots: 2, State: choose.Ready, Weight: 1}})
+	carrier.Update(service, []limit.Target{{ID: "t1", Slots: 2, State: choose.Ready, Weight: 1}}, nil)
 	relay := NewRelay(fleet.VM{ID: "vm1"}, Fleet{
 		Carrier: func(fleet.ServiceID) (*Carrier, bool) { return carrier, true },
 		Ready:   func() bool { return true },
--- a/core/proxy/carrier.go
+++ b/core/proxy/carrier.go
@@ -106,9 +106,9 @@
 	return c.routing.Load().service
 }
 
-// Update takes over new settings and target states; one goroutine at a time
-// may call it. Requests in progress keep the connections that they use.
-func (c *Carrier) Update(service *fleet.Service, states []limit.Target) {
+// Update takes over new settings, target states and the daemons that share the
+// targets; one goroutine at a time may call it. Requests in progress keep the connections that they use.
+func (c *Carrier) Update(service *fleet.Service, states []limit.Target, members map[fleet.VMID]fleet.DataCentre) {
 	old := c.routing.Load()
 	next := &routing{
 		service: service,
@@ -124,7 +124,7 @@
 		c.budget.SetRatio(service.Policy.RetryBudget)
 	}
 	c.routing.Store(next)
-	c.gate.Update(&limit.Snapshot{Targets: states, QueueLength: service.Policy.QueueLength})
+	c.gate.Update(&limit.Snapshot{Targets: states, QueueLength: service.Policy.QueueLength, Members: members})
 	old.closeUnused(next)
 }
 
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -55,7 +55,7 @@
 		states = append(states, limit.Target{ID: id, Slots: 2, State: choose.Ready, Weight: 1, SameDataCentre: true})
 	}
 	rg.carrier = NewCarrier(fleet.VM{ID: "vm1"}, rg.service)
-	rg.carrier.Update(rg.service, states)
+	rg.carrier.Update(rg.service, states, nil)
 	rg.relay = NewRelay(fleet.VM{ID: "vm1"}, Fleet{
 		Carrier: func(id fleet.ServiceID) (*Carrier, bool) { return rg.carrier, id == rg.service.ID },
 		Service: func(id fleet.ServiceID) (*fleet.Service, bool) {
@@ -177,7 +177,7 @@
 		DeferCleanup(s.Close)
 		moved := *rg.service
 		moved.Targets = []fleet.Target{{ID: "t1", Address: s.Listener.Addr().String(), Slots: 2}}
-		rg.carrier.Update(&moved, []limit.Target{{ID: "t1", Slots: 2, State: choose.Ready, Weight: 1}})
+		rg.carrier.Update(&moved, []limit.Target{{ID: "t1", Slots: 2, State: choose.Ready, Weight: 1}}, nil)
 		resp := rg.do("GET", "/stock?x=1%2F2", http.Header{
 			"Connection": {"X-Private"}, "X-Private": {"1"}, HeaderDeadline: {"900"}, "Traceparent": {"00-a-b-01"},
 			"Forwarded": {"for=10.0.0.9"},
@@ -221,7 +221,7 @@
 		rg := newRig(1, lookupRoute())
 		moved := *rg.service
 		moved.Targets = []fleet.Target{{ID: "t1", Address: s.Listener.Addr().String(), Slots: 2}}
-		rg.carrier.Update(&moved, []limit.Target{{ID: "t1", Slots: 2, State: choose.Ready, Weight: 1}})
+		rg.carrier.Update(&moved, []limit.Target{{ID: "t1", Slots: 2, State: choose.Ready, Weight: 1}}, nil)
 		resp := rg.do("GET", "/stock", nil, nil)
 		_, err := io.ReadAll(resp.Body)
 		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
