--- a/core/stand/platform_test.go
+++ b/core/stand/platform_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,6 +83,22 @@
 		Entry("one way", stand.PlatformFaults{OneWay: true}, fault.StoreAmbiguous, true),
 	)
 
+	It("lets a VM register itself over HTTP, under its own id only", func() {
+		send := func(method, path, body string) int {
+			w := httptest.NewRecorder()
+			p.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+			return w.Code
+		}
+		Expect(send("PUT", "/v1/vms/a", `{"id":"a","caller":"127.0.0.1:80"}`)).To(Equal(200))
+		Expect(send("PUT", "/v1/vms/b", `{"id":"a"}`)).To(Equal(400))
+		Expect(send("GET", "/v1/vms?since=x", "")).To(Equal(400))
+		list, _ := p.VMList().Since(ctx, 0)
+		Expect(list.Live).To(ConsistOf(HaveField("Caller", "127.0.0.1:80")))
+		Expect(send("DELETE", "/v1/vms/a", "")).To(Equal(200))
+		list, _ = p.VMList().Since(ctx, 0)
+		Expect(list.Live).To(BeEmpty())
+	})
+
 	It("lists the VMs that changed, and all of them for a version that is too old", func() {
 		for i := range 3 {
 			Expect(p.PutVM(ctx, fleet.VM{ID: fleet.VMID(fmt.Sprint(i))})).To(Succeed())
