Run the path as separate processes on one machine

Cause: the demo shows the path in one process only, and a daemon that started before its platform took up to a minute to see the VM list. Change: standin serves the platform, a target with one fault, and certificates; examples/local/run.sh runs them with three daemons; the VM list is asked for again after 0.5 s to 15 s instead of 5 s to 60 s; log lines of member and inner have levels.

--- a/core/inner/authority.go
+++ b/core/inner/authority.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/pem"
 	"math/big"
 	"time"
 
@@ -84,3 +85,25 @@
 	pool.AddCert(a.certificate)
 	return newIdentity(tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}, pool)
 }
+
+// PEMFiles are the blocks that ParseIdentity reads.
+type PEMFiles struct {
+	Certificate, Key, Authority []byte
+}
+
+// IssuePEM returns a new identity for the VM in PEM form.
+func (a *Authority) IssuePEM(vm fleet.VMID) (PEMFiles, error) {
+	id, err := a.Issue(vm)
+	if err != nil {
+		return PEMFiles{}, err
+	}
+	key, err := x509.MarshalPKCS8PrivateKey(id.Certificate.PrivateKey)
+	if err != nil {
+		return PEMFiles{}, fault.Wrap(err, fault.Internal, "key of %s", vm)
+	}
+	return PEMFiles{
+		Certificate: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: id.Certificate.Certificate[0]}),
+		Key:         pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key}),
+		Authority:   pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.certificate.Raw}),
+	}, nil
+}
--- a/core/inner/server.go
+++ b/core/inner/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -95,7 +96,7 @@
 			return fault.Wrap(err, fault.Internal, "listener of the inner protocol")
 		case err != nil:
 			// Accept fails for a while when file descriptors run out.
-			_ = s.log.Log("msg", "accept failed", "err", err)
+			_ = level.Warn(s.log).Log("msg", "accept failed", "detail", err)
 			wait(ctx, pause.NextBackOff())
 		default:
 			pause.Reset()
@@ -110,7 +111,7 @@
 		s.running.Add(1)
 		go s.run(ctx, conn)
 	default:
-		_ = s.log.Log("msg", "connection refused at the limit", "peer", conn.RemoteAddr())
+		_ = level.Warn(s.log).Log("msg", "connection refused at the limit", "peer", conn.RemoteAddr())
 		_ = conn.Close()
 	}
 }
@@ -123,12 +124,12 @@
 	tc := tls.Server(conn, s.identity.serverTLS())
 	from, err := handshake(ctx, tc, handshakeTimeout)
 	if err != nil {
-		_ = s.log.Log("msg", "peer refused", "peer", conn.RemoteAddr(), "err", err)
+		_ = level.Warn(s.log).Log("msg", "peer refused", "peer", conn.RemoteAddr(), "detail", err)
 		return
 	}
 	ctx = context.WithValue(ctx, peerKey{}, from)
 	if err := s.drpc.ServeOne(ctx, transport{tc}); err != nil && ctx.Err() == nil {
-		_ = s.log.Log("msg", "connection ended", "vm", from, "err", err)
+		_ = level.Debug(s.log).Log("msg", "connection ended", "vm", from, "detail", err)
 	}
 }
 
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -38,6 +38,7 @@
 // readFrom applies the limit on response heads.
 type readFrom struct{ c *conn }
 
+// Read fails once a response head has used up its limit.
 func (r readFrom) Read(p []byte) (int, error) {
 	if r.c.headLeft == 0 {
 		return 0, errHeadTooLarge
@@ -56,6 +57,7 @@
 // failed request may have been acted on.
 type writeTo struct{ c *conn }
 
+// Write passes the bytes on and counts them.
 func (w writeTo) Write(p []byte) (int, error) {
 	n, err := w.c.net.Write(p)
 	w.c.sent += int64(n)
--- a/core/member/list.go
+++ b/core/member/list.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/go-kit/log/level"
 
 	"wisteriarelay.example/core/fleet"
 	"wisteriarelay.example/core/store"
@@ -28,7 +29,7 @@
 
 func newPoller(t *Table, running *sync.WaitGroup) *poller {
 	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = pollInterval, pollRetryMax
+	pause.InitialInterval, pause.MaxInterval = pollRetryMin, pollRetryMax
 	return &poller{table: t, running: running, rng: rand.New(rand.NewPCG(t.seed, streamPoller)), pause: pause}
 }
 
@@ -53,7 +54,7 @@
 	defer cancel()
 	changes, err := p.table.hooks.List.Since(ctx, p.table.View().ListVersion)
 	if err != nil {
-		_ = p.table.log.Log("msg", "VM list is unavailable", "err", err)
+		_ = level.Warn(p.table.log).Log("msg", "VM list is unavailable", "detail", err)
 		return p.pause.NextBackOff()
 	}
 	p.pause.Reset()
@@ -74,7 +75,7 @@
 	// changes. An empty full list can only be a fault of the platform, because
 	// this daemon's VM lives.
 	if !c.Full && c.Version < t.listVersion || c.Full && len(c.Live) == 0 {
-		_ = t.log.Log("msg", "VM list is ignored", "version", c.Version, "have", t.listVersion, "full", c.Full)
+		_ = level.Warn(t.log).Log("msg", "VM list is ignored", "version", c.Version, "have", t.listVersion, "full", c.Full)
 		return
 	}
 	changed := !t.known
--- a/core/member/option.go
+++ b/core/member/option.go
@@ -25,7 +25,10 @@
 
 	pollInterval = 5 * time.Second
 	pollTimeout  = 3 * time.Second
-	pollRetryMax = time.Minute
+	// A daemon that starts while the list is away serves nobody, so the first
+	// retries come quickly; 690 daemons that retry every 15 s make 46 reads/s.
+	pollRetryMin = 500 * time.Millisecond
+	pollRetryMax = 15 * time.Second
 	// jitter spreads reports and polls of the fleet by this share either way.
 	jitter = 0.1
 	// forgetAfter keeps what is known of a silent VM, so that a late report of
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"wisteriarelay.example/core/fault"
 	"wisteriarelay.example/core/fleet"
 	"wisteriarelay.example/core/inner"
@@ -123,7 +125,7 @@
 	case inner.Outdated:
 		r.confirmedAt = time.Time{}
 		t.superseded = true
-		_ = t.log.Log("msg", "peer knows a newer incarnation of this VM", "peer", from)
+		_ = level.Warn(t.log).Log("msg", "peer knows a newer incarnation of this VM", "peer", from)
 	}
 	t.republish(now)
 }
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -85,10 +85,12 @@
 	var running sync.WaitGroup
 	if t.hooks.List.Since != nil {
 		running.Add(1)
-		go newPoller(t, &running).loop(ctx)
+		p := newPoller(t, &running)
+		go p.loop(ctx)
 	}
 	running.Add(1)
-	go newSender(t, &running).loop(ctx)
+	s := newSender(t, &running)
+	go s.loop(ctx)
 	running.Wait()
 }
 
--- a/core/settle/source.go
+++ b/core/settle/source.go
@@ -69,6 +69,7 @@
 	cause    error
 }
 
+// Error names the revision and the cause.
 func (u *undecodable) Error() string {
 	return fmt.Sprintf("revision %d: %v", u.revision, u.cause)
 }
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -56,8 +56,7 @@
 	fmt.Fprintf(d.out, "%5.1fs  %s\n", time.Since(d.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// pace is how often each kind of caller sends, in counts like the users' own:
-// many lookups, fewer orders, some batch.
+// jobs returns one kind of work for each route of the settings.
 func (d *Demo) jobs() []work {
 	var jobs []work
 	catalog, err := d.fleet.Doc.Compile()
@@ -95,7 +94,8 @@
 		for i, dc := range d.fleet.Centres {
 			name := fmt.Sprintf("%s-%s-%s-%d", w.service, w.method, dc, i)
 			done.Add(1)
-			go newCaller(name, dc, w, d.bootAddresses, d.tally).run(ctx, done)
+			c := newCaller(name, dc, w, d.bootAddresses, d.tally)
+			go c.run(ctx, done)
 		}
 	}
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -25,7 +25,7 @@
 	return &cli.Command{
 		Name:     "standin",
 		Usage:    "stand-ins for the platform and the targets, and a demo",
-		Commands: []*cli.Command{demoCommand()},
+		Commands: []*cli.Command{demoCommand(), platformCommand(), targetCommand(), certsCommand()},
 	}
 }
 
