Count failed probes since the last good answer

Cause: a target without traffic was avoided only when its last good probe had left the span of three probe intervals. Change: only probes after the last good probe or request count, three of them are enough, and the test of probes now begins with a good one.

--- a/core/detect/assess.go
+++ b/core/detect/assess.go
@@ -204,22 +204,28 @@
 	return false, tally{}
 }
 
-// probesFail reports whether probes fail and nothing better is known: probes
-// are evidence of second rank, so one good request outweighs them.
+// probesFail reports whether probes fail in a row and nothing better is known:
+// probes are evidence of second rank, so one good request outweighs them.
 func (x *exam) probesFail(t int) bool {
 	id := x.targets[t]
-	span := max(x.p.Window, probeFailures*x.s.svc.Policy.Probe.Interval)
+	from := x.now.Add(-max(x.p.Window, probeFailures*x.s.svc.Policy.Probe.Interval))
 	failed := false
 	for i := range x.counted {
 		se := x.counted[i].o.series[id]
-		failed = failed || se != nil && x.now.Sub(se.probeFailed) < span
+		if se == nil {
+			continue
+		}
+		failed = failed || se.probeFailed.After(from)
+		if se.good.After(from) {
+			from = se.good
+		}
 	}
 	if !failed {
 		return false
 	}
 	x.s.suspect[id] = true
-	all := x.poolSince(t, span)
-	return all.probesFailed >= probeFailures && all.probesOK == 0 && all.counts[OK] == 0
+	all := x.poolSince(t, x.now.Sub(from))
+	return all.probesFailed >= probeFailures
 }
 
 func (x *exam) confirmsProbes(o *observer, id fleet.TargetID) bool {
--- a/core/detect/assess_test.go
+++ b/core/detect/assess_test.go
@@ -205,6 +205,7 @@
 			b.now = b.now.Add(time.Second)
 			b.s.Add("vm3", "pinamar", []Row{{Target: "c", ProbesOK: ok, ProbesFailed: failed}}, b.now)
 		}
+		probe(1, 0)
 		probe(0, 1)
 		Expect(verdicts()).To(BeEmpty())
 		Expect(b.s.Suspects()).To(HaveKey(fleet.TargetID("c")), "probed each second")
--- a/core/detect/evidence.go
+++ b/core/detect/evidence.go
@@ -74,8 +74,9 @@
 // series is what one observer reported about one target, oldest first.
 type series struct {
 	samples []sample
-	// probeFailed is when the last failed probe was reported.
-	probeFailed time.Time
+	// probeFailed and good are when the last failed probe, and the last good
+	// probe or request, were reported.
+	probeFailed, good time.Time
 }
 
 // add keeps what is younger than keep.
@@ -90,6 +91,9 @@
 	if r.ProbesFailed > 0 {
 		s.probeFailed = now
 	}
+	if r.ProbesOK+r.Counts[OK] > 0 {
+		s.good = now
+	}
 	s.samples = append(s.samples, sample{at: now, row: r})
 }
 
