Find slow targets by pooled evidence

Cause: a slow target gets few requests, so each observer judged it by requests from before it became slow. Change: once all evidence together shows slowness in both halves, observers with two slow requests of their own agree, and requests from before the window do not speak against it.

--- a/core/detect/assess.go
+++ b/core/detect/assess.go
@@ -23,6 +23,8 @@
 	// pooledFailures is the least number of own failures with which an
 	// observer joins an agreement that rests on pooled evidence.
 	pooledFailures = 2
+	// pooledRequests is the same for requests that were slow.
+	pooledRequests = 2
 	// poolSteps divides the window into the shortest span of pooled evidence.
 	poolSteps = 4
 	// suspectFailures is the number of failures at one observer from which a
@@ -74,6 +76,7 @@
 // stamp fills Since, which survives as long as a target has a verdict.
 func (s *Service) stamp(verdicts []Verdict, now time.Time) {
 	next := make(map[fleet.TargetID]time.Time, len(verdicts))
+	s.slow = map[fleet.TargetID]bool{}
 	for i := range verdicts {
 		v := &verdicts[i]
 		v.Since = now
@@ -81,6 +84,9 @@
 			v.Since = t
 		}
 		next[v.Target] = v.Since
+		if v.Cause == CauseSlow {
+			s.slow[v.Target] = true
+		}
 	}
 	s.since = next
 }
@@ -90,7 +96,8 @@
 	limit    float64 // failure ratio
 	base     float64 // median latency code of the other targets
 	haveBase bool
-	steady   bool // slowness lasts
+	steady   bool          // slowness lasts
+	slowSpan time.Duration // in which it shows
 }
 
 // judge gives the verdict on one target, if there is one.
@@ -99,7 +106,7 @@
 	typical, _ := x.ratios.without(t)
 	m := measure{limit: typical + (1-typical)*x.p.FailureRatio}
 	m.base, m.haveBase = x.codes.without(t)
-	m.steady = m.haveBase && x.isSteadilySlow(t, m.base)
+	m.slowSpan, m.steady = x.steadySlowness(t, m)
 	poolFails, pool := x.poolFails(t, m.limit)
 	probesFail := x.probesFail(t)
 
@@ -107,9 +114,10 @@
 	for i := range x.counted {
 		v := x.view(&x.counted[i], t, m)
 		switch {
-		case v.sick(), poolFails && v.joins(m.limit), probesFail && x.confirmsProbes(v.o, id):
+		case v.sick(), poolFails && v.joins(m.limit), m.steady && x.joinsSlow(v, t, m), probesFail && x.confirmsProbes(v.o, id):
 			agree = append(agree, v)
-		case v.enough:
+		case v.enough && (!m.steady || x.counted[i].recent[t].requests() >= x.p.MinRequests):
+			// Evidence from before a target became slow does not speak against slowness.
 			against++
 		}
 		if v.basis.failures() >= suspectFailures && v.basis.ratio() >= m.limit/2 {
@@ -158,19 +166,19 @@
 	return code-base > codesPerOctave*math.Log2(factor) && latencyOf(code)-latencyOf(base) > slowMargin
 }
 
-// isSteadilySlow reports whether the target is slow in both halves of the
+// steadySlowness reports whether the target is slow in both halves of the
 // window, or of a longer span if the window holds too few requests, by the
-// evidence of all counted observers. A burst of requests that
-// queue at one target, which takes a second or two to pass, is not slowness of
-// the target. Once there is a verdict, little or no work follows, so the check
-// is not repeated.
-func (x *exam) isSteadilySlow(t int, base float64) bool {
+// evidence of all counted observers. A burst of requests that queue at one
+// target, which takes a second or two to pass, is not slowness of the target.
+// Once there is a verdict of slowness, little or no work follows, so the check is not
+// repeated.
+func (x *exam) steadySlowness(t int, m measure) (time.Duration, bool) {
 	id := x.targets[t]
-	if _, ok := x.s.since[id]; ok {
-		return true
+	if !m.haveBase {
+		return 0, false
 	}
-	if all := x.pooled[t]; all.counts[OK] == 0 || !x.isSlow(id, all.code(), base) {
-		return false
+	if x.s.slow[id] {
+		return wideWindows * x.p.Window, true
 	}
 	for span := x.p.Window; span <= wideWindows*x.p.Window; span *= 2 {
 		early, late := x.poolSince(t, span), x.poolSince(t, span/2)
@@ -178,9 +186,20 @@
 			continue
 		}
 		early.subtract(late)
-		return x.halfSlow(id, early, base) && x.halfSlow(id, late, base)
+		return span, x.halfSlow(id, early, m.base) && x.halfSlow(id, late, m.base)
 	}
-	return false
+	return 0, false
+}
+
+// joinsSlow reports whether an observer that has too few requests of its own
+// shares the pooled finding that the target is slow.
+func (x *exam) joinsSlow(v *view, t int, m measure) bool {
+	own := v.o.series[x.targets[t]].since(x.now.Add(-m.slowSpan))
+	if own.counts[OK] < pooledRequests || !x.isSlow(x.targets[t], own.code(), m.base) {
+		return false
+	}
+	v.basis, v.slow = own, true
+	return true
 }
 
 func (x *exam) halfSlow(id fleet.TargetID, half tally, base float64) bool {
--- a/core/detect/assess_test.go
+++ b/core/detect/assess_test.go
@@ -235,6 +235,47 @@
 		Expect(b.s.Started()).To(HaveKey(fleet.TargetID("c")))
 	})
 
+	It("condemns a slow target that gets too few requests for one observer to judge", func() {
+		for range 3 {
+			b.each(func(_, _ int, _ *Row) {})
+		}
+		for range 6 {
+			b.each(func(c, i int, r *Row) {
+				if i == 2 {
+					r.Counts[OK], r.Latency = 0, CodeOf(80*time.Millisecond)
+					if c%2 == int(b.now.Unix()%2) {
+						r.Counts[OK] = 1
+					}
+				}
+			})
+		}
+		b.now = b.now.Add(500 * time.Millisecond)
+		Expect(verdicts()).To(Equal([]string{"condemn c slow"}))
+	})
+
+	// Guards against a fault of one path that turns into an ejection, because an
+	// earlier verdict of one observer silenced the others.
+	It("keeps hearing observers that see an avoided target in good order", func() {
+		round := 0
+		oneWay := func(c, i int, r *Row) {
+			if i != 2 {
+				return
+			}
+			r.Counts[OK] = uint32(round % 2)
+			if c == 0 {
+				r.Counts[OK], r.Counts[Unreachable] = 0, 1
+			}
+			if c == 3 && round >= 10 {
+				r.Counts[OK], r.Counts[Failed] = 0, 1
+			}
+		}
+		for round = range 12 {
+			b.each(oneWay)
+			Expect(verdicts()).NotTo(ContainElement(ContainSubstring("condemn")))
+		}
+		Expect(verdicts()).To(Equal([]string{"avoid c unreachable"}))
+	})
+
 	It("weighs slowness less while a target starts", func() {
 		b.s.Follow(Ejections{}, Signs{"c": {}}, b.now)
 		b.s.Follow(Ejections{}, nil, b.now)
--- a/core/detect/service.go
+++ b/core/detect/service.go
@@ -30,6 +30,8 @@
 	// started says when a target came up or returned, for slow start.
 	started map[fleet.TargetID]time.Time
 	since   map[fleet.TargetID]time.Time
+	// slow targets have a verdict of slowness as of the last Assess.
+	slow    map[fleet.TargetID]bool
 	suspect map[fleet.TargetID]bool
 	typical time.Duration
 }
@@ -43,6 +45,7 @@
 		held:      map[fleet.TargetID]bool{},
 		started:   map[fleet.TargetID]time.Time{},
 		since:     map[fleet.TargetID]time.Time{},
+		slow:      map[fleet.TargetID]bool{},
 		suspect:   map[fleet.TargetID]bool{},
 	}
 	s.svc = svc
@@ -124,6 +127,7 @@
 		delete(o.series, id)
 	}
 	delete(s.since, id)
+	delete(s.slow, id)
 	delete(s.suspect, id)
 }
 
