Need three failures before one observer finds a target sick

Change: an observer needs three failures of its own; the pooled agreement, which rests on more requests, is as before.

--- a/core/detect/assess.go
+++ b/core/detect/assess.go
@@ -20,6 +20,10 @@
 	// probeFailures is the number of failed probes in a row, with no good
 	// request or probe beside them, that speaks against a target.
 	probeFailures = 3
+	// sickFailures is the least number of failures from which one observer finds
+	// a target sick. With 4 requests and a limit of 40%, two stray failures
+	// would do, which 1 of 100 failing at random makes common.
+	sickFailures = 3
 	// pooledFailures is the least number of own failures with which an
 	// observer joins an agreement that rests on pooled evidence.
 	pooledFailures = 2
@@ -144,7 +148,7 @@
 	if !v.enough {
 		return v
 	}
-	v.failing = v.basis.ratio() >= m.limit
+	v.failing = v.basis.failures() >= min(sickFailures, x.p.MinRequests) && v.basis.ratio() >= m.limit
 	if !v.failing && w.recent[t].failures() > 0 {
 		if burst := se.newest(x.p.MinRequests, x.recent); burst.requests() >= x.p.MinRequests && burst.ratio() >= (1+m.limit)/2 {
 			v.failing, v.basis = true, burst
--- a/core/detect/assess_test.go
+++ b/core/detect/assess_test.go
@@ -120,6 +120,15 @@
 		Expect(verdicts()).To(Equal([]string{"avoid c unreachable"}))
 	})
 
+	It("does not avoid a target for two stray failures among few requests", func() {
+		b.each(func(c, i int, r *Row) {
+			if c == 0 && i == 2 {
+				r.Counts[OK], r.Counts[Failed] = 2, 2
+			}
+		})
+		Expect(verdicts()).To(BeEmpty())
+	})
+
 	It("does not condemn on the word of one data centre", func() {
 		b.each(func(c, i int, r *Row) {
 			if carrierDCs[c] == "pinamar" && i == 2 {
