Let single failures agree where the pool is clear

Cause: with 0.4 requests/s at a target, an observer needs half a minute to see the two failures with which it joins an agreement. Change: one own failure is enough where the newest pooled evidence holds a whole minimum of failures and little else.

--- a/core/detect/assess.go
+++ b/core/detect/assess.go
@@ -111,14 +111,14 @@
 	m := measure{limit: typical + (1-typical)*x.p.FailureRatio}
 	m.base, m.haveBase = x.codes.without(t)
 	m.slowSpan, m.steady = x.steadySlowness(t, m)
-	poolFails, pool := x.poolFails(t, m.limit)
+	joinWith, pool := x.poolFails(t, m.limit)
 	probesFail := x.probesFail(t)
 
 	agree, against := []*view{}, 0
 	for i := range x.counted {
 		v := x.view(&x.counted[i], t, m)
 		switch {
-		case v.sick(), poolFails && v.joins(m.limit), m.steady && x.joinsSlow(v, t, m), probesFail && x.confirmsProbes(v.o, id):
+		case v.sick(), joinWith > 0 && v.joins(joinWith, m.limit), m.steady && x.joinsSlow(v, t, m), probesFail && x.confirmsProbes(v.o, id):
 			agree = append(agree, v)
 		case v.enough && (!m.steady || x.counted[i].recent[t].requests() >= x.p.MinRequests):
 			// Evidence from before a target became slow does not speak against slowness.
@@ -158,8 +158,8 @@
 	return v
 }
 
-func (v *view) joins(limit float64) bool {
-	return v.basis.failures() >= pooledFailures && v.basis.ratio() >= limit
+func (v *view) joins(failures int, limit float64) bool {
+	return v.basis.failures() >= failures && v.basis.ratio() >= limit
 }
 
 func (x *exam) isSlow(id fleet.TargetID, code, base float64) bool {
@@ -213,18 +213,28 @@
 // poolFails judges the newest evidence of all counted observers together,
 // which suffices long before each observer has enough of its own. The span
 // grows from a quarter of the window until it holds enough requests, up to the
-// wide window for a target with little traffic.
-func (x *exam) poolFails(t int, limit float64) (bool, tally) {
+// wide window for a target with little traffic. It returns the number of own
+// failures with which an observer joins, 0 if the pool does not fail: one is
+// enough if the pool holds a whole minimum of failures and little else.
+func (x *exam) poolFails(t int, limit float64) (int, tally) {
 	if x.pooled[t].failures() < pooledFailures {
-		return false, tally{}
+		return 0, tally{}
 	}
 	need := x.p.MinRequests * max(1, x.p.MinObservers)
 	for span := x.p.Window / poolSteps; span <= wideWindows*x.p.Window; span *= 2 {
-		if pool := x.poolSince(t, span); pool.requests() >= need {
-			return pool.ratio() >= limit, pool
+		pool := x.poolSince(t, span)
+		if pool.failures() >= max(x.p.MinRequests, sickFailures) && pool.ratio() >= (1+limit)/2 {
+			return 1, pool
 		}
+		if pool.requests() < need {
+			continue
+		}
+		if pool.ratio() >= limit {
+			return pooledFailures, pool
+		}
+		return 0, pool
 	}
-	return false, tally{}
+	return 0, tally{}
 }
 
 // probesFail reports whether probes fail in a row and nothing better is known:
--- a/core/detect/assess_test.go
+++ b/core/detect/assess_test.go
@@ -209,6 +209,19 @@
 		Expect(verdicts()).To(Equal([]string{"condemn c failing"}))
 	})
 
+	It("condemns a target of which four observers saw one failure each and nothing else", func() {
+		for round := range 4 {
+			b.each(func(c, i int, r *Row) {
+				r.Counts[OK] = 0
+				if i == 2 && c == round {
+					r.Counts[Failed] = 1
+				}
+			})
+			b.now = b.now.Add(5 * time.Second)
+		}
+		Expect(verdicts()).To(Equal([]string{"condemn c failing"}))
+	})
+
 	It("avoids a target without traffic whose probes fail, until one succeeds", func() {
 		probe := func(ok, failed uint32) {
 			b.now = b.now.Add(time.Second)
