--- a/core/detect/assess.go
+++ b/core/detect/assess.go
@@ -20,9 +20,15 @@
 	// probeFailures is the number of failed probes in a row, with no good
 	// request or probe beside them, that speaks against a target.
 	probeFailures = 3
+	// sickFailures is the least number of failures from which one observer finds
+	// a target sick. With 4 requests and a limit of 40%, two stray failures
+	// would do, which 1 of 100 failing at random makes common.
+	sickFailures = 3
 	// pooledFailures is the least number of own failures with which an
 	// observer joins an agreement that rests on pooled evidence.
 	pooledFailures = 2
+	// pooledRequests is the same for requests that were slow.
+	pooledRequests = 2
 	// poolSteps divides the window into the shortest span of pooled evidence.
 	poolSteps = 4
 	// suspectFailures is the number of failures at one observer from which a
@@ -91,6 +97,7 @@
 // stamp fills Since, which survives as long as a target has a verdict.
 func (s *Service) stamp(verdicts []Verdict, now time.Time) {
 	next := make(map[fleet.TargetID]time.Time, len(verdicts))
+	s.slow = map[fleet.TargetID]bool{}
 	for i := range verdicts {
 		v := &verdicts[i]
 		v.Since = now
@@ -98,6 +105,9 @@
 			v.Since = t
 		}
 		next[v.Target] = v.Since
+		if v.Cause == CauseSlow {
+			s.slow[v.Target] = true
+		}
 	}
 	s.since = next
 }
@@ -107,7 +117,8 @@
 	limit    float64 // failure ratio
 	base     float64 // median latency code of the other targets
 	haveBase bool
-	steady   bool // slowness lasts
+	steady   bool          // slowness lasts
+	slowSpan time.Duration // in which it shows
 }
 
 // judge gives the verdict on one target, if there is one.
@@ -116,17 +127,18 @@
 	typical, _ := x.ratios.without(t)
 	m := measure{limit: typical + (1-typical)*x.p.FailureRatio}
 	m.base, m.haveBase = x.codes.without(t)
-	m.steady = m.haveBase && x.isSteadilySlow(t, m.base)
-	poolFails, pool := x.poolFails(t, m.limit)
+	m.slowSpan, m.steady = x.steadySlowness(t, m)
+	joinWith, pool := x.poolFails(t, m.limit)
 	probesFail := x.probesFail(t)
 
 	agree, against := []*view{}, 0
 	for i := range x.counted {
 		v := x.view(&x.counted[i], t, m)
 		switch {
-		case v.sick(), poolFails && v.joins(m.limit), probesFail && x.confirmsProbes(v.o, id):
+		case v.sick(), joinWith > 0 && v.joins(joinWith, m.limit), m.steady && x.joinsSlow(v, t, m), probesFail && x.confirmsProbes(v.o, id):
 			agree = append(agree, v)
-		case v.enough:
+		case v.enough && (!m.steady || x.counted[i].recent[t].requests() >= x.p.MinRequests):
+			// Evidence from before a target became slow does not speak against slowness.
 			against++
 		}
 		if v.basis.failures() >= suspectFailures && v.basis.ratio() >= m.limit/2 {
@@ -153,7 +165,7 @@
 	if !v.enough {
 		return v
 	}
-	v.failing = v.basis.ratio() >= m.limit
+	v.failing = v.basis.failures() >= min(sickFailures, x.p.MinRequests) && v.basis.ratio() >= m.limit
 	if !v.failing && w.recent[t].failures() > 0 {
 		if burst := se.newest(x.p.MinRequests, x.recent); burst.requests() >= x.p.MinRequests && burst.ratio() >= (1+m.limit)/2 {
 			v.failing, v.basis = true, burst
@@ -163,8 +175,8 @@
 	return v
 }
 
-func (v *view) joins(limit float64) bool {
-	return v.basis.failures() >= pooledFailures && v.basis.ratio() >= limit
+func (v *view) joins(failures int, limit float64) bool {
+	return v.basis.failures() >= failures && v.basis.ratio() >= limit
 }
 
 func (x *exam) isSlow(id fleet.TargetID, code, base float64) bool {
@@ -175,19 +187,19 @@
 	return code-base > codesPerOctave*math.Log2(factor) && latencyOf(code)-latencyOf(base) > slowMargin
 }
 
-// isSteadilySlow reports whether the target is slow in both halves of the
+// steadySlowness reports whether the target is slow in both halves of the
 // window, or of a longer span if the window holds too few requests, by the
-// evidence of all counted observers. A burst of requests that
-// queue at one target, which takes a second or two to pass, is not slowness of
-// the target. Once there is a verdict, little or no work follows, so the check
-// is not repeated.
-func (x *exam) isSteadilySlow(t int, base float64) bool {
+// evidence of all counted observers. A burst of requests that queue at one
+// target, which takes a second or two to pass, is not slowness of the target.
+// Once there is a verdict of slowness, little or no work follows, so the check is not
+// repeated.
+func (x *exam) steadySlowness(t int, m measure) (time.Duration, bool) {
 	id := x.targets[t]
-	if _, ok := x.s.since[id]; ok {
-		return true
+	if !m.haveBase {
+		return 0, false
 	}
-	if all := x.pooled[t]; all.counts[OK] == 0 || !x.isSlow(id, all.code(), base) {
-		return false
+	if x.s.slow[id] {
+		return wideWindows * x.p.Window, true
 	}
 	for span := x.p.Window; span <= wideWindows*x.p.Window; span *= 2 {
 		early, late := x.poolSince(t, span), x.poolSince(t, span/2)
@@ -195,9 +207,20 @@
 			continue
 		}
 		early.subtract(late)
-		return x.halfSlow(id, early, base) && x.halfSlow(id, late, base)
+		return span, x.halfSlow(id, early, m.base) && x.halfSlow(id, late, m.base)
 	}
-	return false
+	return 0, false
+}
+
+// joinsSlow reports whether an observer that has too few requests of its own
+// shares the pooled finding that the target is slow.
+func (x *exam) joinsSlow(v *view, t int, m measure) bool {
+	own := v.o.series[x.targets[t]].since(x.now.Add(-m.slowSpan))
+	if own.counts[OK] < pooledRequests || !x.isSlow(x.targets[t], own.code(), m.base) {
+		return false
+	}
+	v.basis, v.slow = own, true
+	return true
 }
 
 func (x *exam) halfSlow(id fleet.TargetID, half tally, base float64) bool {
@@ -207,36 +230,52 @@
 // poolFails judges the newest evidence of all counted observers together,
 // which suffices long before each observer has enough of its own. The span
 // grows from a quarter of the window until it holds enough requests, up to the
-// wide window for a target with little traffic.
-func (x *exam) poolFails(t int, limit float64) (bool, tally) {
+// wide window for a target with little traffic. It returns the number of own
+// failures with which an observer joins, 0 if the pool does not fail: one is
+// enough if the pool holds a whole minimum of failures and little else.
+func (x *exam) poolFails(t int, limit float64) (int, tally) {
 	if x.pooled[t].failures() < pooledFailures {
-		return false, tally{}
+		return 0, tally{}
 	}
 	need := x.p.MinRequests * max(1, x.p.MinObservers)
 	for span := x.p.Window / poolSteps; span <= wideWindows*x.p.Window; span *= 2 {
-		if pool := x.poolSince(t, span); pool.requests() >= need {
-			return pool.ratio() >= limit, pool
+		pool := x.poolSince(t, span)
+		if pool.failures() >= max(x.p.MinRequests, sickFailures) && pool.ratio() >= (1+limit)/2 {
+			return 1, pool
 		}
+		if pool.requests() < need {
+			continue
+		}
+		if pool.ratio() >= limit {
+			return pooledFailures, pool
+		}
+		return 0, pool
 	}
-	return false, tally{}
+	return 0, tally{}
 }
 
-// probesFail reports whether probes fail and nothing better is known: probes
-// are evidence of second rank, so one good request outweighs them.
+// probesFail reports whether probes fail in a row and nothing better is known:
+// probes are evidence of second rank, so one good request outweighs them.
 func (x *exam) probesFail(t int) bool {
 	id := x.targets[t]
-	span := max(x.p.Window, probeFailures*x.s.svc.Policy.Probe.Interval)
+	from := x.now.Add(-max(x.p.Window, probeFailures*x.s.svc.Policy.Probe.Interval))
 	failed := false
 	for i := range x.counted {
 		se := x.counted[i].o.series[id]
-		failed = failed || se != nil && x.now.Sub(se.probeFailed) < span
+		if se == nil {
+			continue
+		}
+		failed = failed || se.probeFailed.After(from)
+		if se.good.After(from) {
+			from = se.good
+		}
 	}
 	if !failed {
 		return false
 	}
 	x.s.suspect[id] = true
-	all := x.poolSince(t, span)
-	return all.probesFailed >= probeFailures && all.probesOK == 0 && all.counts[OK] == 0
+	all := x.poolSince(t, x.now.Sub(from))
+	return all.probesFailed >= probeFailures
 }
 
 func (x *exam) confirmsProbes(o *observer, id fleet.TargetID) bool {
