Bound how long callers may take over a request

Cause: a caller that stopped sending its body or reading its response was not bounded by the deadline, and the latter would hold a slot of the target for ever. Change: reading the body ends at the request's deadline, writing the response 5 s after it; an earlier response that stands because no other target is free carries the merged outcome.

--- a/core/proxy/exchange.go
+++ b/core/proxy/exchange.go
@@ -63,7 +63,7 @@
 		x.carrier.budget.Return()
 	}
 	if x.last != nil {
-		return x.last
+		return x.finish(x.last, retry.Decision{Outcome: x.outcome})
 	}
 	e := fault.From(err)
 	if x.number > 0 {
--- a/core/proxy/inbound.go
+++ b/core/proxy/inbound.go
@@ -34,7 +34,7 @@
 }
 
 // newInbound checks the request against the service's routes.
-func newInbound(r *http.Request, service *fleet.Service, id string, now time.Time) (*inbound, error) {
+func newInbound(w http.ResponseWriter, r *http.Request, service *fleet.Service, id string, now time.Time) (*inbound, error) {
 	in := &inbound{request: r, requestID: id, arrived: now, service: service}
 	route, found, allowed := service.RouteFor(r.Method, r.URL.Path)
 	switch {
@@ -53,7 +53,28 @@
 		return nil, err
 	}
 	in.deadline = deadlineFrom(r.Context(), now, route.Deadline, asked)
-	return in, in.readBody()
+	return in, in.readInTime(http.NewResponseController(w))
+}
+
+// writeGrace is the time after a request's deadline in which its caller has to
+// take the rest of the response. A caller that stops reading would hold the
+// slot of the target for ever.
+const writeGrace = 5 * time.Second
+
+// readInTime reads the body before the deadline. The deadline of the connection
+// is lifted afterwards, because net/http watches the connection for the end of
+// the caller while the request is handled.
+func (in *inbound) readInTime(control *http.ResponseController) error {
+	_ = control.SetWriteDeadline(in.deadline.Add(writeGrace))
+	if in.request.ContentLength == 0 {
+		return in.readBody()
+	}
+	_ = control.SetReadDeadline(in.deadline)
+	err := in.readBody()
+	if in.buffered {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return err
 }
 
 func askedDeadline(r *http.Request) (time.Duration, error) {
--- a/core/proxy/order.go
+++ b/core/proxy/order.go
@@ -162,7 +162,7 @@
 		return true
 	}
 	defer release()
-	in, err := newInbound(v.request, service, v.requestID, v.arrived)
+	in, err := newInbound(v.writer, v.request, service, v.requestID, v.arrived)
 	if err != nil {
 		v.refuse(fault.From(err))
 		return true
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -235,6 +235,21 @@
 		Expect(rg.do("PUT", "/x", nil, strings.NewReader(strings.Repeat("a", 2<<20))).StatusCode).To(Equal(413))
 	})
 
+	It("refuses a request whose body does not arrive before the deadline, so that slow callers hold nothing", func() {
+		route := fleet.Route{Name: "any", Methods: []string{"GET", "PUT"}, PathPrefix: "/", Idempotent: true, Deadline: 50 * time.Millisecond, Attempts: 1, MaxBody: 100}
+		rg := newRig(1, route)
+		c, err := net.Dial("tcp", rg.server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		_, err = io.WriteString(c, "PUT /a HTTP/1.1\r\nHost: x\r\nWisteria-Service: disponible\r\nContent-Length: 4\r\n\r\nab")
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(http.StatusBadRequest))
+		Expect(rg.carrier.Gate().InFlight()).To(BeEmpty())
+	})
+
 	It("hedges a slow request within the budget", func() {
 		route := lookupRoute()
 		route.HedgeAfter = 20 * time.Millisecond
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -35,6 +35,9 @@
 // bufferLimit the memory that their bodies take.
 const maxActive = 2048
 
+// endpointTimeout bounds the sending of the daemon's own responses.
+const endpointTimeout = 10 * time.Second
+
 // Relay serves the callers' port.
 type Relay struct {
 	self   fleet.VM
@@ -99,6 +102,7 @@
 		service = serviceFromHost(r.Host, rl.domain)
 	}
 	if service == "" {
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(endpointTimeout))
 		rl.router.ServeHTTP(w, r)
 		return
 	}
@@ -149,7 +153,7 @@
 		return
 	}
 	defer release()
-	in, err := newInbound(v.request, carrier.Service(), v.requestID, v.arrived)
+	in, err := newInbound(v.writer, v.request, carrier.Service(), v.requestID, v.arrived)
 	if err != nil {
 		v.refuse(fault.From(err))
 		return
