Let the stand-in platform take faults over HTTP

A fault could be ordered only from the process that holds the stand-in, so nobody could try an outage by hand against a running demo. PUT /v1/faults replaces the faults by a JSON body with kebab-case keys and is itself served without faults. The new fault down-after-loss takes the table down after the last lost reply: a single lost reply is read back by the commit itself, so this is the smallest fault that leaves a commit in doubt. The endpoint is documented as no part of the platform's protocol.

--- a/core/stand/platform.go
+++ b/core/stand/platform.go
@@ -20,26 +20,31 @@
 // PlatformFaults orders how the platform misbehaves; the zero value is a healthy platform.
 type PlatformFaults struct {
 	// TableDown, ObjectsDown and VMsDown refuse every request to one part, without effect.
-	TableDown, ObjectsDown, VMsDown bool
+	TableDown   bool `json:"table-down,omitempty"`
+	ObjectsDown bool `json:"objects-down,omitempty"`
+	VMsDown     bool `json:"vms-down,omitempty"`
 	// Delay is added to each request, half before its effect and half after it.
-	Delay time.Duration
+	Delay time.Duration `json:"delay-ns,omitempty"`
 	// RefuseWrites refuses writes to the table and the object store, without effect.
-	RefuseWrites bool
+	RefuseWrites bool `json:"refuse-writes,omitempty"`
 	// LoseReplies is the number of next writes that take effect while their reply is lost.
-	LoseReplies int
+	LoseReplies int `json:"lose-replies,omitempty"`
+	// DownAfterLoss turns the table down after the last of LoseReplies, so that
+	// the outcome of that write cannot be read back either.
+	DownAfterLoss bool `json:"down-after-loss,omitempty"`
 	// LoseReplyRate is the probability that the reply of a write is lost after its effect.
-	LoseReplyRate float64
+	LoseReplyRate float64 `json:"lose-reply-rate,omitempty"`
 	// LoseRequests is the number of next writes that are lost before their effect.
-	LoseRequests int
+	LoseRequests int `json:"lose-requests,omitempty"`
 	// LoseRequestRate is the probability that a write is lost before its effect.
-	LoseRequestRate float64
+	LoseRequestRate float64 `json:"lose-request-rate,omitempty"`
 	// LateBy delays the effect of a table write whose reply is lost, so that
 	// the write takes effect after a reader has seen it missing.
-	LateBy time.Duration
+	LateBy time.Duration `json:"late-by-ns,omitempty"`
 	// OneWay lets requests arrive and take effect while no reply returns.
-	OneWay bool
+	OneWay bool `json:"one-way,omitempty"`
 	// VMLag is the age that a change of the VM list has before it is listed.
-	VMLag time.Duration
+	VMLag time.Duration `json:"vm-lag-ns,omitempty"`
 }
 
 // PlatformCounts holds the numbers of requests that reached the platform,
@@ -199,6 +204,11 @@
 	}
 	if p.loseReplies > 0 {
 		p.loseReplies--
+		if p.loseReplies == 0 && f.DownAfterLoss {
+			down := *f
+			down.TableDown = true
+			p.faults.Store(&down)
+		}
 		return false, true
 	}
 	request = f.LoseRequestRate > 0 && p.rng.Float64() < f.LoseRequestRate
--- a/core/stand/platform_http.go
+++ b/core/stand/platform_http.go
@@ -27,9 +27,22 @@
 	r.HandleFunc("/v1/vms", p.serveVMs).Methods(http.MethodGet)
 	r.HandleFunc("/v1/vms/{id}", p.servePutVM).Methods(http.MethodPut)
 	r.HandleFunc("/v1/vms/{id}", p.serveRemoveVM).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/faults", p.serveFaults).Methods(http.MethodPut)
 	return r
 }
 
+// serveFaults replaces the faults. It is no part of the platform's protocol and
+// is itself served without faults.
+func (p *Platform) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f PlatformFaults
+	if err := decode(w, r, &f); err != nil {
+		reply(w, nil, err)
+		return
+	}
+	p.Misbehave(f)
+	reply(w, done{}, nil)
+}
+
 // Problem is the body of a refusal of the platform.
 type Problem struct {
 	Kind   string `json:"kind"`
--- a/core/stand/platform_test.go
+++ b/core/stand/platform_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,6 +46,29 @@
 		Expect(err).To(beKind(fault.RowMissing))
 	})
 
+	// Guards against a lost reply whose outcome can still be read back where a
+	// test or the demo needs it to stay in doubt.
+	It("takes faults over HTTP and goes down after the last lost reply", func() {
+		server := httptest.NewServer(p)
+		defer server.Close()
+		put := func(body string) int {
+			req, err := http.NewRequest(http.MethodPut, server.URL+"/v1/faults", strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			resp, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			defer resp.Body.Close()
+			return resp.StatusCode
+		}
+		Expect(put(`{"lose-replies": 1, "down-after-loss": true}`)).To(Equal(http.StatusOK))
+		Expect(t.Apply(ctx, insert("a", "1"))).To(beKind(fault.StoreAmbiguous))
+		_, err := t.Get(ctx, "a")
+		Expect(err).To(beKind(fault.StoreUnavailable))
+		Expect(put(`{}`)).To(Equal(http.StatusOK))
+		_, err = t.Get(ctx, "a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(put(`{"lose-replies": "x"}`)).To(Equal(http.StatusBadRequest))
+	})
+
 	It("never returns to an earlier version after a row was deleted", func() {
 		Expect(t.Apply(ctx, insert("a", "1"))).To(Succeed())
 		first, _ := t.Get(ctx, "a")
