Add the operators' command line

Exit codes tell done (0), refused (1), wrong usage (2) and not yet known (3) apart: a request that changes something and gets no reply is in doubt, unless no connection was made. A proposal gets its id on the operator's side, so that it may be repeated. Golden output of get and targets and the exit codes are tested over a real book.

--- /dev/null
+++ b/wisteriactl/main_test.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"flag"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/admin"
+	"wisteriarelay.example/core/config"
+	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/settle"
+	"wisteriarelay.example/core/stand"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+func TestWisteriactl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wisteriactl")
+}
+
+const settingsFile = "../examples/cortavientos/settings.json"
+
+// ctl runs command lines against an API over a real book.
+type ctl struct {
+	url      string
+	platform *stand.Platform
+}
+
+func newCtl() *ctl {
+	c := &ctl{platform: stand.NewPlatform()}
+	var operators []config.Operator
+	for _, name := range []string{"marta", "hector"} {
+		digest := sha256.Sum256([]byte(name))
+		operators = append(operators, config.Operator{Name: name, TokenSHA256: hex.EncodeToString(digest[:])})
+	}
+	router := mux.NewRouter()
+	Expect(admin.Mount(router, admin.Deps{
+		VM: "mdp-1", Operators: operators, Book: settle.NewBook(c.platform.Table()),
+		Applied: func() *settle.Applied { return nil },
+		Targets: func(id fleet.ServiceID) ([]admin.Target, bool) {
+			return []admin.Target{
+				{Target: "reservas-1", DataCentre: "mdp", Health: "good", State: "ready", Weight: 1, InFlight: 2},
+				{Target: "reservas-2", DataCentre: "pinamar", Health: "suspect", State: "ejected", Reason: "by hand by marta: disk", Since: time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)},
+			}, id == "reservas"
+		},
+		Carriers: func(fleet.ServiceID) []fleet.VM { return nil },
+	})).To(Succeed())
+	server := httptest.NewServer(router)
+	DeferCleanup(server.Close)
+	c.url = server.URL
+	return c
+}
+
+// run runs a command line as an operator.
+func (c *ctl) run(operator string, args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	line := append([]string{"wisteriactl", "--admin", c.url, "--operator-token", operator}, args...)
+	code = run(context.Background(), line, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func golden(name, got string) {
+	file := filepath.Join("testdata", name+".golden")
+	if *update {
+		Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
+		Expect(os.WriteFile(file, []byte(got), 0o644)).To(Succeed())
+		return
+	}
+	want, err := os.ReadFile(file)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(got).To(Equal(string(want)))
+}
+
+var _ = Describe("wisteriactl", func() {
+	// Guards against output that scripts or people can no longer read.
+	DescribeTable("prints golden output", func(name string, args ...string) {
+		c := newCtl()
+		code, _, errOut := c.run("marta", "bootstrap", settingsFile)
+		Expect(code).To(Equal(exitDone), errOut)
+		code, out, errOut := c.run("marta", args...)
+		Expect(code).To(Equal(exitDone), errOut)
+		golden(name, out)
+	},
+		Entry("get as a table", "get-table", "get", "/workspace/cortavientos/service/reservas", "floor"),
+		Entry("get as JSON", "get-json", "--output", "json", "get", "/workspace/cortavientos/service/reservas", "floor"),
+		Entry("targets as a table", "targets-table", "targets", "reservas"),
+		Entry("targets as JSON", "targets-json", "--output", "json", "targets", "reservas"),
+	)
+
+	// Guards against scripts that take a refusal or a doubt for a success.
+	It("tells done, refused, wrong usage and not yet known apart", func() {
+		c := newCtl()
+		code, _, errOut := c.run("marta", "bootstrap", settingsFile)
+		Expect(code).To(Equal(exitDone), errOut)
+		for id, value := range map[string]string{"first": "55%", "second": "65%", "third": "70%"} {
+			code, _, errOut := c.run("hector", "propose", "--id", id, "--set", "/workspace/cortavientos floor="+value)
+			Expect(code).To(Equal(exitDone), errOut)
+		}
+		code, _, _ = c.run("marta", "commit", "first")
+		Expect(code).To(Equal(exitDone))
+		code, _, errOut = c.run("marta", "commit", "second")
+		Expect(code).To(Equal(exitRefused))
+		Expect(errOut).To(ContainSubstring("wisteriactl rebase second"))
+		for _, wrong := range [][]string{{"commit"}, {"nonsense"}, {"targets", "--no-such-flag"}, {"propose"}, {"propose", "--set", "/ floor"}} {
+			code, _, _ = c.run("marta", wrong...)
+			Expect(code).To(Equal(exitUsage), "%v", wrong)
+		}
+		code, _, _ = c.run("hector", "rebase", "third")
+		Expect(code).To(Equal(exitDone))
+		c.platform.Misbehave(stand.PlatformFaults{LoseReplies: 1, DownAfterLoss: true})
+		code, _, errOut = c.run("marta", "commit", "third")
+		Expect(code).To(Equal(exitUnknown))
+		Expect(errOut).To(ContainSubstring("wisteriactl resolve third"))
+		c.platform.Misbehave(stand.PlatformFaults{})
+		code, out, _ := c.run("marta", "resolve", "third")
+		Expect(code).To(Equal(exitDone))
+		Expect(out).To(ContainSubstring("accepted"))
+	})
+
+	// Guards against a daemon that is away being reported as a doubt.
+	It("refuses when no connection can be made", func() {
+		c := newCtl()
+		c.url = "http://127.0.0.1:1"
+		code, _, _ := c.run("marta", "commit", "first")
+		Expect(code).To(Equal(exitRefused))
+	})
+
+	It("checks the example files", func() {
+		c := newCtl()
+		code, out, errOut := c.run("", "check-daemon", "../examples/cortavientos/daemon.json")
+		Expect(code).To(Equal(exitDone), errOut)
+		Expect(out).NotTo(ContainSubstring("000102030405060708090a0b0c0d0e0f"))
+		code, out, errOut = c.run("", "check-settings", settingsFile)
+		Expect(code).To(Equal(exitDone), errOut)
+		Expect(out).To(ContainSubstring("reservas"))
+		code, _, _ = c.run("", "check-settings", "main_test.go")
+		Expect(code).To(Equal(exitRefused))
+	})
+})
