--- a/core/stand/target.go
+++ b/core/stand/target.go
@@ -23,31 +23,31 @@
 // Faults orders how a target misbehaves; the zero value is a healthy target.
 type Faults struct {
 	// Delay is added to each request for work.
-	Delay time.Duration
+	Delay time.Duration `json:"delay-ns,omitempty"`
 	// FailWork answers work with status 500, while probes stay good.
-	FailWork bool
+	FailWork bool `json:"fail-work,omitempty"`
 	// FailAfterRun runs the work and then answers with status 500.
-	FailAfterRun bool
+	FailAfterRun bool `json:"fail-after-run,omitempty"`
 	// FailProbe answers probes with status 503.
-	FailProbe bool
+	FailProbe bool `json:"fail-probe,omitempty"`
 	// CutShort ends the connection in the middle of the answer's body.
-	CutShort bool
+	CutShort bool `json:"cut-short,omitempty"`
 	// CutBefore ends the connection before the work is run.
-	CutBefore bool
+	CutBefore bool `json:"cut-before,omitempty"`
 	// CutAfter ends the connection after the work is run and before any answer.
-	CutAfter bool
+	CutAfter bool `json:"cut-after,omitempty"`
 	// BodyFailure answers work with status 200 and a failure in the body.
-	BodyFailure bool
+	BodyFailure bool `json:"body-failure,omitempty"`
 	// ShedAll refuses all work before it starts.
-	ShedAll bool
+	ShedAll bool `json:"shed-all,omitempty"`
 	// Load replaces the reported load if it is set, so that the report lies.
-	Load *float64
+	Load *float64 `json:"load,omitempty"`
 	// Leaving announces that the target drains.
-	Leaving bool
+	Leaving bool `json:"leaving,omitempty"`
 	// Hang holds work until the caller gives up.
-	Hang bool
+	Hang bool `json:"hang,omitempty"`
 	// FlapEvery alternates between the faults above and good health.
-	FlapEvery time.Duration
+	FlapEvery time.Duration `json:"flap-every-ns,omitempty"`
 }
 
 // Run is one execution of an order.
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -43,7 +43,12 @@
 	d.play(ctx)
 	stop()
 	callers.Wait()
-	if !d.tally.verdict(f.Runs(), out) {
+	return d.verdict()
+}
+
+// verdict prints what callers were told and fails if any of it was wrong.
+func (d *Demo) verdict() error {
+	if !d.tally.verdict(d.fleet.Runs(), d.out) {
 		return fault.New(fault.Internal, "a caller was given a wrong, lost or doubled answer")
 	}
 	return nil
--- a/standin/demo/fleet.go
+++ b/standin/demo/fleet.go
@@ -55,6 +55,15 @@
 	VM fleet.VM
 }
 
+// settingsReason says why the daemon is or is not ready with its settings.
+func (n *Node) settingsReason() string {
+	parts, _ := n.State("settings").(map[string]any)
+	if state, ok := parts["settings"].(*settle.FollowerState); ok {
+		return state.Reason
+	}
+	return ""
+}
+
 // NewFleet starts the platform and the targets that the settings file names,
 // on loopback addresses in place of the file's.
 func NewFleet(settingsFile string, logger log.Logger) (*Fleet, error) {
@@ -215,12 +224,16 @@
 			return vm, err
 		}
 		*address = l.Addr().String()
+		f.mu.Lock()
 		f.listeners[*address] = l
+		f.mu.Unlock()
 	}
 	return vm, nil
 }
 
 func (f *Fleet) listen(address string) (net.Listener, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return f.listeners[address], nil
 }
 
--- a/standin/demo/script.go
+++ b/standin/demo/script.go
@@ -95,13 +95,19 @@
 }
 
 func (d *Demo) bootDuringOutage(ctx context.Context) {
+	_, _ = d.startDaemon(ctx, "new-1", d.fleet.Centres[0])
+}
+
+// startDaemon adds a daemon and tells when it is ready.
+func (d *Demo) startDaemon(ctx context.Context, id fleet.VMID, centre fleet.DataCentre) (*Node, error) {
 	began := time.Now()
-	n, err := d.fleet.AddDaemon(ctx, "new-1", d.fleet.Centres[0])
+	n, err := d.fleet.AddDaemon(ctx, id, centre)
 	if err != nil {
-		d.say("daemon new-1 did not start: %v", err)
-		return
+		d.say("daemon %s did not start: %v", id, err)
+		return nil, err
 	}
 	go bootWatch{demo: d, node: n, began: began}.run(ctx)
+	return n, nil
 }
 
 // bootWatch tells when a daemon is ready.
@@ -116,7 +122,7 @@
 func (b bootWatch) run(ctx context.Context) {
 	for time.Since(b.began) < bootLimit {
 		if b.node.Ready() {
-			b.demo.say("       daemon %s started while the platform is away and has its settings from peers after %.1fs", b.node.VM.ID, time.Since(b.began).Seconds())
+			b.demo.say("       daemon %s is ready after %.1fs: %s", b.node.VM.ID, time.Since(b.began).Seconds(), b.node.settingsReason())
 			return
 		}
 		if !pause(ctx, readyPoll) {
