Count the bytes of the inner protocol between real daemons

Cause: the control traffic of a daemon was computed from one call of the client and not measured. Change: BenchmarkTraffic in core/daemon runs six real daemons that carry one service of 27 targets with ordinary traffic on the paused clock and counts bytes and packets of their inner connections.

--- /dev/null
+++ b/core/daemon/bench_test.go
@@ -0,0 +1,214 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wisteriarelay.example/core/config"
+	"wisteriarelay.example/core/detect"
+	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/inner"
+	"wisteriarelay.example/core/limit"
+	"wisteriarelay.example/core/settle"
+	"wisteriarelay.example/core/stand"
+	"wisteriarelay.example/core/tree"
+)
+
+// The planned scale of section 1 of the design page, for one service.
+const (
+	planCarriers = 6
+	planTargets  = 27
+	planRate     = 1.14 // requests per second of one carrier to one target
+	planLinks    = 15.65
+	planWork     = 40 * time.Millisecond
+	// packetHeaders is the size of the TCP/IP headers of a packet with timestamps.
+	packetHeaders = 52
+	trafficSpan   = time.Minute
+)
+
+// wire counts the bytes and packets of the inner protocol: a message that fits
+// into a packet is one write, and each reply is acknowledged by a packet of its own.
+type wire struct{ bytes, packets atomic.Int64 }
+
+type wireConn struct {
+	net.Conn
+	wire *wire
+}
+
+func (c wireConn) count(n int, err error) (int, error) {
+	if n > 0 {
+		c.wire.bytes.Add(int64(n))
+		c.wire.packets.Add(1)
+	}
+	return n, err
+}
+
+func (c wireConn) Write(b []byte) (int, error) { return c.count(c.Conn.Write(b)) }
+func (c wireConn) Read(b []byte) (int, error)  { return c.count(c.Conn.Read(b)) }
+
+// planFleet is the six carriers of one service of the planned size.
+type planFleet struct {
+	net      *memNet
+	wire     wire
+	platform *stand.Platform
+	daemons  []*Daemon
+	servers  []*http.Server
+	traffic  sync.WaitGroup
+}
+
+func (f *planFleet) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := f.net.dial(ctx, network, address)
+	if err == nil && strings.HasSuffix(address, ":7100") {
+		c = wireConn{c, &f.wire}
+	}
+	return c, err
+}
+
+func healthy(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func (f *planFleet) start() {
+	f.net, f.platform = newMemNet(), stand.NewPlatform()
+	const service = "/workspace/cortavientos/service/disponible-reservas"
+	var entries []tree.TargetEntry
+	for i := range planTargets {
+		address := fmt.Sprintf("10.1.0.%d:80", i+1)
+		entries = append(entries, tree.TargetEntry{ID: fleet.TargetID(fmt.Sprintf("disponible-%03d", i)), Address: address, DataCentre: "mdp"})
+		l, _ := f.net.listen(address)
+		f.servers = append(f.servers, &http.Server{Handler: http.HandlerFunc(healthy)})
+		go memServer{f.servers[i], l}.run()
+	}
+	doc, err := tree.New().Apply([]tree.Op{
+		tree.Set(tree.Root, "owners", []string{"marta", "hector"}), tree.Declare("/region/ar-costa"), tree.Declare("/data-centre/mdp"), tree.Declare("/workspace/cortavientos"),
+		tree.Set(service, "region", "ar-costa"), tree.Set(service, "targets", entries),
+	})
+	must(err)
+	_, _, err = settle.NewBook(f.platform.Table()).Bootstrap(context.Background(), doc, "marta")
+	must(err)
+	authority, err := inner.NewAuthority()
+	must(err)
+	for i := range planCarriers {
+		f.startDaemon(authority, i+1)
+	}
+}
+
+func (f *planFleet) startDaemon(authority *inner.Authority, n int) {
+	s := config.Defaults()
+	s.VM, s.Region, s.DataCentre = fleet.VMID(fmt.Sprintf("mdp-entry-%03d", n)), "ar-costa", "mdp"
+	s.CallerAddress, s.InnerAddress, s.AdminAddress = fmt.Sprintf("10.0.0.%d:7000", n), fmt.Sprintf("10.0.0.%d:7100", n), fmt.Sprintf("10.0.0.%d:7200", n)
+	s.FleetSecrets = []config.Secret{config.Secret("0123456789abcdef")}
+	must(f.platform.PutVM(context.Background(), s.Self()))
+	id, err := authority.Issue(s.VM)
+	must(err)
+	d, err := New(s, WithIdentity(id), WithListen(f.net.listen), WithDial(f.dial),
+		WithPlatform(Platform{Table: f.platform.Table(), Objects: f.platform.Objects(), VMs: f.platform.VMList()}))
+	must(err)
+	must(d.Start(context.Background()))
+	f.daemons = append(f.daemons, d)
+}
+
+// planCaller is the traffic of one carrier: good requests, spread evenly.
+type planCaller struct {
+	fleet *planFleet
+	watch *watch
+	rng   *rand.Rand
+}
+
+func (c *planCaller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(c.rng.ExpFloat64() * float64(time.Second) / (planRate * planTargets)))
+		target := c.watch.service.Load().Targets[c.rng.IntN(planTargets)].ID
+		took := time.Duration(float64(planWork) * math.Exp(c.rng.NormFloat64()/4))
+		c.fleet.traffic.Go(func() { c.request(target, took) })
+	}
+}
+
+func (c *planCaller) request(target fleet.TargetID, took time.Duration) {
+	grant, err := c.watch.carrier.Gate().Acquire(context.Background(), limit.Ask{Kind: fleet.Lookup, Idempotent: true})
+	must(err)
+	time.Sleep(took)
+	grant.Release(limit.Served)
+	c.watch.carrier.Recorder().Record(target, detect.OK, took)
+}
+
+func (f *planFleet) reports() (n int64) {
+	for _, d := range f.daemons {
+		n += int64(d.parts.Members.Counters().Sent)
+	}
+	return n
+}
+
+// measure returns the reports, bytes and packets of the span after the fleet has settled.
+func (f *planFleet) measure() (reports, bytes, packets int64) {
+	ctx, stop := context.WithCancel(context.Background())
+	for i, d := range f.daemons {
+		for _, w := range *d.parts.Engine.watches.Load() {
+			c := &planCaller{f, w, rand.New(rand.NewPCG(1, uint64(i)))}
+			f.traffic.Go(func() { c.run(ctx) })
+		}
+	}
+	time.Sleep(20 * time.Second)
+	reports, bytes, packets = -f.reports(), -f.wire.bytes.Load(), -f.wire.packets.Load()
+	time.Sleep(trafficSpan)
+	reports, bytes, packets = reports+f.reports(), bytes+f.wire.bytes.Load(), packets+f.wire.packets.Load()
+	stop()
+	f.traffic.Wait()
+	return reports, bytes, packets
+}
+
+func (f *planFleet) close() {
+	for _, d := range f.daemons {
+		d.Kill()
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	synctest.Wait()
+}
+
+// virtual runs f on the paused clock.
+func virtual(b *testing.B, f func()) {
+	b.Helper()
+	all := func(string, string) (bool, error) { return true, nil }
+	bubble := func(t *testing.T) { synctest.Test(t, func(*testing.T) { f() }) }
+	if !testing.RunTests(all, []testing.InternalTest{{Name: b.Name(), F: bubble}}) {
+		b.Fatal("the bubble failed")
+	}
+}
+
+// BenchmarkTraffic reports what the inner protocol takes on the wire between six
+// real daemons with ordinary traffic, and for a daemon with the planned number of links.
+func BenchmarkTraffic(b *testing.B) {
+	var reports, bytes, packets int64
+	for b.Loop() {
+		virtual(b, func() {
+			f := &planFleet{}
+			f.start()
+			time.Sleep(5 * time.Second)
+			reports, bytes, packets = f.measure()
+			f.close()
+		})
+	}
+	perLink := 2 / float64(planCarriers*(planCarriers-1)) / trafficSpan.Seconds()
+	onWire := float64(bytes + (packets+reports)*packetHeaders)
+	b.ReportMetric(float64(bytes)/float64(reports), "tls-bytes/report")
+	b.ReportMetric(float64(packets)/float64(reports), "packets/report")
+	b.ReportMetric(float64(reports)*perLink/2, "reports/s/way")
+	b.ReportMetric(onWire*perLink, "bytes/s/link")
+	b.ReportMetric(onWire*perLink*planLinks, "bytes/s/daemon")
+}
