Measure the detection time between real daemons

Cause: changes of the reports must not cost detection time, which was measured in package detect only. Change: BenchmarkDetection in core/daemon lets one of 27 targets fail all requests, fail half of them or answer eight times slower, and reports when each of six real daemons stops using it, over ten seeds on the paused clock. Conclusion: kept as the measure beside the bytes.

--- a/core/daemon/bench_test.go
+++ b/core/daemon/bench_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,7 @@
 	// packetHeaders is the size of the TCP/IP headers of a packet with timestamps.
 	packetHeaders = 52
 	trafficSpan   = time.Minute
+	firstTarget   = "disponible-000"
 )
 
 // wire counts the bytes and packets of the inner protocol: a message that fits
@@ -64,6 +66,8 @@
 	daemons  []*Daemon
 	servers  []*http.Server
 	traffic  sync.WaitGroup
+	// sick changes what the first target of the service does.
+	sick atomic.Pointer[sickness]
 }
 
 func (f *planFleet) dial(ctx context.Context, network, address string) (net.Conn, error) {
@@ -138,12 +142,22 @@
 	}
 }
 
+// sickness is how often a target fails and how much slower it is.
+type sickness struct{ failing, slower float64 }
+
 func (c *planCaller) request(target fleet.TargetID, took time.Duration) {
+	result, sick := detect.OK, c.fleet.sick.Load()
+	if sick != nil && target == firstTarget {
+		took = time.Duration(float64(took) * sick.slower)
+		if rand.Float64() < sick.failing {
+			result = detect.Failed
+		}
+	}
 	grant, err := c.watch.carrier.Gate().Acquire(context.Background(), limit.Ask{Kind: fleet.Lookup, Idempotent: true})
 	must(err)
 	time.Sleep(took)
 	grant.Release(limit.Served)
-	c.watch.carrier.Recorder().Record(target, detect.OK, took)
+	c.watch.carrier.Recorder().Record(target, result, took)
 }
 
 func (f *planFleet) reports() (n int64) {
@@ -153,16 +167,22 @@
 	return n
 }
 
-// measure returns the reports, bytes and packets of the span after the fleet has settled.
-func (f *planFleet) measure() (reports, bytes, packets int64) {
+// load starts the traffic and lets the fleet settle.
+func (f *planFleet) load(seed uint64) context.CancelFunc {
 	ctx, stop := context.WithCancel(context.Background())
 	for i, d := range f.daemons {
 		for _, w := range *d.parts.Engine.watches.Load() {
-			c := &planCaller{f, w, rand.New(rand.NewPCG(1, uint64(i)))}
+			c := &planCaller{f, w, rand.New(rand.NewPCG(seed, uint64(i)))}
 			f.traffic.Go(func() { c.run(ctx) })
 		}
 	}
 	time.Sleep(20 * time.Second)
+	return stop
+}
+
+// measure returns the reports, bytes and packets of the span.
+func (f *planFleet) measure() (reports, bytes, packets int64) {
+	stop := f.load(1)
 	reports, bytes, packets = -f.reports(), -f.wire.bytes.Load(), -f.wire.packets.Load()
 	time.Sleep(trafficSpan)
 	reports, bytes, packets = reports+f.reports(), bytes+f.wire.bytes.Load(), packets+f.wire.packets.Load()
@@ -212,3 +232,48 @@
 	b.ReportMetric(onWire*perLink, "bytes/s/link")
 	b.ReportMetric(onWire*perLink*planLinks, "bytes/s/daemon")
 }
+
+// detect returns the time until each daemon stops using the sick target.
+func (f *planFleet) detect(seed uint64, s sickness) (took []time.Duration) {
+	stop := f.load(seed)
+	f.sick.Store(&s)
+	began, seen := time.Now(), map[*Daemon]bool{}
+	for time.Since(began) < trafficSpan && len(seen) < planCarriers {
+		time.Sleep(watchTick / 5)
+		for _, d := range f.daemons {
+			if state, _, _ := d.TargetState(firstTarget); !seen[d] && (state == "avoided" || state == "ejected") {
+				seen[d] = true
+				took = append(took, time.Since(began))
+			}
+		}
+	}
+	stop()
+	f.traffic.Wait()
+	return took
+}
+
+// BenchmarkDetection reports the time from the start of a fault until a carrier
+// stops using the target, over ten seeds and six carriers.
+func BenchmarkDetection(b *testing.B) {
+	for name, s := range map[string]sickness{"failing": {1, 1}, "half-failing": {0.5, 1}, "slow": {0, 8}} {
+		b.Run(name, func(b *testing.B) {
+			var all []time.Duration
+			for b.Loop() {
+				for seed := range uint64(10) {
+					virtual(b, func() {
+						f := &planFleet{}
+						f.start()
+						time.Sleep(5 * time.Second)
+						all = append(all, f.detect(seed, s)...)
+						f.close()
+					})
+				}
+			}
+			slices.Sort(all)
+			for _, q := range []int{50, 90, 100} {
+				b.ReportMetric(all[(len(all)-1)*q/100].Seconds(), fmt.Sprintf("p%d-s", q))
+			}
+			b.ReportMetric(float64(len(all))/float64(b.N*10*planCarriers), "detected")
+		})
+	}
+}
