Send a reply and the end of its call in one packet

Cause: drpc flushes after each message, so that a reply of 39 B and the end of the call of 26 B left in two TLS records and two packets. Change: the server's streams flush with the end of the call.

--- a/core/inner/server.go
+++ b/core/inner/server.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
 	"wisteriarelay.example/core/fault"
@@ -66,6 +67,8 @@
 			Manager: drpcmanager.Options{
 				Reader:            drpcwire.ReaderOptions{MaximumBufferSize: MaxAsk},
 				InactivityTimeout: serverIdle,
+				// The reply leaves with the end of its call in one packet.
+				Stream: drpcstream.Options{ManualFlush: true},
 			},
 		}),
 	}
