Send the end of a call with the next call

Cause: after each reply the client sent 4 B that end the call in a TLS record and a packet of their own, 78 B on the wire. Change: the client's connection holds the end of a call until the next call on it; errors, cancellations and messages leave at once, and a connection that closes takes the held end with it.

--- a/core/inner/client.go
+++ b/core/inner/client.go
@@ -232,7 +232,7 @@
 		_ = raw.Close()
 		return nil, fault.Wrap(err, fault.PeerUnreachable, "connect to %s at %s", to.VM, to.Address)
 	}
-	return drpcconn.NewWithOptions(transport{tc}, drpcconn.Options{
+	return drpcconn.NewWithOptions(&joinedConn{Conn: transport{tc}}, drpcconn.Options{
 		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxReply}},
 	}), nil
 }
