Report work in flight in quarters and leave out nothing

Cause: the mean work of short requests was cut to whole numbers, so that a carrier with 0.9 requests in flight reported 0, and each of these zeros took 7 B of the report.

--- a/core/daemon/watch.go
+++ b/core/daemon/watch.go
@@ -276,7 +276,9 @@
 		EjectionVersion: listing.Version,
 	}
 	for _, l := range w.carrier.Gate().InFlight() {
-		report.InFlight = append(report.InFlight, inner.TargetLoad{Target: inner.TargetKey(l.Target), Count: uint32(l.InFlight)})
+		if load, ok := inner.LoadOf(l.Target, l.InFlight); ok {
+			report.InFlight = append(report.InFlight, load)
+		}
 	}
 	w.mu.Lock()
 	rows := detect.MergeRows(w.pending...)
@@ -313,14 +315,14 @@
 }
 
 func loads(service *fleet.Service, reported []inner.TargetLoad) []limit.Load {
-	counts := make(map[uint32]uint32, len(reported))
+	work := make(map[uint32]float64, len(reported))
 	for _, l := range reported {
-		counts[l.Target] = l.Count
+		work[l.Target] = l.InFlight()
 	}
 	var out []limit.Load
 	for _, t := range service.Targets {
-		if n, ok := counts[inner.TargetKey(t.ID)]; ok {
-			out = append(out, limit.Load{Target: t.ID, InFlight: float64(n)})
+		if n, ok := work[inner.TargetKey(t.ID)]; ok {
+			out = append(out, limit.Load{Target: t.ID, InFlight: n})
 		}
 	}
 	return out
--- a/core/inner/inner_test.go
+++ b/core/inner/inner_test.go
@@ -97,7 +97,7 @@
 		s := ServiceReport{Service: fleet.ServiceID("disponible-0" + string(rune('1'+i))), EjectionVersion: 812}
 		s.Evidence = bytes.Repeat([]byte{0xa5}, 6*targets)
 		for j := range targets {
-			s.InFlight = append(s.InFlight, TargetLoad{Target: 0x80000000 + uint32(j), Count: 2})
+			s.InFlight = append(s.InFlight, TargetLoad{Target: 0x80000000 + uint32(j), Quarters: 2})
 		}
 		m.Services = append(m.Services, s)
 	}
--- a/core/inner/report.go
+++ b/core/inner/report.go
@@ -1,6 +1,8 @@
 package inner
 
 import (
+	"math"
+
 	"github.com/cespare/xxhash/v2"
 
 	"wisteriarelay.example/core/fleet"
@@ -50,7 +52,24 @@
 	_ struct{} `cbor:",toarray"`
 	// Target is the TargetKey of the target.
 	Target uint32
-	Count  uint32
+	// Quarters is the mean work in quarters of a request. The work of several
+	// peers adds up, so that whole numbers would lose most of short requests.
+	Quarters uint32
+}
+
+// quartersPerRequest is the resolution of TargetLoad.
+const quartersPerRequest = 4
+
+// LoadOf returns the report of the mean work in flight; ok is false if it
+// rounds to nothing and is left out.
+func LoadOf(target fleet.TargetID, inFlight float64) (l TargetLoad, ok bool) {
+	q := math.Round(min(max(inFlight, 0)*quartersPerRequest, math.MaxUint32))
+	return TargetLoad{Target: TargetKey(target), Quarters: uint32(q)}, q > 0
+}
+
+// InFlight returns the mean work in requests.
+func (l TargetLoad) InFlight() float64 {
+	return float64(l.Quarters) / quartersPerRequest
 }
 
 // TargetKey returns the short form of a target id in reports. A collision
