--- a/core/daemon/engine.go
+++ b/core/daemon/engine.go
@@ -152,9 +152,11 @@
 	return ok && w.hasSuspects()
 }
 
-// isReady reports whether the daemon has settings and knows the fleet.
+// isReady reports whether the daemon has settings and knows the fleet. A daemon
+// whose VM id belongs to a newer incarnation is no longer handed out.
 func (e *engine) isReady() bool {
-	return e.follower.Current() != nil && e.members.View().Known && !e.leaving.Load()
+	view := e.members.View()
+	return e.follower.Current() != nil && view.Known && !view.Superseded && !e.leaving.Load()
 }
 
 // hear takes the settings revision that a peer states.
--- a/core/daemon/handlers.go
+++ b/core/daemon/handlers.go
@@ -85,7 +85,7 @@
 	dump.Add("process-settings", func() any { return s })
 	dump.Add("services", e.state)
 	dump.Add("settings", func() any { return f.State() })
-	dump.Add("members", func() any { return m.View() })
+	dump.Add("members", func() any { return m.Dump(time.Now()) })
 	dump.Add("reports", func() any { return m.Counters() })
 	dump.Add("orders", func() any { return desk.Dump() })
 	if p.State != nil {
