Keep ejection rows readable and the policy figures exact

Cause: a reason cut inside a character, or one with broken bytes, grew in JSON beyond the bound that readers check, so the row could no longer be read; and the read interval's jitter made some policy figures differ between runs. Change: texts are cut at whole characters, Encode reads its value back, the simulation runs without jitter, and there are a fuzz target for the row, a test of the recorder under concurrent drains, and benchmarks of cost. The new test of texts fails without the change.

--- a/core/detect/carry.go
+++ b/core/detect/carry.go
@@ -25,7 +25,7 @@
 			e.step(ctx, time.Now())
 		case <-timer.C:
 			e.step(ctx, time.Now())
-			timer.Reset(jitter(ejectorTick))
+			timer.Reset(e.spread(ejectorTick))
 		}
 	}
 }
@@ -191,7 +191,7 @@
 	}
 	e.heard.CompareAndSwap(heard, e.listing.Load().Version)
 	e.stale = false
-	e.nextRead = now.Add(jitter(rereadInterval))
+	e.nextRead = now.Add(e.spread(rereadInterval))
 	return nil
 }
 
--- /dev/null
+++ b/core/detect/cost_test.go
@@ -0,0 +1,65 @@
+package detect
+
+import (
+	"testing"
+	"time"
+
+	"wisteriarelay.example/core/fleet"
+)
+
+// costTargets is the number of targets of an average service in two years.
+const costTargets = 27
+
+// BenchmarkAssess is the cost of one Assess of a service with 27 targets and
+// six carriers whose windows are full.
+func BenchmarkAssess(b *testing.B) {
+	for _, p := range []struct {
+		name   string
+		preset fleet.Detection
+	}{{"fast", fastPreset}, {"careful", carefulPreset}} {
+		b.Run(p.name, func(b *testing.B) {
+			e := newBench(costTargets)
+			e.svc.Policy.Detection = p.preset
+			for range int(wideWindows * p.preset.Window / time.Second) {
+				e.each(func(_, i int, r *Row) {
+					if i == 2 {
+						r.Counts[Failed] = 1
+					}
+				})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				e.s.Assess(e.now)
+			}
+		})
+	}
+}
+
+// BenchmarkRecord is the cost on the request path, with all cores recording
+// at one target.
+func BenchmarkRecord(b *testing.B) {
+	r := NewRecorder(testService(costTargets))
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r.Record("c", OK, 7*time.Millisecond)
+		}
+	})
+}
+
+// BenchmarkRowBytes reports the size of a row with ordinary traffic and probes.
+func BenchmarkRowBytes(b *testing.B) {
+	svc := testService(costTargets)
+	r := NewRecorder(svc)
+	roster := NewRoster(svc)
+	var size int
+	for b.Loop() {
+		for i := range svc.Targets {
+			for range 3 {
+				r.Record(svc.Targets[i].ID, OK, 7*time.Millisecond)
+			}
+		}
+		r.RecordProbe("c", OK, 25*time.Millisecond)
+		size = len(EncodeRows(roster, r.Drain()))
+	}
+	b.ReportMetric(float64(size)/costTargets, "bytes/target")
+}
--- a/core/detect/ejections.go
+++ b/core/detect/ejections.go
@@ -78,7 +78,7 @@
 	maxRowBytes = 1 << 20
 	// maxChanges is the number of write ids kept.
 	maxChanges = 16
-	// maxReason bounds the reason text in bytes.
+	// maxReason bounds the reason and the author in bytes.
 	maxReason = 512
 	// maxPeriodMS bounds a period to a day, far above any sensible ejection-max.
 	maxPeriodMS = 24 * 60 * 60 * 1000
@@ -135,8 +135,8 @@
 		return "no start"
 	case e.PeriodMS < 0 || e.PeriodMS > maxPeriodMS:
 		return "period out of bounds"
-	case len(e.Reason) > maxReason:
-		return "reason too long"
+	case len(e.Reason) > maxReason || len(e.By) > maxReason:
+		return "text too long"
 	case e.By == "":
 		return "no author"
 	case e.Phase == PhaseByHand:
@@ -150,15 +150,16 @@
 	}
 }
 
-// Encode returns the row value.
+// Encode returns the row value. It reads the value back, so that no row is
+// written that the readers would reject.
 func (j Ejections) Encode() ([]byte, error) {
-	if err := j.Validate(); err != nil {
-		return nil, err
-	}
 	data, err := json.Marshal(j)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "encode ejection list of %s", j.Service)
 	}
+	if _, err := DecodeEjections(j.Service, data); err != nil {
+		return nil, err
+	}
 	return data, nil
 }
 
--- a/core/detect/ejections_test.go
+++ b/core/detect/ejections_test.go
@@ -1,6 +1,9 @@
 package detect
 
 import (
+	"bytes"
+	"strings"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -93,6 +96,16 @@
 		Expect(fault.Is(err, fault.MessageInvalid)).To(BeTrue())
 	})
 
+	It("keeps rows readable whatever an operator writes", func() {
+		for _, reason := range []string{"a" + strings.Repeat("ñ", 400), strings.Repeat("\xff", 400), strings.Repeat("\xff", 900)} {
+			j, err := NewEjections(svc.ID).EjectByHand(svc, nil, "a", "íñigo", reason, epoch)
+			Expect(err).NotTo(HaveOccurred())
+			data, err := j.Encode()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(DecodeEjections(svc.ID, data)).To(Equal(j))
+		}
+	})
+
 	It("rejects a row that lists more than its own bound", func() {
 		j := eject(NewEjections(svc.ID), "a", epoch)
 		j.Floor = 6
@@ -100,3 +113,32 @@
 		Expect(fault.Is(err, fault.MessageInvalid)).To(BeTrue())
 	})
 })
+
+func FuzzDecodeEjections(f *testing.F) {
+	svc := testService(6)
+	j, _ := NewEjections(svc.ID).Eject(svc, nil, condemned("a"), "vm1", epoch)
+	whole, _ := j.Stamp("vm1.1").Encode()
+	f.Add(whole)
+	f.Add(whole[:len(whole)/2])
+	f.Add(bytes.Replace(whole, []byte(`"floor":3`), []byte(`"floor":6`), 1))
+	f.Add([]byte(`{"service":"reservas","entries":null,"extra":1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		j, err := DecodeEjections(svc.ID, data)
+		if err != nil {
+			return
+		}
+		if len(j.Entries) > j.Targets-j.Floor {
+			t.Fatalf("accepted %d entries with floor %d of %d", len(j.Entries), j.Floor, j.Targets)
+		}
+		again, err := j.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := DecodeEjections(svc.ID, again); err != nil {
+			t.Fatal(err)
+		}
+		if n := j.Fit(svc, epoch); n.Validate() != nil {
+			t.Fatalf("fitted row is not valid: %v", n.Validate())
+		}
+	})
+}
--- a/core/detect/ejector.go
+++ b/core/detect/ejector.go
@@ -67,6 +67,7 @@
 	table   store.Table
 	rank    func(fleet.TargetID) int
 	changed func(Listing)
+	spread  func(time.Duration) time.Duration
 
 	listing atomic.Pointer[Listing]
 	latest  atomic.Pointer[submission]
@@ -116,6 +117,7 @@
 		service: service, writer: writer, table: table,
 		rank:      func(fleet.TargetID) int { return 0 },
 		changed:   func(Listing) {},
+		spread:    jitter,
 		orders:    make(chan order),
 		wake:      make(chan struct{}, 1),
 		done:      make(chan struct{}),
--- a/core/detect/policy_sim_test.go
+++ b/core/detect/policy_sim_test.go
@@ -161,6 +161,7 @@
 			k.service.SetCarriers(benchCarriers())
 		}
 		k.ejector = NewEjector(s.svc.ID, fleet.Incarnation(vmName(i)), table.table(), WithRank(rank))
+		k.ejector.spread = func(d time.Duration) time.Duration { return d }
 		k.states = States(s.svc, NewEjections(s.svc.ID), nil, nil, nil, s.time())
 		s.carriers = append(s.carriers, k)
 	}
--- a/core/detect/row_test.go
+++ b/core/detect/row_test.go
@@ -1,6 +1,7 @@
 package detect
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -48,6 +49,33 @@
 		Expect(back[0].Latency.Latency()).To(BeNumerically("~", 20*time.Millisecond, time.Millisecond))
 	})
 
+	It("loses no count between recording, draining and an update of the list", func() {
+		const workers, each = 8, 2000
+		r := NewRecorder(svc)
+		var wg sync.WaitGroup
+		for range workers {
+			wg.Go(func() {
+				for range each {
+					r.Record("c", OK, time.Millisecond)
+				}
+			})
+		}
+		total := uint32(0)
+		drain := func() {
+			for _, row := range r.Drain() {
+				total += row.Counts[OK]
+				Expect(row.Latency).To(Equal(CodeOf(time.Millisecond)), "a count goes with its latency")
+			}
+		}
+		for range 50 {
+			drain()
+			r.Update(svc)
+		}
+		wg.Wait()
+		drain()
+		Expect(total).To(Equal(uint32(workers * each)))
+	})
+
 	It("refuses rows of another target list", func() {
 		data := EncodeRows(roster, rec(func(r *Recorder) { r.Record("a", Failed, 0) }))
 		_, err := DecodeRows(NewRoster(testService(26)), data)
--- a/core/detect/transition.go
+++ b/core/detect/transition.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"wisteriarelay.example/core/fault"
@@ -27,7 +28,7 @@
 	period := n.nextPeriod(svc.Policy, v.Target, now)
 	n.Entries = append(n.Entries, Ejection{
 		Target: v.Target, Phase: PhaseEjected, Since: stored(now), Until: stored(now.Add(period)), PeriodMS: period.Milliseconds(),
-		Severity: v.Severity, By: by, Reason: clip(v.Reason),
+		Severity: v.Severity, By: clip(by), Reason: clip(v.Reason),
 	})
 	return n.seal(j), nil
 }
@@ -39,7 +40,7 @@
 		return j, fault.New(fault.BadRequest, "ejection by hand without an operator")
 	}
 	n := j.fit(svc, now)
-	entry := Ejection{Target: id, Phase: PhaseByHand, Since: stored(now), By: operator, Reason: clip(reason)}
+	entry := Ejection{Target: id, Phase: PhaseByHand, Since: stored(now), By: clip(operator), Reason: clip(reason)}
 	if i := n.index(id); i >= 0 {
 		if n.Entries[i].Phase != PhaseByHand {
 			n.Entries[i] = entry
@@ -62,7 +63,7 @@
 	}
 	n := j.fit(svc, now)
 	if i := n.index(id); i >= 0 {
-		n.retire(i, Past{Target: id, Returned: stored(now), By: operator, Reason: clip(reason)})
+		n.retire(i, Past{Target: id, Returned: stored(now), By: clip(operator), Reason: clip(reason)})
 	}
 	return n.seal(j), nil
 }
@@ -91,11 +92,11 @@
 	}
 	e := &n.Entries[i]
 	if passed {
-		n.retire(i, Past{Target: id, Returned: stored(now), PeriodMS: e.PeriodMS, By: by, Reason: "trial passed"})
+		n.retire(i, Past{Target: id, Returned: stored(now), PeriodMS: e.PeriodMS, By: clip(by), Reason: "trial passed"})
 		return n.seal(j), nil
 	}
 	period := min(2*e.Period(), svc.Policy.Ejection.Max)
-	e.Phase, e.PeriodMS, e.Until, e.By = PhaseEjected, period.Milliseconds(), stored(now.Add(period)), by
+	e.Phase, e.PeriodMS, e.Until, e.By = PhaseEjected, period.Milliseconds(), stored(now.Add(period)), clip(by)
 	return n.seal(j), nil
 }
 
@@ -199,8 +200,14 @@
 	return slices.ContainsFunc(svc.Targets, func(t fleet.Target) bool { return t.ID == id })
 }
 
-func clip(reason string) string {
-	return reason[:min(len(reason), maxReason)]
+// clip bounds a text for the row. It keeps whole characters, since JSON turns
+// a broken one into three bytes and the text would exceed its bound at readers.
+func clip(text string) string {
+	text = strings.ToValidUTF8(text, "?")
+	if len(text) <= maxReason {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxReason], "")
 }
 
 // stored returns the time as the row keeps it: UTC and without the reading of
