Send reports every 3 s instead of every 2 s

Change: a round about all services is every third round of 1 s; suspect services keep their reports every second, a peer is unheard after 3 intervals, now 9 s, and package limit takes a report in full for as long.

--- a/core/inner/pool.go
+++ b/core/inner/pool.go
@@ -14,7 +14,7 @@
 const (
 	retryInitial = 250 * time.Millisecond
 	// retryMax keeps the time to hear a peer again after a partition near the
-	// 3 intervals of 2 s after which it counted as unheard.
+	// 3 intervals of 3 s after which it counted as unheard.
 	retryMax = 4 * time.Second
 )
 
--- a/core/limit/peers.go
+++ b/core/limit/peers.go
@@ -16,9 +16,9 @@
 }
 
 const (
-	// peerFresh is how long a report counts in full: three intervals of 2 s, after
+	// peerFresh is how long a report counts in full: three intervals of 3 s, after
 	// which section 10 of the design calls the peer unheard.
-	peerFresh = 6 * time.Second
+	peerFresh = 9 * time.Second
 	// peerHalving is the time in which the share of an unheard peer halves.
 	peerHalving = 2 * time.Second
 	// peerGone is the age at which a report is dropped; by then it counts 1/8.
--- a/core/member/option.go
+++ b/core/member/option.go
@@ -12,10 +12,14 @@
 )
 
 const (
-	// Interval is the time between two reports to a peer.
-	Interval = 2 * time.Second
+	// Interval is the time between two reports to a peer. At 2 s, the control
+	// traffic of a daemon at the planned scale exceeds 5 KB/s.
+	Interval = roundsPerInterval * SuspectInterval
 	// SuspectInterval is the time between two reports about a suspect service.
-	SuspectInterval = Interval / 2
+	SuspectInterval = time.Second
+	// roundsPerInterval is the number of rounds of which one is about all
+	// services and the others about the suspect ones.
+	roundsPerInterval = 3
 	// UnheardAfter is the silence after which a peer is unheard; two reports
 	// may get lost before.
 	UnheardAfter = 3 * Interval
--- a/core/member/sender.go
+++ b/core/member/sender.go
@@ -20,10 +20,10 @@
 	running *sync.WaitGroup
 	rng     *rand.Rand
 	urgent  *rate.Limiter
-	// suspectTurn alternates between rounds about all services and rounds
-	// about the suspect ones.
-	suspectTurn bool
-	lastTick    time.Time
+	// turn counts the rounds; the first of each interval is about all
+	// services, the others are about the suspect ones.
+	turn     int
+	lastTick time.Time
 }
 
 func newSender(t *Table, running *sync.WaitGroup) *sender {
@@ -36,7 +36,7 @@
 	}
 }
 
-// loop starts a round of reports every half interval and when it is woken.
+// loop starts a round of reports every SuspectInterval and when it is woken.
 func (s *sender) loop(ctx context.Context) {
 	defer s.running.Done()
 	// The random start spreads daemons that start together.
@@ -60,12 +60,12 @@
 	s.lastTick = now
 	s.table.sweep(now, paused)
 	services, urgent := s.table.carriedNow(), s.table.takeUrgent()
-	if s.suspectTurn {
+	if s.turn%roundsPerInterval != 0 {
 		services = slices.DeleteFunc(services, func(id fleet.ServiceID) bool {
 			return !slices.Contains(urgent, id) && !s.isSuspect(id)
 		})
 	}
-	s.suspectTurn = !s.suspectTurn
+	s.turn++
 	s.round(ctx, services, false)
 }
 
