--- a/core/detect/exam.go
+++ b/core/detect/exam.go
@@ -43,7 +43,11 @@
 			x.targets = append(x.targets, t.ID)
 		}
 	}
-	for _, o := range s.observers {
+	for id, o := range s.observers {
+		if o.heard.Before(x.wide) {
+			delete(s.observers, id)
+			continue
+		}
 		w := witness{o: o, recent: make([]tally, len(x.targets))}
 		for t, id := range x.targets {
 			w.recent[t] = o.series[id].since(x.recent)
