Test target numbering across a change of settings

Cause: rows on the wire number the targets, and two daemons may hold different lists for some seconds; nothing tested that numbers of another list are never read. Change: a spec for the present, the previous and an unknown list, which also covers slow start of a target that joins.

--- a/core/detect/assess_test.go
+++ b/core/detect/assess_test.go
@@ -314,4 +314,19 @@
 		}
 		Expect(verdicts()).To(Equal([]string{"condemn c slow"}))
 	})
+
+	// Guards against evidence that is held against another target because two
+	// daemons number the targets differently while settings change.
+	It("reads rows of the present and the previous target list only", func() {
+		old := EncodeRows(NewRoster(b.svc), []Row{{Target: "c", ProbesFailed: 3}})
+		grown := testService(10)
+		b.s.Update(grown, b.now)
+		Expect(b.s.AddWire("vm3", "pinamar", old, b.now)).To(Succeed())
+		Expect(verdicts()).To(Equal([]string{"avoid c probes-failing"}))
+		Expect(b.s.AddWire("vm3", "pinamar", EncodeRows(NewRoster(testService(4)), nil), b.now)).NotTo(Succeed())
+		states := States(grown, NewEjections(grown.ID), nil, b.s.Assess(b.now), b.s.Started(), b.now.Add(5*time.Second))
+		Expect(stateOf(states, "c")).To(Equal(Avoided))
+		Expect(states[9].State).To(Equal(SlowStart), "a target that joins starts slowly")
+		Expect(states[9].Weight).To(BeNumerically("~", 0.55, 0.001))
+	})
 })
