Show an unset list of drained targets as a list

The API answered null for the key drained where no target was ever drained, while the registry of keys names [] as the default. A new spec of package admin on a drain that waits for the other owner found it; the default is now an empty list. Details of problems no longer end in the line break of the platform's reply.

--- a/core/admin/admin_test.go
+++ b/core/admin/admin_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"wisteriarelay.example/core/config"
 	"wisteriarelay.example/core/settle"
 	"wisteriarelay.example/core/stand"
 	"wisteriarelay.example/core/tree"
@@ -26,6 +29,20 @@
 		Entry("an endpoint that does not exist", "", "/v1/nothing"),
 	)
 
+	// Guards against a change of tokens that locks the operator out.
+	It("accepts both tokens of an operator who stands twice in the settings", func() {
+		second := seal("spare")
+		second.Name = "marta"
+		tokens, err := parseTokens([]config.Operator{seal("marta"), second})
+		Expect(err).NotTo(HaveOccurred())
+		a := &api{tokens: tokens}
+		for _, token := range []string{"token-marta", "token-spare"} {
+			r := httptest.NewRequest("GET", "/v1/state", nil)
+			r.Header.Set("Authorization", "Bearer "+token)
+			Expect(a.authenticate(r)).To(Equal("marta"))
+		}
+	})
+
 	// Guards against a change that cannot be traced to its operator.
 	It("logs each change with operator and change id", func() {
 		r := newRig()
@@ -93,6 +110,19 @@
 		Expect(p.Problems).To(HaveLen(2))
 	})
 
+	// Guards against a malformed body that is taken for an empty proposal.
+	DescribeTable("refuses malformed bodies", func(body string, status int) {
+		r := newRig()
+		r.boot()
+		Expect(r.as("marta", "POST", "/v1/changes", body, nil)).To(Equal(status))
+	},
+		Entry("not JSON", "ops", http.StatusBadRequest),
+		Entry("an unknown field", `{"op": []}`, http.StatusBadRequest),
+		Entry("an unknown field of an op", `{"ops": [{"path": "/", "keys": "x"}]}`, http.StatusUnprocessableEntity),
+		Entry("no ops", `{}`, http.StatusUnprocessableEntity),
+		Entry("a body above the bound", `{"note": "`+strings.Repeat("x", maxBody)+`"}`, http.StatusRequestEntityTooLarge),
+	)
+
 	// Guards against an operator who hands the settings to other owners.
 	It("refuses a bootstrap by an operator who is no owner of the document", func() {
 		var p Problem
@@ -144,6 +174,22 @@
 		Expect(drained(r)).To(MatchJSON(`["r2", "r1"]`))
 	})
 
+	// Guards against a drain that takes effect without the other owner's approval.
+	It("keeps a drain for the other owner where both must approve", func() {
+		r := newRig()
+		r.boot()
+		var c settle.Change
+		Expect(r.as("marta", "POST", "/v1/changes", ProposeBody{Ops: []tree.Op{tree.Set(workspace, "approval", "both")}}, &c)).To(Equal(http.StatusOK))
+		Expect(r.as("marta", "POST", "/v1/changes/"+c.ID+"/commit", nil, nil)).To(Equal(http.StatusOK))
+		var reply CommitReply
+		Expect(r.as("marta", "POST", "/v1/services/reservas/targets/r1/drain", nil, &reply)).To(Equal(http.StatusOK))
+		Expect(reply.Outcome).To(Equal(AwaitsApproval))
+		Expect(drained(r)).To(MatchJSON(`[]`))
+		Expect(r.as("hector", "POST", "/v1/changes/"+reply.Change+"/approve", nil, nil)).To(Equal(http.StatusOK))
+		Expect(r.as("marta", "POST", "/v1/changes/"+reply.Change+"/commit", nil, nil)).To(Equal(http.StatusOK))
+		Expect(drained(r)).To(MatchJSON(`["r1"]`))
+	})
+
 	// Guards against an ejection by hand that takes the service below its floor.
 	It("refuses an ejection at the floor", func() {
 		r := newRig()
--- a/core/admin/problem.go
+++ b/core/admin/problem.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -74,7 +75,7 @@
 		Kind: answer.Name, Outcome: e.Outcome, Retry: answer.Retry, RequestID: id,
 	}
 	if e.Cause != nil {
-		p.Detail += ": " + e.Cause.Error()
+		p.Detail += ": " + strings.TrimSpace(e.Cause.Error())
 	}
 	if e.Retry != "" {
 		p.Retry = e.Retry
--- a/core/tree/keys.go
+++ b/core/tree/keys.go
@@ -64,7 +64,7 @@
 	keyTargets     = newKey("targets", serviceOnly, "none", "targets of the service", targetsAllowed, parseTargets, []TargetEntry(nil))
 	keySlots       = intKey("slots", targetLevels, 1, maxSlots, 2, "requests a target works on at once")
 	keyConnections = intKey("connections", targetLevels, 1, maxConnections, 330, "connections a target accepts from the whole fleet")
-	keyDrained     = newKey("drained", drainedLevels, "[]", "ids of drained targets (service), or true for a whole data centre", drainedAllowed, parseDrained, []fleet.TargetID(nil))
+	keyDrained     = newKey("drained", drainedLevels, "[]", "ids of drained targets (service), or true for a whole data centre", drainedAllowed, parseDrained, []fleet.TargetID{})
 	keyFloor       = newKey("floor", serviceLevels, `"50%"`, "smallest number of targets in service", floorAllowed, parseFloor, fleet.Floor{Percent: 50})
 	keyCarriers    = intKey("carriers", serviceLevels, 1, maxCarriers, 6, "daemons that carry the service")
 
