Export the gauges that alarms need

The metrics said nothing about readiness, the age of the last head read or the states of targets, so an alarm could only watch requests.

--- a/core/daemon/admin.go
+++ b/core/daemon/admin.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/gorilla/mux"
 
 	"wisteriarelay.example/core/admin"
 	"wisteriarelay.example/core/config"
+	"wisteriarelay.example/core/detect"
 	"wisteriarelay.example/core/fault"
 	"wisteriarelay.example/core/fleet"
 	"wisteriarelay.example/core/inner"
@@ -18,6 +20,7 @@
 
 // newAdmin serves metrics, without a token, and the administration API.
 func newAdmin(s *config.Settings, p Platform, c *inner.Client, e *engine, set *stats.Set, dump *stats.Dump, l log.Logger) (http.Handler, error) {
+	registerGauges(set, e)
 	r := mux.NewRouter()
 	r.Handle("/metrics", set).Methods(http.MethodGet)
 	err := admin.Mount(r, admin.Deps{
@@ -88,3 +91,43 @@
 	}
 	return w.ejector.ReturnByHand(ctx, o.Target, o.Operator, o.Reason)
 }
+
+// registerGauges adds the metrics that alarms are built on.
+func registerGauges(set *stats.Set, e *engine) {
+	set.Gauge("wisteria_ready", func() int64 { return flagValue(e.isReady()) })
+	set.Gauge("wisteria_leaving", func() int64 { return flagValue(e.leaving.Load()) })
+	set.Gauge("wisteria_settings_head_age_seconds", e.headAge)
+	set.Gauge("wisteria_services_carried", func() int64 { return int64(len(*e.watches.Load())) })
+	for state := detect.Ready; state <= detect.Leaving; state++ {
+		set.Gauge(stats.Label("wisteria_targets", "state", state.String()), func() int64 { return e.countTargets(state) })
+	}
+}
+
+func flagValue(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// headAge returns the seconds since the head row was read; -1 if it never was.
+func (e *engine) headAge() int64 {
+	read := e.follower.State().HeadReadAt
+	if read.IsZero() {
+		return -1
+	}
+	return int64(time.Since(read).Seconds())
+}
+
+// countTargets returns the number of targets in a state, over the carried services.
+func (e *engine) countTargets(state detect.State) int64 {
+	n := int64(0)
+	for _, w := range *e.watches.Load() {
+		for _, s := range *w.states.Load() {
+			if s.State == state {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/core/daemon/session_test.go
+++ b/core/daemon/session_test.go
@@ -113,6 +113,8 @@
 	servers  []*http.Server
 	daemon   *Daemon
 	started  time.Time
+	// operators are those of the daemon's settings.
+	operators []config.Operator
 
 	mu    sync.Mutex
 	lines []string
@@ -178,6 +180,7 @@
 	settings.VM, settings.Region, settings.DataCentre = "mdp-1", "ar-costa", "mdp"
 	settings.CallerAddress, settings.InnerAddress, settings.AdminAddress = "10.0.0.1:7000", "10.0.0.1:7100", "10.0.0.1:7200"
 	settings.FleetSecrets = []config.Secret{config.Secret("0123456789abcdef")}
+	settings.Operators = s.operators
 	s.g.Expect(s.platform.PutVM(context.Background(), settings.Self())).To(Succeed())
 	authority, err := inner.NewAuthority()
 	s.g.Expect(err).NotTo(HaveOccurred())
