Take a malformed administration URL for wrong usage

A URL without scheme or host was reported as a commit in doubt, because the HTTP client's error is not a failed dial. A proposal in doubt no longer states so twice.

--- a/wisteriactl/changes.go
+++ b/wisteriactl/changes.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/tailscale/hujson"
 	"github.com/urfave/cli/v3"
 
@@ -175,8 +176,9 @@
 		body.ID = strings.ToLower(rand.Text()[:idLength])
 	}
 	err = sendChange(ctx, c, post("/changes", body))
-	if exitCode(err) == exitUnknown && err != nil {
-		return &unknown{detail: err.Error() + "; look with: wisteriactl show " + body.ID}
+	var doubt *unknown
+	if errors.As(err, &doubt) {
+		doubt.detail += "; look with: wisteriactl show " + body.ID
 	}
 	return err
 }
--- a/wisteriactl/client.go
+++ b/wisteriactl/client.go
@@ -79,7 +79,11 @@
 			return nil, err
 		}
 	}
-	address := strings.TrimSuffix(c.String("admin"), "/") + "/v1" + r.path
+	base, err := url.Parse(c.String("admin"))
+	if err != nil || base.Host == "" || base.Scheme != "http" && base.Scheme != "https" {
+		return nil, wrongUsage("--admin %q; allowed: a URL such as http://10.10.1.1:7200", c.String("admin"))
+	}
+	address := strings.TrimSuffix(base.String(), "/") + "/v1" + r.path
 	if len(r.query) > 0 {
 		address += "?" + r.query.Encode()
 	}
--- a/wisteriactl/main_test.go
+++ b/wisteriactl/main_test.go
@@ -129,6 +129,15 @@
 		Expect(out).To(ContainSubstring("accepted"))
 	})
 
+	// Guards against a malformed URL that is reported as a commit in doubt.
+	It("takes a malformed URL for wrong usage", func() {
+		c := newCtl()
+		for _, c.url = range []string{"callers", "127.0.0.1:7200", "ftp://127.0.0.1"} {
+			code, _, _ := c.run("marta", "commit", "first")
+			Expect(code).To(Equal(exitUsage), c.url)
+		}
+	})
+
 	// Guards against a daemon that is away being reported as a doubt.
 	It("refuses when no connection can be made", func() {
 		c := newCtl()
