--- a/core/daemon/watch.go
+++ b/core/daemon/watch.go
@@ -155,6 +155,13 @@
 	w.peers = carriers
 }
 
+// members returns the daemons that share the targets' slots.
+func (w *watch) members() map[fleet.VMID]fleet.DataCentre {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.peers
+}
+
 // tick judges the evidence and renews the target states.
 func (w *watch) tick(now time.Time) {
 	service := w.service.Load()
@@ -170,7 +177,7 @@
 	w.ejector.Submit(detect.Assessment{Service: service, Verdicts: verdicts, Signs: signs, Typical: w.evidence.Typical()})
 	states := detect.States(service, listing.Ejections, signs, verdicts, w.evidence.Started(), now)
 	w.states.Store(&states)
-	w.carrier.Update(service, w.gateTargets(service, states))
+	w.carrier.Update(service, w.gateTargets(service, states), w.members())
 	w.carrier.Prune(now)
 }
 
@@ -193,25 +200,38 @@
 	detect.Leaving:   choose.Closed,
 }
 
-// trialShare is the share of idempotent requests that a target in trial gets.
-const trialShare = 0.05
+const (
+	// trialShare is the share of idempotent requests that a target in trial gets.
+	trialShare = 0.05
+	// confirmShare is the share of idempotent requests by which a daemon gathers
+	// evidence about a target that only others have found suspect. It ends as
+	// soon as the daemon has the few requests that a judgement needs.
+	confirmShare = 0.2
+)
 
 func (w *watch) gateTargets(service *fleet.Service, states []detect.TargetState) []limit.Target {
+	unconfirmed := w.evidence.Unconfirmed()
 	targets := make([]limit.Target, 0, len(states))
 	for _, s := range states {
 		t := service.Targets[s.Index]
-		weight := s.Weight
-		if s.State == detect.Trial {
-			weight = trialShare
-		}
-		targets = append(targets, limit.Target{
+		g := limit.Target{
 			ID:             s.Target,
 			Slots:          t.Slots,
 			State:          gateStates[s.State],
-			Weight:         weight,
-			TrialAllowed:   w.isProber(s.Target),
+			Weight:         s.Weight,
 			SameDataCentre: t.DataCentre == w.self.DataCentre,
-		})
+			DataCentre:     t.DataCentre,
+		}
+		switch {
+		case s.State == detect.Trial:
+			g.Weight = trialShare
+			g.TrialAllowed = w.isProber(s.Target)
+		case unconfirmed[s.Target] && !g.SameDataCentre && g.State != choose.Closed:
+			g.State = choose.Trial
+			g.Weight = confirmShare
+			g.TrialAllowed = true
+		}
+		targets = append(targets, g)
 	}
 	return targets
 }
@@ -276,7 +296,9 @@
 		EjectionVersion: listing.Version,
 	}
 	for _, l := range w.carrier.Gate().InFlight() {
-		report.InFlight = append(report.InFlight, inner.TargetLoad{Target: inner.TargetKey(l.Target), Count: uint32(l.InFlight)})
+		if load, ok := inner.LoadOf(l.Target, l.InFlight); ok {
+			report.InFlight = append(report.InFlight, load)
+		}
 	}
 	w.mu.Lock()
 	rows := detect.MergeRows(w.pending...)
@@ -313,14 +335,14 @@
 }
 
 func loads(service *fleet.Service, reported []inner.TargetLoad) []limit.Load {
-	counts := make(map[uint32]uint32, len(reported))
+	work := make(map[uint32]float64, len(reported))
 	for _, l := range reported {
-		counts[l.Target] = l.Count
+		work[l.Target] = l.InFlight()
 	}
 	var out []limit.Load
 	for _, t := range service.Targets {
-		if n, ok := counts[inner.TargetKey(t.ID)]; ok {
-			out = append(out, limit.Load{Target: t.ID, InFlight: float64(n)})
+		if n, ok := work[inner.TargetKey(t.ID)]; ok {
+			out = append(out, limit.Load{Target: t.ID, InFlight: n})
 		}
 	}
 	return out
--- a/core/detect/ejector.go
+++ b/core/detect/ejector.go
@@ -67,6 +67,7 @@
 	table   store.Table
 	rank    func(fleet.TargetID) int
 	changed func(Listing)
+	spread  func(time.Duration) time.Duration
 
 	listing atomic.Pointer[Listing]
 	latest  atomic.Pointer[submission]
@@ -116,6 +117,7 @@
 		service: service, writer: writer, table: table,
 		rank:      func(fleet.TargetID) int { return 0 },
 		changed:   func(Listing) {},
+		spread:    jitter,
 		orders:    make(chan order),
 		wake:      make(chan struct{}, 1),
 		done:      make(chan struct{}),
@@ -153,7 +155,11 @@
 
 // Submit replaces the assessment that the Ejector acts on.
 func (e *Ejector) Submit(a Assessment) {
-	e.latest.Store(&submission{Assessment: a, at: time.Now()})
+	e.submit(a, time.Now())
+}
+
+func (e *Ejector) submit(a Assessment, now time.Time) {
+	e.latest.Store(&submission{Assessment: a, at: now})
 }
 
 // Hear takes the version of the row that a peer reports; a higher one is read at once.
@@ -247,7 +253,7 @@
 			return false
 		}
 		if e.listing.CompareAndSwap(old, &l) {
-			e.trials.follow(l.Ejections, time.Now())
+			e.trials.follow(l.Ejections, l.Read)
 			e.changed(l)
 			return true
 		}
--- a/core/detect/service.go
+++ b/core/detect/service.go
@@ -1,6 +1,7 @@
 package detect
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -30,8 +31,13 @@
 	// started says when a target came up or returned, for slow start.
 	started map[fleet.TargetID]time.Time
 	since   map[fleet.TargetID]time.Time
+	// slow targets have a verdict of slowness as of the last Assess.
+	slow    map[fleet.TargetID]bool
 	suspect map[fleet.TargetID]bool
-	typical time.Duration
+	// unconfirmed holds the suspects about which this daemon has too little
+	// evidence of its own.
+	unconfirmed map[fleet.TargetID]bool
+	typical     time.Duration
 }
 
 // NewService returns an empty collection of evidence at the daemon self.
@@ -43,6 +49,7 @@
 		held:      map[fleet.TargetID]bool{},
 		started:   map[fleet.TargetID]time.Time{},
 		since:     map[fleet.TargetID]time.Time{},
+		slow:      map[fleet.TargetID]bool{},
 		suspect:   map[fleet.TargetID]bool{},
 	}
 	s.svc = svc
@@ -124,6 +131,7 @@
 		delete(o.series, id)
 	}
 	delete(s.since, id)
+	delete(s.slow, id)
 	delete(s.suspect, id)
 }
 
@@ -215,3 +223,13 @@
 	}
 	return out
 }
+
+// Unconfirmed returns the suspects about which this daemon has too little
+// evidence of its own, as of the last Assess. Daemons use targets of their own
+// data centre first, so that without a few requests to these targets the
+// observers of other data centres could never agree or disagree.
+func (s *Service) Unconfirmed() map[fleet.TargetID]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.unconfirmed)
+}
--- a/core/limit/gate_test.go
+++ b/core/limit/gate_test.go
@@ -1,6 +1,8 @@
 package limit_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -130,6 +132,11 @@
 		later(time.Nanosecond)
 		r.refused(c, fault.DeadlineExceeded)
 		r.Expect(r.gate.Stats()).To(gomega.Equal(limit.Stats{Granted: 1, RefusedLate: 1}))
+
+		ctx, cancel := context.WithTimeoutCause(r.ctx, time.Millisecond, errors.New("attempt timeout"))
+		defer cancel()
+		_, err := r.gate.Acquire(ctx, lookup)
+		r.Expect(fault.Is(err, fault.DeadlineExceeded)).To(gomega.BeTrue(), "a context with its own cause reads as a caller that left")
 	})
 }
 
@@ -149,6 +156,28 @@
 	})
 }
 
+// A slot must not be spent on a request that can no longer be in time while another
+// can, and must not idle if none can.
+func TestLateRequestGivesWay(t *testing.T) {
+	inBubble(t, ready(1, 1), func(r *rig) {
+		holder := r.granted(lookup)
+		time.Sleep(100 * time.Millisecond)
+		holder.Release(limit.Served)
+		holder = r.granted(lookup)
+		first, second := r.launch("", within(lookup, 250*time.Millisecond)), r.launch("", within(lookup, 900*time.Millisecond))
+		time.Sleep(200 * time.Millisecond)
+		holder.Release(limit.Unused)
+		synctest.Wait()
+		r.refused(first, fault.DeadlineExceeded)
+		r.Expect(second.grant()).NotTo(gomega.BeNil())
+		third := r.launch("", within(lookup, 250*time.Millisecond))
+		time.Sleep(200 * time.Millisecond)
+		second.grant().Release(limit.Unused)
+		synctest.Wait()
+		r.Expect(third.grant()).NotTo(gomega.BeNil(), "the slot idles")
+	})
+}
+
 // The queue must stay within its bound and give up what waits most.
 func TestQueueIsBounded(t *testing.T) {
 	snap := ready(1, 1)
--- a/core/member/option.go
+++ b/core/member/option.go
@@ -12,10 +12,14 @@
 )
 
 const (
-	// Interval is the time between two reports to a peer.
-	Interval = 2 * time.Second
+	// Interval is the time between two reports to a peer. At 2 s, the control
+	// traffic of a daemon at the planned scale exceeds 5 KB/s.
+	Interval = roundsPerInterval * SuspectInterval
 	// SuspectInterval is the time between two reports about a suspect service.
-	SuspectInterval = Interval / 2
+	SuspectInterval = time.Second
+	// roundsPerInterval is the number of rounds of which one is about all
+	// services and the others about the suspect ones.
+	roundsPerInterval = 3
 	// UnheardAfter is the silence after which a peer is unheard; two reports
 	// may get lost before.
 	UnheardAfter = 3 * Interval
@@ -25,7 +29,10 @@
 
 	pollInterval = 5 * time.Second
 	pollTimeout  = 3 * time.Second
-	pollRetryMax = time.Minute
+	// A daemon that starts while the list is away serves nobody, so the first
+	// retries come quickly; 690 daemons that retry every 15 s make 46 reads/s.
+	pollRetryMin = 500 * time.Millisecond
+	pollRetryMax = 15 * time.Second
 	// jitter spreads reports and polls of the fleet by this share either way.
 	jitter = 0.1
 	// forgetAfter keeps what is known of a silent VM, so that a late report of
--- a/standin/main.go
+++ b/standin/main.go
@@ -27,7 +27,7 @@
 	return &cli.Command{
 		Name:     "standin",
 		Usage:    "stand-ins for the platform and the targets, and a demo",
-		Commands: []*cli.Command{demoCommand(), faultCommand()},
+		Commands: []*cli.Command{demoCommand(), platformCommand(), targetCommand(), certsCommand(), faultCommand()},
 	}
 }
 
