--- /dev/null
+++ b/core/daemon/slope_test.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"wisteriarelay.example/core/detect"
+	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/stand"
+	"wisteriarelay.example/core/store"
+)
+
+func heapBytes() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// planWatch returns a watch with the evidence of six carriers over 40 s, ten
+// windows of the preset fast.
+func planWatch(targets int) *watch {
+	s := &fleet.Service{ID: "reservas", Policy: fleet.Policy{
+		Floor: fleet.Floor{Percent: 50}, Carriers: planCarriers, SlowStart: 10 * time.Second,
+		Detection: fleet.Detection{Window: 4 * time.Second, MinRequests: 4, FailureRatio: 0.4, SlowFactor: 3, MinObservers: 2},
+	}}
+	var rows []detect.Row
+	for i := range targets {
+		id := fleet.TargetID(fmt.Sprintf("reservas-%03d", i))
+		s.Targets = append(s.Targets, fleet.Target{ID: id, Address: "10.1.0.1:80", DataCentre: "mdp", Slots: 2})
+		rows = append(rows, detect.Row{Target: id, Counts: [8]uint32{detect.OK: 1}, Latency: 90})
+	}
+	w := newWatch(watchParts{self: fleet.VM{ID: "vm-0", DataCentre: "mdp"}, onAttempt: nil}, s)
+	var carriers []*fleet.VM
+	for i := range planCarriers {
+		carriers = append(carriers, &fleet.VM{ID: fleet.VMID(fmt.Sprintf("vm-%d", i)), DataCentre: "mdp"})
+	}
+	w.update(s, carriers)
+	for age := 40 * time.Second; age > 0; age -= watchTick {
+		w.evidence.Add("vm-0", "mdp", rows, time.Now().Add(-age))
+		for _, c := range carriers[1:] {
+			if age%(3*time.Second) == 0 {
+				w.evidence.Add(c.ID, "mdp", rows, time.Now().Add(-age))
+			}
+		}
+	}
+	w.tick(time.Now())
+	return w
+}
+
+// BenchmarkWatchHeap reports the heap of a carried service by number of targets.
+func BenchmarkWatchHeap(b *testing.B) {
+	for _, targets := range []int{10, 27, 54, 108} {
+		b.Run(fmt.Sprint("targets=", targets), func(b *testing.B) {
+			held := 0.0
+			for b.Loop() {
+				before := heapBytes()
+				w := planWatch(targets)
+				held = heapBytes() - before
+				runtime.KeepAlive(w)
+			}
+			b.ReportMetric(held, "heap-bytes/service")
+			b.ReportMetric(held/float64(targets), "heap-bytes/target")
+		})
+	}
+}
+
+// BenchmarkTick measures one tick of a carried service with ordinary evidence.
+func BenchmarkTick(b *testing.B) {
+	for _, targets := range []int{10, 27, 54, 108} {
+		b.Run(fmt.Sprint("targets=", targets), func(b *testing.B) {
+			w := planWatch(targets)
+			b.ReportAllocs()
+			for b.Loop() {
+				w.carrier.Recorder().Record(w.service.Load().Targets[0].ID, detect.OK, planWork)
+				w.tick(time.Now())
+			}
+		})
+	}
+}
+
+// BenchmarkRoundTrip measures a plain HTTP request on loopback, to which the
+// times of other benchmarks are related.
+func BenchmarkRoundTrip(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(err)
+	s := &http.Server{Handler: http.HandlerFunc(healthy)}
+	go memServer{s, l}.run()
+	defer s.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		resp, err := http.Get("http://" + l.Addr().String())
+		must(err)
+		must(resp.Body.Close())
+	}
+}
+
+// BenchmarkPolls reports the bytes of one read of the head row and of the VM
+// list's changes over HTTP, and of both per second at their intervals of 2 s and 5 s.
+func BenchmarkPolls(b *testing.B) {
+	f := &wire{}
+	p := stand.NewPlatform()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(err)
+	s := &http.Server{Handler: p}
+	go memServer{s, l}.run()
+	defer s.Close()
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return wireConn{c, f}, err
+	}}
+	c := store.NewClient("http://"+l.Addr().String(), store.WithTransport(transport))
+	defer c.Close()
+	ctx := context.Background()
+	must(p.Table().Apply(ctx, store.Tx{ID: "t", Puts: []store.Put{{Key: "settings/head", Value: []byte(`{"revision":4000,"change":"0123456789abcdef"}`)}}}))
+	for i := range 690 {
+		must(p.PutVM(ctx, fleet.VM{ID: fleet.VMID(fmt.Sprintf("mdp-entry-%03d", i)), Region: "ar-costa", DataCentre: "mdp", Caller: "10.0.0.1:7000", Inner: "10.0.0.1:7100", Admin: "10.0.0.1:7200"}))
+	}
+	poll := func(call func() error) float64 {
+		must(call())
+		before := f.bytes.Load()
+		must(call())
+		return float64(f.bytes.Load()-before) + 3*packetHeaders
+	}
+	version := uint64(0)
+	var head, list, full float64
+	for b.Loop() {
+		head = poll(func() error { _, err := c.Table().Get(ctx, "settings/head"); return err })
+		full = poll(func() error { v, err := c.VMList().Since(ctx, 0); version = v.Version; return err })
+		list = poll(func() error { _, err := c.VMList().Since(ctx, version); return err })
+	}
+	b.ReportMetric(head, "head-bytes/poll")
+	b.ReportMetric(list, "list-bytes/poll")
+	b.ReportMetric(full, "list-bytes/full")
+	b.ReportMetric(head/2+list/5, "bytes/s")
+}
--- a/core/member/bench_test.go
+++ b/core/member/bench_test.go
@@ -8,6 +8,7 @@
 
 	"wisteriarelay.example/core/fleet"
 	"wisteriarelay.example/core/inner"
+	"wisteriarelay.example/core/place"
 	"wisteriarelay.example/core/store"
 )
 
@@ -89,3 +90,12 @@
 		t.apply(store.VMChanges{Version: version, Live: []fleet.VM{vm}}, time.Now())
 	}
 }
+
+// BenchmarkAddresses measures the order of addresses for one caller.
+func BenchmarkAddresses(b *testing.B) {
+	t := makeScale(690, 360, false)
+	b.ReportAllocs()
+	for b.Loop() {
+		t.View().Addresses("service-000", place.Caller{DataCentre: "dc-a", Key: "10.9.0.1"}, time.Now())
+	}
+}
--- a/core/settle/bench_test.go
+++ b/core/settle/bench_test.go
@@ -13,23 +13,28 @@
 // bigDoc has the services, routes and workspaces of section 1 of the design
 // page and 27 targets for each service.
 func bigDoc(b *testing.B) *tree.Doc {
+	b.Helper()
+	return docOf(b, 24_000, 360, 4300)
+}
+
+func docOf(b *testing.B, workspaces, services, routes int) *tree.Doc {
 	b.Helper()
 	ops := []tree.Op{
 		tree.Set(tree.Root, "owners", []string{"ana", "luis"}), tree.Declare("/region/costa"), tree.Declare("/data-centre/mdp"),
 	}
-	for i := range 24_000 {
+	for i := range workspaces {
 		ops = append(ops, tree.Declare(tree.WorkspacePath(fleet.WorkspaceID(fmt.Sprintf("team-%05d", i)))))
 	}
-	for i := range 360 {
+	for i := range services {
 		var targets []tree.TargetEntry
 		for n := range 27 {
 			targets = append(targets, tree.TargetEntry{ID: fleet.TargetID(fmt.Sprint("t", n)), Address: fmt.Sprintf("10.%d.%d.%d:80", i>>8, i&255, n), DataCentre: "mdp"})
 		}
 		ops = append(ops, tree.Set(bigService(i), "region", "costa"), tree.Set(bigService(i), "targets", targets))
 	}
-	for i := range 4300 {
-		p := bigService(i%360) + tree.Path(fmt.Sprint("/route/r", i/360))
-		ops = append(ops, tree.Set(p, "methods", []string{"GET"}), tree.Set(p, "path-prefix", fmt.Sprint("/part-", i/360)))
+	for i := range routes {
+		p := bigService(i%services) + tree.Path(fmt.Sprint("/route/r", i/services))
+		ops = append(ops, tree.Set(p, "methods", []string{"GET"}), tree.Set(p, "path-prefix", fmt.Sprint("/part-", i/services)))
 	}
 	doc, err := tree.New().Apply(ops)
 	if err != nil {
@@ -96,6 +101,29 @@
 	b.ReportMetric(held, "heap-bytes")
 }
 
+// BenchmarkHeapSlope reports the heap of a follower with one part of the tree
+// halved, for the slope of each.
+func BenchmarkHeapSlope(b *testing.B) {
+	for _, n := range [][3]int{{24_000, 360, 4300}, {12_000, 360, 4300}, {24_000, 360, 2150}, {24_000, 180, 4300}} {
+		b.Run(fmt.Sprintf("workspaces=%d/services=%d/routes=%d", n[0], n[1], n[2]), func(b *testing.B) {
+			data, err := encodeSnapshot(1, docOf(b, n[0], n[1], n[2]))
+			if err != nil {
+				b.Fatal(err)
+			}
+			held := 0.0
+			for b.Loop() {
+				before := heapBytes()
+				f := NewFollower(newPlatform().table())
+				f.takeReply(&RevisionReplyMsg{Revision: 1, Snapshot: data})
+				held = heapBytes() - before
+				runtime.KeepAlive(f)
+			}
+			b.ReportMetric(held, "heap-bytes")
+			b.ReportMetric(float64(len(data)), "snapshot-bytes")
+		})
+	}
+}
+
 func heapBytes() float64 {
 	var m runtime.MemStats
 	runtime.GC()
