Test whole fleets of daemons against failures

Cause: the failure table of the design was tested part by part, and no test ran several daemons with their peers, targets and platform together.

--- /dev/null
+++ b/core/daemon/fleet_test.go
@@ -0,0 +1,306 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/proxy"
+	"wisteriarelay.example/core/settle"
+	"wisteriarelay.example/core/stand"
+	"wisteriarelay.example/core/tree"
+)
+
+// fleetSettings has six targets in three data centres, of which three may be
+// ejected.
+var fleetSettings = func() string {
+	var targets []string
+	for i := range 6 {
+		targets = append(targets, fmt.Sprintf(`{"id": "reservas-%d", "address": "%s:80", "data-centre": "%s"}`, i+1, targetHost(i), centres[i%len(centres)]))
+	}
+	a, rest, _ := strings.Cut(sessionSettings, `"targets": [`)
+	_, b, _ := strings.Cut(rest, "]")
+	text := a + `"targets": [` + strings.Join(targets, ",") + "]" + b
+	text = strings.Replace(text, `"/data-centre/mdp": {}`, `"/data-centre/mdp": {}, "/data-centre/pinamar": {}, "/data-centre/necochea": {}`, 1)
+	return strings.Replace(text, `"floor": 1`, `"floor": 3`, 1)
+}()
+
+func targetHost(i int) string { return fmt.Sprintf("10.1.0.%d", i+1) }
+
+func targetID(i int) fleet.TargetID { return fleet.TargetID(fmt.Sprintf("reservas-%d", i+1)) }
+
+// playFleet runs n daemons in a bubble until they know each other.
+func playFleet(t *testing.T, n int, act func(s *session)) {
+	playFleetOn(t, n, nil, act)
+}
+
+// playFleetOn changes what each daemon sees of the platform.
+func playFleetOn(t *testing.T, n int, wrap func(i int, p Platform) Platform, act func(s *session)) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSession(t, fleetSettings)
+		defer s.close()
+		s.wrap, s.quiet = wrap, true
+		s.fill(n)
+		act(s)
+	})
+}
+
+func (s *session) fill(n int) {
+	for range n {
+		s.start()
+	}
+	time.Sleep(10 * time.Second)
+	for _, d := range s.daemons {
+		s.g.Expect(d.Ready()).To(BeTrue())
+	}
+}
+
+// silence cuts a host off in both directions, as a paused or lost VM is.
+func (s *session) silence(host string) {
+	s.net.cut(host, anyHost)
+	s.net.cut(anyHost, host)
+}
+
+func (s *session) unsilence(host string) {
+	s.net.mend(host, anyHost)
+	s.net.mend(anyHost, host)
+}
+
+// reply is what a caller receives; err is set if it receives no response.
+type reply struct {
+	status        int
+	outcome, kind string
+	target, token string
+	replayed      bool
+	addresses     []fleet.VMID
+	ttl           int
+	err           error
+	body          string
+}
+
+// ask sends one request to a daemon; key is set for orders.
+func (s *session) ask(i int, method, path, key string) reply {
+	req, err := http.NewRequest(method, "http://"+host(i)+":7000"+path, nil)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	if !strings.HasPrefix(path, "/v1/") {
+		req.Header.Set("Wisteria-Service", "reservas")
+	}
+	if key != "" {
+		req.Header.Set("Idempotency-Key", `"`+key+`"`)
+	}
+	client := http.Client{Transport: &http.Transport{DialContext: s.net.dialFrom(callerHost), DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	var body struct {
+		Kind, Target, Token string
+		TTL                 int `json:"ttl-seconds"`
+		Addresses           json.RawMessage
+	}
+	_ = json.Unmarshal(data, &body)
+	r := reply{
+		status: resp.StatusCode, outcome: resp.Header.Get(proxy.HeaderOutcome), kind: body.Kind, target: body.Target, token: body.Token,
+		replayed: resp.Header.Get(proxy.HeaderReplayed) != "", ttl: body.TTL, err: err, body: string(data),
+	}
+	var list []proxy.Address
+	if json.Unmarshal(body.Addresses, &list) == nil {
+		for _, a := range list {
+			r.addresses = append(r.addresses, a.VM)
+		}
+	}
+	return r
+}
+
+func (s *session) look(i int) reply { return s.ask(i, http.MethodGet, "/bookings/7", "") }
+
+func (s *session) order(i int, key string) reply { return s.ask(i, http.MethodPost, "/bookings", key) }
+
+func (s *session) addresses(i int) []fleet.VMID {
+	return s.ask(i, http.MethodGet, "/v1/addresses?service=reservas", "").addresses
+}
+
+func (s *session) tokenAt(i int) string {
+	r := s.ask(i, http.MethodPost, "/v1/order-tokens?service=reservas", "")
+	s.g.Expect(r.token).NotTo(BeEmpty(), "%+v", r)
+	return r.token
+}
+
+// lateOrder is an order whose reply is awaited later.
+type lateOrder struct {
+	s     *session
+	i     int
+	key   string
+	reply chan reply
+}
+
+func (o lateOrder) run() { o.reply <- o.s.order(o.i, o.key) }
+
+func (s *session) sendOrder(i int, key string) chan reply {
+	o := lateOrder{s, i, key, make(chan reply, 1)}
+	go o.run()
+	return o.reply
+}
+
+// stopper stops a daemon gracefully.
+type stopper struct {
+	s    *session
+	i    int
+	done chan struct{}
+}
+
+func (p stopper) run() {
+	defer close(p.done)
+	if err := p.s.daemons[p.i].Stop(context.Background()); err != nil {
+		p.s.note("stop failed: %v", err)
+	}
+}
+
+func (s *session) stop(i int) chan struct{} {
+	p := stopper{s, i, make(chan struct{})}
+	go p.run()
+	return p.done
+}
+
+// runs returns how often the targets ran the order with the key.
+func (s *session) runs(key string) (n int) {
+	for _, t := range s.targets {
+		for _, r := range t.Runs() {
+			if strings.Contains(r.Key, key) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// load sends lookups to one daemon until it is stopped.
+type load struct {
+	s        *session
+	i        int
+	stop     chan struct{}
+	done     chan struct{}
+	failures atomic.Int64
+}
+
+const (
+	// loadEvery and loadsAtOnce make each daemon use both targets of its data
+	// centre: of two requests at once, each target takes one.
+	loadEvery   = 100 * time.Millisecond
+	loadsAtOnce = 2
+)
+
+func (l *load) run() {
+	defer close(l.done)
+	ticker := time.NewTicker(loadEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.stop:
+			return
+		case <-ticker.C:
+			if r := l.s.look(l.i); r.status != http.StatusOK {
+				l.failures.Add(1)
+			}
+		}
+	}
+}
+
+// loadAll sends lookups to all daemons until endLoad or close.
+func (s *session) loadAll() {
+	for i := range loadsAtOnce * len(s.daemons) {
+		l := &load{s: s, i: i / loadsAtOnce, stop: make(chan struct{}), done: make(chan struct{})}
+		s.loads = append(s.loads, l)
+		go l.run()
+	}
+}
+
+// endLoad returns the number of lookups that failed.
+func (s *session) endLoad() (failures int64) {
+	for _, l := range s.loads {
+		close(l.stop)
+		<-l.done
+		failures += l.failures.Load()
+	}
+	s.loads = nil
+	return failures
+}
+
+// states returns the state of a target at each daemon.
+func (s *session) states(target int) []string {
+	var out []string
+	for _, d := range s.daemons {
+		state, _, _ := d.TargetState(targetID(target))
+		out = append(out, state)
+	}
+	return out
+}
+
+// inState returns how many targets a daemon has in one of the states.
+func (s *session) inState(i int, states ...string) (n int) {
+	for t := range s.targets {
+		state, _, _ := s.daemons[i].TargetState(targetID(t))
+		for _, want := range states {
+			if state == want {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// step is the time between two looks at the fleet.
+const step = 250 * time.Millisecond
+
+// within checks every step until check holds, and fails after limit.
+func (s *session) within(limit time.Duration, what string, check func() bool) time.Duration {
+	began := time.Now()
+	for !check() {
+		s.g.Expect(time.Since(began)).To(BeNumerically("<", limit), what)
+		time.Sleep(step)
+	}
+	return time.Since(began)
+}
+
+// throughout checks every step for the whole time.
+func (s *session) throughout(d time.Duration, check func()) {
+	for began := time.Now(); time.Since(began) < d; time.Sleep(step) {
+		check()
+	}
+}
+
+// change commits a change of the settings and returns its revision.
+func (s *session) change(ops ...tree.Op) settle.Revision {
+	b := s.operator()
+	r, err := b.Commit(context.Background(), s.propose(b, "marta", ops))
+	s.g.Expect(err).NotTo(HaveOccurred())
+	return r
+}
+
+func floorOf(n int) tree.Op {
+	return tree.Op{Path: "/workspace/cortavientos", Key: "floor", Value: json.RawMessage(fmt.Sprint(n))}
+}
+
+func (s *session) fail(targets ...int) {
+	for _, t := range targets {
+		s.targets[t].Misbehave(stand.Faults{FailWork: true})
+	}
+}
+
+// platformAway refuses every request to the platform.
+func (s *session) platformAway() {
+	s.platform.Misbehave(stand.PlatformFaults{TableDown: true, ObjectsDown: true, VMsDown: true})
+}
--- a/core/daemon/golden_test.go
+++ b/core/daemon/golden_test.go
@@ -19,10 +19,10 @@
 // play runs one session in a bubble and compares it with its golden file.
 func play(t *testing.T, name string, act func(s *session)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSession(t)
+		s := newSession(t, sessionSettings)
+		defer s.close()
 		act(s)
-		s.close()
-		s.golden(name)
+		s.golden(name, s.transcript())
 	})
 }
 
--- /dev/null
+++ b/core/daemon/platform_test.go
@@ -0,0 +1,128 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/settle"
+	"wisteriarelay.example/core/stand"
+	"wisteriarelay.example/core/store"
+)
+
+// calls returns the number of calls that reached the platform.
+func (s *session) calls() int64 {
+	c := s.platform.Counts()
+	return c.TableReads + c.TableWrites + c.ObjectReads + c.ObjectWrites + c.VMReads + c.VMWrites
+}
+
+// TestPlatformAwayForAnHour guards against an outage of the platform that stops
+// serving, ejects a target, changes settings or runs an order without a claim.
+func TestPlatformAwayForAnHour(t *testing.T) {
+	playFleet(t, 2, func(s *session) {
+		revision := s.daemons[0].parts.Engine.revision()
+		s.platformAway()
+		for minute := range 60 {
+			time.Sleep(time.Minute)
+			i := minute % len(s.daemons)
+			s.g.Expect(s.look(i).status).To(Equal(200))
+			s.g.Expect(s.order(i, s.tokenAt(i)+".a").outcome).To(Equal("run"))
+			own := fmt.Sprintf("counter-3-%d", minute)
+			r := s.order(i, own)
+			s.g.Expect(r.outcome).To(Equal("unknown"), "%+v", r)
+			s.g.Expect(s.runs(own)).To(BeZero())
+			s.g.Expect(s.daemons[i].parts.Engine.revision()).To(Equal(revision))
+		}
+		s.loadAll()
+		time.Sleep(fastWindow)
+		s.fail(0)
+		s.within(detectTime, "avoided", func() bool { return s.states(0)[0] == "avoided" })
+		s.throughout(30*time.Second, func() { s.g.Expect(s.states(0)).NotTo(ContainElement("ejected")) })
+		s.platform.Misbehave(stand.PlatformFaults{})
+		// The breaker's longest wait is 20 s and a half.
+		s.within(30*time.Second+agreeTime, "ejected after the outage", func() bool { return s.states(0)[0] == "ejected" })
+	})
+}
+
+// TestPlatformBack guards against a burst of calls when the platform is back. A
+// daemon reads the head, the VM list and its one ejection row, each less than
+// once a second.
+func TestPlatformBack(t *testing.T) {
+	playFleet(t, mostDaemons, func(s *session) {
+		s.platformAway()
+		time.Sleep(time.Minute)
+		s.platform.Misbehave(stand.PlatformFaults{})
+		const callsOfDaemon = 3
+		for second := range 30 {
+			before := s.calls()
+			time.Sleep(time.Second)
+			s.g.Expect(s.calls()-before).To(BeNumerically("<=", callsOfDaemon*mostDaemons), "second %d", second)
+		}
+		for i, d := range s.daemons {
+			s.g.Expect(time.Since(d.parts.Engine.follower.State().HeadReadAt)).To(BeNumerically("<", settingsTime), "daemon %d", i)
+		}
+	})
+}
+
+// TestSettingsInForce guards against a change that is late or reverts at a
+// daemon that is cut off from the platform or sees an old state of it.
+func TestSettingsInForce(t *testing.T) {
+	playSettings(t, func(s *session, lag *atomic.Bool) {
+		s.net.cut(host(5), platformHost)
+		s.net.cut(platformHost, host(5))
+		lag.Store(true)
+		highest := make([]settle.Revision, len(s.daemons))
+		for _, text := range []string{"7s", "9s", "6s"} {
+			revision := s.change(ttl(text)...)
+			began := time.Now()
+			s.throughout(20*time.Second, func() {
+				for i, d := range s.daemons {
+					now := d.parts.Engine.follower.Current().Revision
+					s.g.Expect(now).To(BeNumerically(">=", highest[i]), "daemon %d reverts", i)
+					highest[i] = now
+					if time.Since(began) >= settingsTime {
+						s.g.Expect(now).To(Equal(revision), "daemon %d", i)
+					}
+				}
+			})
+		}
+		lag.Store(false)
+		s.net.mendAll()
+		time.Sleep(settingsTime)
+		for i := range s.daemons {
+			s.g.Expect(s.ask(i, "GET", "/v1/addresses?service=reservas", "").ttl).To(Equal(6))
+		}
+	})
+}
+
+// playSettings runs six daemons, of which the first reads an old copy of the
+// table while lag is set.
+func playSettings(t *testing.T, act func(s *session, lag *atomic.Bool)) {
+	var lag atomic.Bool
+	var old sync.Map
+	wrap := func(i int, p Platform) Platform {
+		if i != 0 {
+			return p
+		}
+		get := p.Table.Get
+		p.Table.Get = func(ctx context.Context, key string) (store.Row, error) {
+			row, err := get(ctx, key)
+			if lag.Load() && err == nil {
+				if was, ok := old.Load(key); ok {
+					return was.(store.Row), nil
+				}
+			}
+			if err == nil && !lag.Load() {
+				old.Store(key, row)
+			}
+			return row, err
+		}
+		return p
+	}
+	playFleetOn(t, 6, wrap, func(s *session) { act(s, &lag) })
+}
--- a/core/daemon/session_test.go
+++ b/core/daemon/session_test.go
@@ -7,12 +7,14 @@
 	"flag"
 	"fmt"
 	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"net/http/httputil"
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -23,96 +25,34 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriarelay.example/core/config"
+	"wisteriarelay.example/core/fleet"
 	"wisteriarelay.example/core/inner"
 	"wisteriarelay.example/core/settle"
 	"wisteriarelay.example/core/stand"
+	"wisteriarelay.example/core/store"
 	"wisteriarelay.example/core/tree"
 )
 
 var update = flag.Bool("update", false, "write the golden files of the sessions anew")
 
-// memNet is a network in memory, on which the paused clock may advance.
-type memNet struct {
-	mu    sync.Mutex
-	ports map[string]*memListener
-}
-
-func newMemNet() *memNet {
-	return &memNet{ports: map[string]*memListener{}}
-}
-
-type memListener struct {
-	address string
-	conns   chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
-}
-
-func (l *memListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *memListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *memListener) Addr() net.Addr { return memAddr(l.address) }
-
-type memAddr string
-
-func (a memAddr) Network() string { return "tcp" }
-func (a memAddr) String() string  { return string(a) }
-
-// memConn carries the address of its caller.
-type memConn struct {
-	net.Conn
-	remote net.Addr
-}
-
-func (c memConn) RemoteAddr() net.Addr { return c.remote }
-
-func (n *memNet) listen(address string) (net.Listener, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	l := &memListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
-	n.ports[address] = l
-	return l, nil
-}
-
-func (n *memNet) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	n.mu.Lock()
-	l, ok := n.ports[address]
-	n.mu.Unlock()
-	if !ok {
-		return nil, fmt.Errorf("connection to %s refused", address)
-	}
-	near, far := net.Pipe()
-	select {
-	case l.conns <- memConn{far, memAddr("10.9.0.1:4000")}:
-		return near, nil
-	case <-l.closed:
-		return nil, fmt.Errorf("connection to %s refused", address)
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-// session is one golden session: a daemon, its targets and a caller on the
-// paused clock, with a transcript of what passes between them.
+// session is daemons, their targets and a caller on the paused clock, with a
+// transcript of what passes between them.
 type session struct {
-	g        *WithT
-	net      *memNet
-	platform *stand.Platform
-	targets  []*stand.Target
-	servers  []*http.Server
-	daemon   *Daemon
-	started  time.Time
+	g         *WithT
+	net       *memNet
+	platform  *stand.Platform
+	targets   []*stand.Target
+	servers   []*http.Server
+	authority *inner.Authority
+	clients   []*store.Client
+	daemons   []*Daemon
+	loads     []*load
+	seeds     []string
+	// quiet keeps no transcript.
+	quiet bool
+	// wrap changes what a daemon sees of the platform; it may be nil.
+	wrap    func(i int, p Platform) Platform
+	started time.Time
 
 	mu    sync.Mutex
 	lines []string
@@ -139,20 +79,29 @@
   }
 }`
 
-func newSession(t *testing.T) *session {
+func newSession(t *testing.T, settings string) *session {
 	s := &session{g: NewWithT(t), net: newMemNet(), platform: stand.NewPlatform(), started: time.Now()}
-	doc, err := tree.ParseFile([]byte(sessionSettings))
+	doc, err := tree.ParseFile([]byte(settings))
 	s.g.Expect(err).NotTo(HaveOccurred())
-	_, _, err = settle.NewBook(s.platform.Table()).Bootstrap(context.Background(), doc, "marta")
+	_, _, err = s.operator().Bootstrap(context.Background(), doc, "marta")
 	s.g.Expect(err).NotTo(HaveOccurred())
-	for i := range 2 {
-		target := stand.NewTarget(fmt.Sprintf("reservas-%d", i+1), stand.WithWork(20*time.Millisecond))
+	s.authority, err = inner.NewAuthority()
+	s.g.Expect(err).NotTo(HaveOccurred())
+	catalog, err := doc.Compile()
+	s.g.Expect(err).NotTo(HaveOccurred())
+	service, _ := catalog.Service("reservas")
+	for _, t := range service.Targets {
+		target := stand.NewTarget(string(t.ID), stand.WithWork(20*time.Millisecond))
 		s.targets = append(s.targets, target)
-		s.serveTarget(fmt.Sprintf("10.1.0.%d:80", i+1), fmt.Sprintf("reservas-%d", i+1), target)
+		s.serve(t.Address, s.noting(string(t.ID), target))
 	}
+	s.serve(platformHost+":80", s.platform)
 	return s
 }
 
+// operator returns an operator's view of the settings.
+func (s *session) operator() *settle.Book { return settle.NewBook(s.platform.Table()) }
+
 // memServer runs an HTTP server in memory.
 type memServer struct {
 	server   *http.Server
@@ -161,46 +110,95 @@
 
 func (m memServer) run() { _ = m.server.Serve(m.listener) }
 
-func (s *session) serveTarget(address, id string, target *stand.Target) {
+func (s *session) serve(address string, h http.Handler) {
 	l, _ := s.net.listen(address)
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{Handler: h, ErrorLog: stdlog.New(io.Discard, "", 0)}
+	s.servers = append(s.servers, server)
+	go memServer{server, l}.run()
+}
+
+// noting writes the work that reaches a target into the transcript.
+func (s *session) noting(id string, target *stand.Target) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/health" {
 			s.note("target %s receives %s %s, key %s, deadline %s ms", id, r.Method, r.URL.Path, r.Header.Get("Idempotency-Key"), r.Header.Get("Wisteria-Deadline-Ms"))
 		}
 		target.ServeHTTP(w, r)
-	})}
-	s.servers = append(s.servers, server)
-	go memServer{server, l}.run()
+	})
 }
 
-func (s *session) start() {
+const (
+	platformHost = "10.3.0.1"
+	callerHost   = "10.9.0.1"
+	mostDaemons  = 6
+)
+
+var centres = []string{"mdp", "pinamar", "necochea"}
+
+// host returns the host of a daemon by its index.
+func host(i int) string { return fmt.Sprintf("10.0.0.%d", i+1) }
+
+// vmSettings returns the process settings of a daemon. The data centres take turns.
+func (s *session) vmSettings(i int) *config.Settings {
 	settings := config.Defaults()
-	settings.VM, settings.Region, settings.DataCentre = "mdp-1", "ar-costa", "mdp"
-	settings.CallerAddress, settings.InnerAddress, settings.AdminAddress = "10.0.0.1:7000", "10.0.0.1:7100", "10.0.0.1:7200"
+	dc := centres[i%len(centres)]
+	settings.VM, settings.Region, settings.DataCentre = fleet.VMID(fmt.Sprintf("%s-%d", dc, i/len(centres)+1)), "ar-costa", fleet.DataCentre(dc)
+	settings.CallerAddress, settings.InnerAddress, settings.AdminAddress = host(i)+":7000", host(i)+":7100", host(i)+":7200"
 	settings.FleetSecrets = []config.Secret{config.Secret("0123456789abcdef")}
-	s.g.Expect(s.platform.PutVM(context.Background(), settings.Self())).To(Succeed())
-	authority, err := inner.NewAuthority()
-	s.g.Expect(err).NotTo(HaveOccurred())
-	id, err := authority.Issue(settings.VM)
+	settings.Seeds = s.seeds
+	return settings
+}
+
+// start runs one more daemon, which reaches the platform over the network.
+func (s *session) start() {
+	i := len(s.daemons)
+	settings := s.vmSettings(i)
+	_ = s.platform.PutVM(context.Background(), settings.Self())
+	id, err := s.authority.Issue(settings.VM)
 	s.g.Expect(err).NotTo(HaveOccurred())
-	s.daemon, err = New(settings, WithIdentity(id), WithListen(s.net.listen), WithDial(s.net.dial),
-		WithLogger(log.NewLogfmtLogger(sessionLog{s})),
-		WithPlatform(Platform{Table: s.platform.Table(), Objects: s.platform.Objects(), VMs: s.platform.VMList()}))
+	dial := s.net.dialFrom(host(i))
+	client := store.NewClient("http://"+platformHost+":80", store.WithTransport(&http.Transport{DialContext: dial}),
+		store.WithDaemons(func() int { return mostDaemons }))
+	s.clients = append(s.clients, client)
+	platform := Platform{Table: client.Table(), Objects: client.Objects(), VMs: client.VMList()}
+	if s.wrap != nil {
+		platform = s.wrap(i, platform)
+	}
+	d, err := New(settings, WithIdentity(id), WithListen(s.net.listen), WithDial(dial), WithLogger(log.NewLogfmtLogger(sessionLog{s})),
+		WithPlatform(platform))
 	s.g.Expect(err).NotTo(HaveOccurred())
-	s.g.Expect(s.daemon.Start(context.Background())).To(Succeed())
+	s.daemons = append(s.daemons, d)
+	s.g.Expect(d.Start(context.Background())).To(Succeed())
 }
 
 func (s *session) startReady() {
 	s.start()
 	time.Sleep(time.Second)
-	s.g.Expect(s.daemon.Ready()).To(BeTrue())
+	s.g.Expect(s.daemons[0].Ready()).To(BeTrue())
+	s.forget()
+}
+
+// forget empties the transcript.
+func (s *session) forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lines = nil
 }
 
+// forgetLogs drops the log lines, for sessions in which their times are random.
+func (s *session) forgetLogs() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lines = slices.DeleteFunc(s.lines, func(line string) bool { return strings.Contains(line, "s log  ") })
+}
+
 func (s *session) close() {
-	s.daemon.Kill()
+	s.net.mendAll()
+	s.endLoad()
+	for i, d := range s.daemons {
+		d.Kill()
+		s.clients[i].Close()
+	}
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
@@ -208,6 +206,9 @@
 }
 
 func (s *session) note(format string, args ...any) {
+	if s.quiet {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	text := redact(fmt.Sprintf(format, args...))
@@ -225,7 +226,7 @@
 	{regexp.MustCompile(`(?m)^Date: .*$`), "Date: <date>"},
 	// The load that a target reports depends on whether a probe is on its way.
 	{regexp.MustCompile(`X-Load: [0-9.]+`), "X-Load: <load>"},
-	{regexp.MustCompile(`mdp-1\.[0-9a-f]{16}`), "<incarnation>"},
+	{regexp.MustCompile(`[a-z]+-[0-9]\.[0-9a-f]{16}`), "<incarnation>"},
 	{regexp.MustCompile(`change [0-9a-f]{16}`), "change <id>"},
 }
 
@@ -240,13 +241,21 @@
 type sessionLog struct{ s *session }
 
 func (l sessionLog) Write(p []byte) (int, error) {
+	if bytes.Contains(p, []byte("connection ended")) {
+		// Peers notice the end of a daemon in random order.
+		return len(p), nil
+	}
 	l.s.note("log      %s", p)
 	return len(p), nil
 }
 
-// call sends one request of a caller as bytes and notes the bytes that return.
 func (s *session) call(head, body string) *http.Response {
-	c, err := s.net.dial(context.Background(), "tcp", "10.0.0.1:7000")
+	return s.callAt(0, head, body)
+}
+
+// callAt sends one request to a daemon as bytes and notes the bytes that return.
+func (s *session) callAt(i int, head, body string) *http.Response {
+	c, err := s.net.dialFrom(callerHost)(context.Background(), "tcp", host(i)+":7000")
 	s.g.Expect(err).NotTo(HaveOccurred())
 	defer c.Close()
 	raw := strings.ReplaceAll(strings.TrimSpace(head), "\n", "\r\n") + "\r\nHost: wisteria\r\nConnection: close\r\n"
@@ -291,14 +300,21 @@
 }
 
 func (s *session) show(id string) {
-	s.call("GET /bookings/7 HTTP/1.1\nWisteria-Service: reservas\nX-Request-Id: "+id, "")
+	s.call(lookup(id), "")
 }
 
-// golden compares the transcript with the golden file.
-func (s *session) golden(name string) {
+func lookup(id string) string {
+	return "GET /bookings/7 HTTP/1.1\nWisteria-Service: reservas\nX-Request-Id: " + id
+}
+
+func (s *session) transcript() []byte {
 	s.mu.Lock()
-	got := []byte(strings.Join(s.lines, "\n") + "\n")
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	return []byte(strings.Join(s.lines, "\n") + "\n")
+}
+
+// golden compares the transcript with the golden file.
+func (s *session) golden(name string, got []byte) {
 	file := filepath.Join("testdata", name+".golden")
 	if *update {
 		s.g.Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
