--- a/core/daemon/admin_test.go
+++ b/core/daemon/admin_test.go
@@ -18,7 +18,7 @@
 // against parts of the daemon that the administration API does not reach.
 func TestAdminPort(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSession(t)
+		s := newSession(t, sessionSettings)
 		digest := sha256.Sum256([]byte("secret"))
 		s.operators = []config.Operator{{Name: "marta", TokenSHA256: hex.EncodeToString(digest[:])}}
 		s.startReady()
@@ -50,7 +50,7 @@
 
 // admin sends a request to the administration port.
 func (s *session) admin(token, method, path string) (status int, body string) {
-	client := &http.Client{Transport: &http.Transport{DialContext: s.net.dial, DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DialContext: s.net.dialFrom(callerHost), DisableKeepAlives: true}}
 	req, err := http.NewRequestWithContext(context.Background(), method, "http://10.0.0.1:7200"+path, nil)
 	s.g.Expect(err).NotTo(HaveOccurred())
 	if token != "" {
--- a/core/daemon/bench_test.go
+++ b/core/daemon/bench_test.go
@@ -71,7 +71,7 @@
 }
 
 func (f *planFleet) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := f.net.dial(ctx, network, address)
+	c, err := f.net.dialFrom("10.0.0.9")(ctx, network, address)
 	if err == nil && strings.HasSuffix(address, ":7100") {
 		c = wireConn{c, &f.wire}
 	}
