Weigh peers' reported work by a quarter in the choice

Change: the order among targets counts reported work by a quarter; the limit on slots still counts it in full.

--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -74,7 +74,11 @@
 	// loadUnit is the load of a target whose slots are all in use. Loads are
 	// compared in 1/1024, so that targets with 2 and with 3 slots are comparable.
 	loadUnit = 1024
-	noKey    = ^uint64(0)
+	// peerDiscount weighs the work that peers report, which is up to an interval
+	// old. Daemons that trust it in full move to the same idle target together,
+	// whose slowness then looks like sickness (docs/policy.md, case herding).
+	peerDiscount = 4
+	noKey        = ^uint64(0)
 	// manyEqual is the number of equal candidates from which two are drawn and the
 	// better rank wins; fewer are decided by rank alone.
 	manyEqual = 3
@@ -143,7 +147,8 @@
 	if !c.SameDataCentre {
 		k |= farBit
 	}
-	return k | uint64((c.InFlight+c.PeerInFlight)*loadUnit/max(c.Slots, 1))
+	load := c.InFlight*loadUnit + c.PeerInFlight*loadUnit/peerDiscount
+	return k | uint64(load/max(c.Slots, 1))
 }
 
 // class places the candidate. A target in slow start competes with the ready
