Use the common problem details in the administration API

Package fault now builds and sends the members that problem details have in common, so the copy in package admin could drift from the callers' port. The API embeds fault.Problem and adds change, conflict, carriers and the request that asks again.

--- a/core/admin/auth.go
+++ b/core/admin/auth.go
@@ -80,13 +80,13 @@
 		var err error
 		if c.operator, err = a.authenticate(r); err != nil {
 			w.Header().Set("WWW-Authenticate", "Bearer")
-			writeProblem(w, newProblem(err, c.requestID))
+			newProblem(err, c.requestID).write(w)
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
 		reply, err := serve(r.WithContext(context.WithValue(r.Context(), callKey{}, c)))
 		if err != nil {
-			writeProblem(w, newProblem(err, c.requestID))
+			newProblem(err, c.requestID).write(w)
 			return
 		}
 		writeReply(w, reply)
--- a/core/admin/problem.go
+++ b/core/admin/problem.go
@@ -3,11 +3,9 @@
 import (
 	"encoding/json"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,26 +14,12 @@
 	"wisteriarelay.example/core/tree"
 )
 
-const (
-	// problemType prefixes the names of error kinds to form the "type" member (RFC 9457).
-	problemType = "urn:wisteriarelay:problem:"
-	// maxBody bounds a request body; the settings of 24,000 workspaces take less.
-	maxBody = 8 << 20
-	// defaultRetryAfter is advised where a later retry helps and nothing better is known.
-	defaultRetryAfter = time.Second
-)
+// maxBody bounds a request body; the settings of 24,000 workspaces take less.
+const maxBody = 8 << 20
 
-// Problem is the body of a failure response (RFC 9457, application/problem+json).
+// Problem is the body of a failure response on the administration port.
 type Problem struct {
-	Type         string        `json:"type"`
-	Title        string        `json:"title"`
-	Status       int           `json:"status"`
-	Detail       string        `json:"detail"`
-	Kind         string        `json:"kind"`
-	Outcome      fault.Outcome `json:"outcome"`
-	Retry        fault.Retry   `json:"retry"`
-	RetryAfterMs int64         `json:"retry-after-ms,omitempty"`
-	RequestID    string        `json:"request-id"`
+	fault.Problem
 	// Change is the id of the change that the request concerns.
 	Change string `json:"change,omitempty"`
 	// AskAgain is the request that tells the outcome if it is unknown.
@@ -69,20 +53,10 @@
 
 func newProblem(err error, id string) *Problem {
 	e := fault.From(err)
-	answer := e.Kind.Answer()
-	p := &Problem{
-		Type: problemType + answer.Name, Title: answer.Title, Status: answer.Status, Detail: e.Detail,
-		Kind: answer.Name, Outcome: e.Outcome, Retry: answer.Retry, RequestID: id,
-	}
+	p := &Problem{Problem: e.Problem(id)}
 	if e.Cause != nil {
 		p.Detail += ": " + strings.TrimSpace(e.Cause.Error())
 	}
-	if e.Retry != "" {
-		p.Retry = e.Retry
-	}
-	if p.Retry == fault.RetryLater {
-		p.RetryAfterMs = max(e.RetryAfter, defaultRetryAfter).Milliseconds()
-	}
 	var invalid *tree.Invalid
 	if errors.As(err, &invalid) {
 		p.Problems = invalid.Problems
@@ -98,12 +72,8 @@
 	return p
 }
 
-func writeProblem(w http.ResponseWriter, p *Problem) {
-	if p.RetryAfterMs > 0 {
-		seconds := math.Ceil(float64(p.RetryAfterMs) / float64(time.Second.Milliseconds()))
-		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
-	}
-	write(w, p.Status, "application/problem+json", p)
+func (p *Problem) write(w http.ResponseWriter) {
+	fault.WriteProblem(w, p.Problem, p)
 }
 
 // writeReply writes a reply; one whose outcome is not yet known has status 202.
@@ -112,16 +82,12 @@
 	if c, ok := reply.(CommitReply); ok && c.Outcome == settle.NotYetKnown {
 		status = http.StatusAccepted
 	}
-	write(w, status, "application/json", reply)
-}
-
-func write(w http.ResponseWriter, status int, contentType string, v any) {
-	data, err := json.Marshal(v)
+	data, err := json.Marshal(reply)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set("Content-Type", contentType)
+	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Cache-Control", "no-store")
 	w.WriteHeader(status)
 	_, _ = w.Write(append(data, '\n'))
