Report the health of targets without work as unknown

A target that was ejected for failing its work was shown with good health, because no evidence comes in once no work reaches it. Health is now unknown while a target is ejected or leaving; the session over the administration port checks it.

--- a/core/admin/message.go
+++ b/core/admin/message.go
@@ -108,7 +108,7 @@
 type Target struct {
 	Target     fleet.TargetID   `json:"target"`
 	DataCentre fleet.DataCentre `json:"data-centre"`
-	// Health is HealthGood or HealthSuspect, by the evidence of the carriers.
+	// Health is HealthGood, HealthSuspect or HealthUnknown, by the evidence of the carriers.
 	Health   string    `json:"health"`
 	State    string    `json:"state"`
 	Weight   float64   `json:"weight"`
@@ -121,6 +121,7 @@
 const (
 	HealthGood    = "good"
 	HealthSuspect = "suspect"
+	HealthUnknown = "unknown"
 )
 
 // TargetsReply lists the targets of a service.
--- a/core/daemon/admin.go
+++ b/core/daemon/admin.go
@@ -64,18 +64,26 @@
 	}
 	out := []admin.Target{}
 	for _, t := range w.targetStates() {
-		health := admin.HealthGood
-		if suspects[t.Target] {
-			health = admin.HealthSuspect
-		}
 		out = append(out, admin.Target{
-			Target: t.Target, DataCentre: t.DataCentre, Health: health, State: t.State, Weight: t.Weight,
+			Target: t.Target, DataCentre: t.DataCentre, Health: health(t, suspects), State: t.State, Weight: t.Weight,
 			InFlight: inFlight[t.Target], Reason: t.Reason, Since: t.Since,
 		})
 	}
 	return out, true
 }
 
+// health returns what the evidence says of a target. No work reaches one that
+// is ejected or leaving, so nothing is known of it.
+func health(t targetState, suspects map[fleet.TargetID]bool) string {
+	switch {
+	case t.State == detect.Ejected.String() || t.State == detect.Leaving.String():
+		return admin.HealthUnknown
+	case suspects[t.Target]:
+		return admin.HealthSuspect
+	}
+	return admin.HealthGood
+}
+
 func (e *engine) eject(ctx context.Context, o admin.HandOrder) error {
 	w, ok := e.watch(o.Service)
 	if !ok {
--- a/core/daemon/admin_test.go
+++ b/core/daemon/admin_test.go
@@ -35,7 +35,7 @@
 			{"secret", "GET", "/v1/rollout", http.StatusOK, `"state":"current"`},
 			{"secret", "GET", "/v1/services/reservas/addresses", http.StatusOK, `"address":"10.0.0.1:7000"`},
 			{"secret", "POST", "/v1/services/reservas/targets/reservas-1/eject", http.StatusOK, `"operator":"marta"`},
-			{"secret", "GET", "/v1/services/reservas/targets", http.StatusOK, `"state":"ejected"`},
+			{"secret", "GET", "/v1/services/reservas/targets", http.StatusOK, `"health":"unknown","state":"ejected"`},
 			{"secret", "POST", "/v1/services/reservas/targets/reservas-2/eject", http.StatusConflict, "floor-reached"},
 			{"secret", "POST", "/v1/services/reservas/targets/reservas-1/return", http.StatusOK, `"action":"return"`},
 		} {
--- a/wisteriactl/main_test.go
+++ b/wisteriactl/main_test.go
@@ -52,7 +52,7 @@
 		Targets: func(id fleet.ServiceID) ([]admin.Target, bool) {
 			return []admin.Target{
 				{Target: "reservas-1", DataCentre: "mdp", Health: "good", State: "ready", Weight: 1, InFlight: 2},
-				{Target: "reservas-2", DataCentre: "pinamar", Health: "suspect", State: "ejected", Reason: "by hand by marta: disk", Since: time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)},
+				{Target: "reservas-2", DataCentre: "pinamar", Health: "unknown", State: "ejected", Reason: "by hand by marta: disk", Since: time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)},
 			}, id == "reservas"
 		},
 		Carriers: func(fleet.ServiceID) []fleet.VM { return nil },
