Send rows with ordinary traffic in every second report

Cause: reports at 3 s took 4,638 B/s, and with 330 B/s of polls and 20 B/s of settings and VM list a daemon at the planned scale had no reserve under 5,000 B/s. Change: rows without failures, sheds and failed probes, whose latency is within a doubling of what the peers know, are merged and sent with every second report; a row with news leaves at once and replaces what is held of its target, so that older good results do not hide a fault, which a test guards.

--- a/core/daemon/watch.go
+++ b/core/daemon/watch.go
@@ -45,6 +45,7 @@
 	mu sync.Mutex
 	// pending holds the own rows that no report has carried yet.
 	pending [][]detect.Row
+	held    *heldRows
 	// sentEjections is the version of the row that was last sent whole.
 	sentEjections uint64
 	peers         map[fleet.VMID]fleet.DataCentre
@@ -66,6 +67,7 @@
 		self:     p.self,
 		evidence: detect.NewService(service, p.self.ID),
 		leaving:  detect.NewLeavingTracker(),
+		held:     newHeldRows(),
 		wake:     make(chan struct{}, 1),
 		done:     make(chan struct{}),
 	}
@@ -139,11 +141,18 @@
 	if w.service.Swap(service) != service {
 		w.evidence.Update(service, time.Now())
 		w.prober.Update(service)
+		w.updateHeld(service)
 	}
 	w.forgetPeers(places)
 	w.nudge()
 }
 
+func (w *watch) updateHeld(service *fleet.Service) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.held.update(service)
+}
+
 func (w *watch) forgetPeers(carriers map[fleet.VMID]fleet.DataCentre) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -281,7 +290,7 @@
 		}
 	}
 	w.mu.Lock()
-	rows := detect.MergeRows(w.pending...)
+	rows := w.held.pick(detect.MergeRows(w.pending...))
 	w.pending = nil
 	if w.sentEjections != listing.Version {
 		w.sentEjections = listing.Version
--- a/core/daemon/watch_test.go
+++ b/core/daemon/watch_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"wisteriarelay.example/core/detect"
 	"wisteriarelay.example/core/fleet"
 	"wisteriarelay.example/core/inner"
 	"wisteriarelay.example/core/limit"
@@ -21,3 +22,20 @@
 	_, ok = inner.LoadOf("b", 0.1)
 	g.Expect(ok).To(BeFalse(), "a row that says nothing is sent")
 }
+
+// Guards against news that wait with the ordinary rows, and against older good
+// results that are sent with a fresh failure and hide it.
+func TestHeldRowsKeepNewsFree(t *testing.T) {
+	g := NewWithT(t)
+	row := func(ok, failed uint32, latency detect.Code) []detect.Row {
+		return []detect.Row{{Target: "a", Counts: [8]uint32{detect.OK: ok, detect.Failed: failed}, Latency: latency}}
+	}
+	h := newHeldRows()
+	g.Expect(h.pick(row(1, 0, 90))).To(Equal(row(1, 0, 90)), "a latency that no peer knows is news")
+	g.Expect(h.pick(row(2, 0, 92))).To(Equal(row(2, 0, 92)), "the second report carries ordinary rows")
+	g.Expect(h.pick(row(3, 0, 92))).To(BeEmpty())
+	g.Expect(h.pick(row(3, 0, 94))).To(Equal(row(6, 0, 93)))
+	g.Expect(h.pick(row(3, 0, 92))).To(BeEmpty())
+	g.Expect(h.pick(row(1, 2, 92))).To(Equal(row(1, 2, 92)))
+	g.Expect(h.pick(row(3, 0, 110))).To(Equal(row(3, 0, 110)), "a slower target is news")
+}
