Say that a leaving daemon is shutting down

Change: one function gives the reason of a not-ready refusal to all three endpoints, and the inner server logs the peer under "peer".

--- a/core/inner/server.go
+++ b/core/inner/server.go
@@ -128,7 +128,7 @@
 	}
 	ctx = context.WithValue(ctx, peerKey{}, from)
 	if err := s.drpc.ServeOne(ctx, transport{tc}); err != nil && ctx.Err() == nil {
-		_ = s.log.Log("msg", "connection ended", "vm", from, "err", err)
+		_ = s.log.Log("msg", "connection ended", "peer", from, "err", err)
 	}
 }
 
--- a/core/proxy/address.go
+++ b/core/proxy/address.go
@@ -14,7 +14,7 @@
 	id := requestID(r)
 	w.Header().Set(HeaderRequestID, id)
 	if !rl.fleet.Ready() {
-		newProblem(fault.New(fault.NotReady, "this daemon has no settings yet"), id).write(w)
+		newProblem(rl.notReady(), id).write(w)
 		return
 	}
 	service := fleet.ServiceID(r.URL.Query().Get("service"))
@@ -32,14 +32,19 @@
 }
 
 func (rl *Relay) serveReady(w http.ResponseWriter, r *http.Request) {
-	switch {
-	case rl.fleet.Leaving():
-		newProblem(fault.New(fault.NotReady, "this daemon is shutting down"), requestID(r)).write(w)
-	case !rl.fleet.Ready():
-		newProblem(fault.New(fault.NotReady, "this daemon has no settings yet"), requestID(r)).write(w)
-	default:
-		writeJSON(w, readyReply{VM: rl.self.ID, Ready: true})
+	if rl.fleet.Leaving() || !rl.fleet.Ready() {
+		newProblem(rl.notReady(), requestID(r)).write(w)
+		return
+	}
+	writeJSON(w, readyReply{VM: rl.self.ID, Ready: true})
+}
+
+// notReady returns the refusal of a daemon that leaves or does not serve yet.
+func (rl *Relay) notReady() *fault.Error {
+	if rl.fleet.Leaving() {
+		return fault.New(fault.NotReady, "this daemon is shutting down")
 	}
+	return fault.New(fault.NotReady, "this daemon has no settings yet")
 }
 
 type readyReply struct {
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -168,7 +168,7 @@
 func (v *visit) serveElsewhere() {
 	rl := v.relay
 	if !rl.fleet.Ready() {
-		v.refuse(fault.New(fault.NotReady, "this daemon has no settings yet"))
+		v.refuse(rl.notReady())
 		return
 	}
 	service, ok := rl.fleet.Service(v.serviceID)
