--- a/core/daemon/fleet_test.go
+++ b/core/daemon/fleet_test.go
@@ -39,33 +39,25 @@
 
 func targetID(i int) fleet.TargetID { return fleet.TargetID(fmt.Sprintf("reservas-%d", i+1)) }
 
-// playFleet runs n daemons in a bubble until they know each other.
-func playFleet(t *testing.T, n int, act func(s *session)) {
-	playFleetOn(t, n, nil, act)
-}
-
-// playFleetOn changes what each daemon sees of the platform.
-func playFleetOn(t *testing.T, n int, wrap func(i int, p Platform) Platform, act func(s *session)) {
+// playFleet runs n daemons in a bubble until they know each other. A function
+// may change what a daemon sees of the platform.
+func playFleet(t *testing.T, n int, act func(s *session), wrap ...func(i int, p Platform) Platform) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := newSession(t, fleetSettings)
 		defer s.close()
 		s.wrap, s.quiet = wrap, true
-		s.fill(n)
+		for range n {
+			s.start()
+		}
+		time.Sleep(10 * time.Second)
+		for _, d := range s.daemons {
+			s.g.Expect(d.Ready()).To(BeTrue())
+		}
 		act(s)
 	})
 }
 
-func (s *session) fill(n int) {
-	for range n {
-		s.start()
-	}
-	time.Sleep(10 * time.Second)
-	for _, d := range s.daemons {
-		s.g.Expect(d.Ready()).To(BeTrue())
-	}
-}
-
 // silence cuts a host off in both directions, as a paused or lost VM is.
 func (s *session) silence(host string) {
 	s.net.cut(host, anyHost)
@@ -79,25 +71,25 @@
 
 // reply is what a caller receives; err is set if it receives no response.
 type reply struct {
-	status        int
-	outcome, kind string
-	target, token string
-	replayed      bool
-	addresses     []fleet.VMID
-	ttl           int
-	err           error
-	body          string
+	Token     string
+	TTL       int `json:"ttl-seconds"`
+	Addresses []proxy.Address
+	status    int
+	outcome   string
+	replayed  bool
+	body      string
+	err       error
 }
 
 // ask sends one request to a daemon; key is set for orders.
-func (s *session) ask(i int, method, path, key string) reply {
+func (s *session) ask(i int, method, path, key string) (r reply) {
 	req, err := http.NewRequest(method, "http://"+host(i)+":7000"+path, nil)
 	s.g.Expect(err).NotTo(HaveOccurred())
 	if !strings.HasPrefix(path, "/v1/") {
-		req.Header.Set("Wisteria-Service", "reservas")
+		req.Header.Set(proxy.HeaderService, "reservas")
 	}
 	if key != "" {
-		req.Header.Set("Idempotency-Key", `"`+key+`"`)
+		req.Header.Set(proxy.HeaderOrderKey, `"`+key+`"`)
 	}
 	client := http.Client{Transport: &http.Transport{DialContext: s.net.dialFrom(callerHost), DisableKeepAlives: true}}
 	resp, err := client.Do(req)
@@ -106,22 +98,9 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	var body struct {
-		Kind, Target, Token string
-		TTL                 int `json:"ttl-seconds"`
-		Addresses           json.RawMessage
-	}
-	_ = json.Unmarshal(data, &body)
-	r := reply{
-		status: resp.StatusCode, outcome: resp.Header.Get(proxy.HeaderOutcome), kind: body.Kind, target: body.Target, token: body.Token,
-		replayed: resp.Header.Get(proxy.HeaderReplayed) != "", ttl: body.TTL, err: err, body: string(data),
-	}
-	var list []proxy.Address
-	if json.Unmarshal(body.Addresses, &list) == nil {
-		for _, a := range list {
-			r.addresses = append(r.addresses, a.VM)
-		}
-	}
+	_ = json.Unmarshal(data, &r)
+	r.status, r.body, r.err = resp.StatusCode, string(data), err
+	r.outcome, r.replayed = resp.Header.Get(proxy.HeaderOutcome), resp.Header.Get(proxy.HeaderReplayed) != ""
 	return r
 }
 
@@ -129,14 +108,18 @@
 
 func (s *session) order(i int, key string) reply { return s.ask(i, http.MethodPost, "/bookings", key) }
 
-func (s *session) addresses(i int) []fleet.VMID {
-	return s.ask(i, http.MethodGet, "/v1/addresses?service=reservas", "").addresses
+// addresses returns the VMs that a daemon lists for the service.
+func (s *session) addresses(i int) (ids []fleet.VMID) {
+	for _, a := range s.ask(i, http.MethodGet, "/v1/addresses?service=reservas", "").Addresses {
+		ids = append(ids, a.VM)
+	}
+	return ids
 }
 
 func (s *session) tokenAt(i int) string {
 	r := s.ask(i, http.MethodPost, "/v1/order-tokens?service=reservas", "")
-	s.g.Expect(r.token).NotTo(BeEmpty(), "%+v", r)
-	return r.token
+	s.g.Expect(r.Token).NotTo(BeEmpty(), "%+v", r)
+	return r.Token
 }
 
 // lateOrder is an order whose reply is awaited later.
@@ -257,14 +240,11 @@
 	return out
 }
 
-// inState returns how many targets a daemon has in one of the states.
-func (s *session) inState(i int, states ...string) (n int) {
+// inState returns how many targets a daemon has in a state.
+func (s *session) inState(i int, want string) (n int) {
 	for t := range s.targets {
-		state, _, _ := s.daemons[i].TargetState(targetID(t))
-		for _, want := range states {
-			if state == want {
-				n++
-			}
+		if s.states(t)[i] == want {
+			n++
 		}
 	}
 	return n
@@ -274,13 +254,12 @@
 const step = 250 * time.Millisecond
 
 // within checks every step until check holds, and fails after limit.
-func (s *session) within(limit time.Duration, what string, check func() bool) time.Duration {
+func (s *session) within(limit time.Duration, what string, check func() bool) {
 	began := time.Now()
 	for !check() {
 		s.g.Expect(time.Since(began)).To(BeNumerically("<", limit), what)
 		time.Sleep(step)
 	}
-	return time.Since(began)
 }
 
 // throughout checks every step for the whole time.
--- a/core/daemon/platform_test.go
+++ b/core/daemon/platform_test.go
@@ -85,7 +85,8 @@
 // TestSettingsInForce guards against a change that is late or reverts at a
 // daemon that is cut off from the platform or sees an old state of it.
 func TestSettingsInForce(t *testing.T) {
-	playSettings(t, func(s *session, lag *atomic.Bool) {
+	var lag atomic.Bool
+	playFleet(t, mostDaemons, func(s *session) {
 		s.net.cut(host(5), platformHost)
 		s.net.cut(platformHost, host(5))
 		lag.Store(true)
@@ -111,27 +112,20 @@
 		s.net.mendAll()
 		time.Sleep(settingsTime)
 		for i := range s.daemons {
-			s.g.Expect(s.ask(i, "GET", "/v1/addresses?service=reservas", "").ttl).To(Equal(6))
+			s.g.Expect(s.ask(i, "GET", "/v1/addresses?service=reservas", "").TTL).To(Equal(6))
 		}
-	})
+	}, lagged(&lag))
 }
 
-// playSettings runs six daemons, of which the first reads an old copy of the
-// table while lag is set.
-func playSettings(t *testing.T, act func(s *session, lag *atomic.Bool)) {
-	var lag atomic.Bool
+// lagged lets the first daemon read old rows while lag is set.
+func lagged(lag *atomic.Bool) func(i int, p Platform) Platform {
 	var old sync.Map
-	wrap := func(i int, p Platform) Platform {
-		if i != 0 {
-			return p
-		}
+	return func(i int, p Platform) Platform {
 		get := p.Table.Get
 		p.Table.Get = func(ctx context.Context, key string) (store.Row, error) {
 			row, err := get(ctx, key)
-			if lag.Load() && err == nil {
-				if was, ok := old.Load(key); ok {
-					return was.(store.Row), nil
-				}
+			if was, ok := old.Load(key); ok && i == 0 && lag.Load() {
+				return was.(store.Row), err
 			}
 			if err == nil && !lag.Load() {
 				old.Store(key, row)
@@ -140,7 +134,6 @@
 		}
 		return p
 	}
-	playFleetOn(t, 6, wrap, func(s *session) { act(s, &lag) })
 }
 
 // TestSettingsAfterOutage guards against a change that is late where a daemon
--- a/core/daemon/session_test.go
+++ b/core/daemon/session_test.go
@@ -50,8 +50,8 @@
 	seeds     []string
 	// quiet keeps no transcript.
 	quiet bool
-	// wrap changes what a daemon sees of the platform; it may be nil.
-	wrap    func(i int, p Platform) Platform
+	// wrap changes what a daemon sees of the platform.
+	wrap    []func(i int, p Platform) Platform
 	started time.Time
 
 	mu    sync.Mutex
@@ -161,8 +161,8 @@
 		store.WithDaemons(func() int { return mostDaemons }))
 	s.clients = append(s.clients, client)
 	platform := Platform{Table: client.Table(), Objects: client.Objects(), VMs: client.VMList()}
-	if s.wrap != nil {
-		platform = s.wrap(i, platform)
+	for _, wrap := range s.wrap {
+		platform = wrap(i, platform)
 	}
 	d, err := New(settings, WithIdentity(id), WithListen(s.net.listen), WithDial(dial), WithLogger(log.NewLogfmtLogger(sessionLog{s})),
 		WithPlatform(platform))
