--- a/core/detect/policy_sim_test.go
+++ b/core/detect/policy_sim_test.go
@@ -19,7 +19,7 @@
 	simProbe    = 25 * time.Millisecond
 	simAssess   = 500 * time.Millisecond
 	simWrite    = 20 * time.Millisecond
-	simReport   = 2 * time.Second
+	simReport   = 3 * time.Second
 	simSuspect  = time.Second
 	simWarm     = 30 * time.Second
 	simErrors   = 0.01 // share of requests that fail at a healthy target
--- a/core/proxy/attempt.go
+++ b/core/proxy/attempt.go
@@ -210,7 +210,9 @@
 
 // matchesBodyFailure recognises a failure inside a success status. Servers
 // that commit to a 200 before the work is done report the failure in the body,
-// which layers that decide from the status line miss.
+// which layers that decide from the status line miss (s3proxy-python PR #138,
+// "retry CompleteMultipartUpload on transient backend errors"; measured in
+// docs/policy.md, cases body-failure-rule and body-failure-no-rule).
 func matchesBodyFailure(rule *fleet.BodyFailure, resp *http.Response, body []byte) bool {
 	if resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusMultipleChoices {
 		return false
