--- a/core/daemon/fleet_test.go
+++ b/core/daemon/fleet_test.go
@@ -42,7 +42,6 @@
 // playFleet runs n daemons in a bubble until they know each other. A function
 // may change what a daemon sees of the platform.
 func playFleet(t *testing.T, n int, act func(s *session), wrap ...func(i int, p Platform) Platform) {
-	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := newSession(t, fleetSettings)
 		defer s.close()
