--- a/core/daemon/bench_test.go
+++ b/core/daemon/bench_test.go
@@ -212,25 +212,41 @@
 }
 
 // BenchmarkTraffic reports what the inner protocol takes on the wire between six
-// real daemons with ordinary traffic, and for a daemon with the planned number of links.
+// real daemons with ordinary traffic, and while a target is suspect all the time
+// because the table is away; and for a daemon with the planned number of links,
+// of which the five of one service are suspect.
 func BenchmarkTraffic(b *testing.B) {
-	var reports, bytes, packets int64
-	for b.Loop() {
-		virtual(b, func() {
-			f := &planFleet{}
-			f.start()
-			time.Sleep(5 * time.Second)
-			reports, bytes, packets = f.measure()
-			f.close()
-		})
-	}
-	perLink := 2 / float64(planCarriers*(planCarriers-1)) / trafficSpan.Seconds()
-	onWire := float64(bytes + (packets+reports)*packetHeaders)
-	b.ReportMetric(float64(bytes)/float64(reports), "tls-bytes/report")
-	b.ReportMetric(float64(packets)/float64(reports), "packets/report")
-	b.ReportMetric(float64(reports)*perLink/2, "reports/s/way")
-	b.ReportMetric(onWire*perLink, "bytes/s/link")
-	b.ReportMetric(onWire*perLink*planLinks, "bytes/s/daemon")
+	ordinary := traffic(b, "ordinary", nil)
+	suspect := traffic(b, "suspect", &sickness{0.5, 1})
+	b.Run("daemon", func(b *testing.B) {
+		b.ReportMetric(ordinary*planLinks, "bytes/s/ordinary")
+		b.ReportMetric(ordinary*(planLinks-planCarriers+1)+suspect*(planCarriers-1), "bytes/s/one-suspect")
+	})
+}
+
+func traffic(b *testing.B, name string, s *sickness) (onLink float64) {
+	b.Run(name, func(b *testing.B) {
+		var reports, bytes, packets int64
+		for b.Loop() {
+			virtual(b, func() {
+				f := &planFleet{}
+				f.start()
+				time.Sleep(5 * time.Second)
+				if f.sick.Store(s); s != nil {
+					f.platform.Misbehave(stand.PlatformFaults{TableDown: true})
+				}
+				reports, bytes, packets = f.measure()
+				f.close()
+			})
+		}
+		perLink := 2 / float64(planCarriers*(planCarriers-1)) / trafficSpan.Seconds()
+		onLink = float64(bytes+(packets+reports)*packetHeaders) * perLink
+		b.ReportMetric(float64(bytes)/float64(reports), "tls-bytes/report")
+		b.ReportMetric(float64(packets)/float64(reports), "packets/report")
+		b.ReportMetric(float64(reports)*perLink/2, "reports/s/way")
+		b.ReportMetric(onLink, "bytes/s/link")
+	})
+	return onLink
 }
 
 // detect returns the time until each daemon stops using the sick target.
