--- a/core/proxy/headers.go
+++ b/core/proxy/headers.go
@@ -63,13 +63,15 @@
 	for _, name := range ownRequestFields {
 		delete(h, name)
 	}
+	// One array holds the values of all fields that are set.
+	values := []string{in.requestID, strconv.FormatInt(remainingMillis(deadline), 10), forwarded(h, in.request), ""}
+	h[HeaderRequestID] = values[0:1:1]
+	h[HeaderDeadline] = values[1:2:2]
+	h[headerForwarded] = values[2:3:3]
 	if _, ok := h["User-Agent"]; !ok {
 		// An explicit empty value keeps net/http from adding its own.
-		h.Set("User-Agent", "")
+		h["User-Agent"] = values[3:4:4]
 	}
-	h.Set(HeaderRequestID, in.requestID)
-	h.Set(HeaderDeadline, strconv.FormatInt(remainingMillis(deadline), 10))
-	appendForwarded(h, in.request)
 	return h
 }
 
@@ -78,8 +80,8 @@
 	return max(1, time.Until(deadline).Milliseconds())
 }
 
-// appendForwarded adds this hop to the Forwarded field (RFC 7239).
-func appendForwarded(h http.Header, r *http.Request) {
+// forwarded returns the Forwarded field with this hop added (RFC 7239).
+func forwarded(h http.Header, r *http.Request) string {
 	proto := "http"
 	if r.TLS != nil {
 		proto = "https"
@@ -91,7 +93,7 @@
 	if prior := strings.Join(h[headerForwarded], ", "); prior != "" {
 		element = prior + ", " + element
 	}
-	h[headerForwarded] = []string{element}
+	return element
 }
 
 func forwardedNode(remote string) string {
--- a/core/stats/set.go
+++ b/core/stats/set.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 
 	"github.com/rcrowley/go-metrics"
@@ -44,9 +45,16 @@
 	s.registry.GetOrRegister(name, metrics.NewFunctionalGauge(read))
 }
 
+// labelledBytes is the usual length of a metric name with a label; longer
+// names take one more allocation.
+const labelledBytes = 96
+
 // Label appends a label to a metric name, in the form of the text format.
 func Label(name, key, value string) string {
-	return fmt.Sprintf("%s{%s=%q}", name, key, value)
+	b := make([]byte, 0, labelledBytes)
+	b = append(append(append(append(b, name...), '{'), key...), '=')
+	b = append(strconv.AppendQuote(b, value), '}')
+	return string(b)
 }
 
 // ServeHTTP writes all metrics in the Prometheus text format.
