--- a/standin/demo/bench_test.go
+++ b/standin/demo/bench_test.go
@@ -78,7 +78,7 @@
 func (f *Fleet) reports() (sent, links float64) {
 	for _, n := range f.Nodes() {
 		sent += float64(n.State("reports").(map[string]any)["reports"].(member.Counters).Sent)
-		links += float64(len(n.State("members").(map[string]any)["members"].(*member.View).Peers))
+		links += float64(len(n.State("members").(map[string]any)["members"].(member.Dump).Peers))
 	}
 	return sent, links
 }
