Report out of turn only with evidence about a suspect target

Cause: while a target is suspect all six carriers reported every 1 s, although most avoid it and have nothing to say about it. Change: a report out of turn needs a row of a suspect target that waits.

--- a/core/daemon/engine.go
+++ b/core/daemon/engine.go
@@ -149,7 +149,7 @@
 
 func (e *engine) isSuspect(id fleet.ServiceID) bool {
 	w, ok := e.watch(id)
-	return ok && w.hasSuspects()
+	return ok && w.hasNews()
 }
 
 // isReady reports whether the daemon has settings and knows the fleet. A daemon
--- a/core/daemon/watch.go
+++ b/core/daemon/watch.go
@@ -278,9 +278,24 @@
 	return false
 }
 
-// hasSuspects reports whether reports about the service go out more often.
-func (w *watch) hasSuspects() bool {
-	return len(w.evidence.Suspects()) > 0
+// hasNews reports whether evidence about a suspect target waits for a report,
+// which is then sent out of turn. Most carriers avoid a suspect target and have
+// nothing to say about it; their reports in turn suffice.
+func (w *watch) hasNews() bool {
+	suspects := w.evidence.Suspects()
+	if len(suspects) == 0 {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, rows := range w.pending {
+		for i := range rows {
+			if suspects[rows[i].Target] {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 func (w *watch) keepRows(rows []detect.Row) {
