--- a/core/admin/api.go
+++ b/core/admin/api.go
@@ -18,7 +18,7 @@
 type Deps struct {
 	VM        fleet.VMID
 	Operators []config.Operator
-	Book      *settle.Book
+	Changelog *settle.Changelog
 	// Applied returns the revision in force at this daemon, or nil.
 	Applied func() *settle.Applied
 	// Live returns the VMs of the membership, this one included.
--- a/core/admin/changes.go
+++ b/core/admin/changes.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		return nil, err
 	}
-	list, err := a.Book.Changes(r.Context(), r.URL.Query().Get("after"), limit)
+	list, err := a.Changelog.Changes(r.Context(), r.URL.Query().Get("after"), limit)
 	if err != nil {
 		return nil, err
 	}
@@ -35,7 +35,7 @@
 }
 
 func (a *api) change(r *http.Request) (any, error) {
-	return a.Book.Change(r.Context(), mux.Vars(r)["id"])
+	return a.Changelog.Change(r.Context(), mux.Vars(r)["id"])
 }
 
 // propose keeps a change. The id is chosen here if the operator names none, so
@@ -49,7 +49,7 @@
 	if p.ID == "" {
 		p.ID = newID()
 	}
-	c, err := a.Book.Propose(r.Context(), p)
+	c, err := a.Changelog.Propose(r.Context(), p)
 	a.record(r, "propose", p.ID, err)
 	if err != nil {
 		return nil, &about{cause: err, change: p.ID, askAgain: "GET /v1/changes/" + p.ID}
@@ -76,7 +76,7 @@
 }
 
 func (a *api) approve(r *http.Request) (any, error) {
-	return a.step(r, "approve", a.Book.Approve)
+	return a.step(r, "approve", a.Changelog.Approve)
 }
 
 func (a *api) reject(r *http.Request) (any, error) {
@@ -85,21 +85,21 @@
 		return nil, err
 	}
 	return a.step(r, "reject", func(ctx context.Context, id, operator string) (settle.Change, error) {
-		return a.Book.Reject(ctx, id, operator, body.Reason)
+		return a.Changelog.Reject(ctx, id, operator, body.Reason)
 	})
 }
 
 func (a *api) withdraw(r *http.Request) (any, error) {
-	return a.step(r, "withdraw", a.Book.Withdraw)
+	return a.step(r, "withdraw", a.Changelog.Withdraw)
 }
 
 func (a *api) rebase(r *http.Request) (any, error) {
-	return a.step(r, "rebase", a.Book.Rebase)
+	return a.step(r, "rebase", a.Changelog.Rebase)
 }
 
 func (a *api) commit(r *http.Request) (any, error) {
 	id := mux.Vars(r)["id"]
-	revision, err := a.Book.Commit(r.Context(), id)
+	revision, err := a.Changelog.Commit(r.Context(), id)
 	a.record(r, "commit", id, err, "revision", revision)
 	return committed(id, revision, err)
 }
@@ -124,7 +124,7 @@
 
 func (a *api) resolve(r *http.Request) (any, error) {
 	id := mux.Vars(r)["id"]
-	resolution, err := a.Book.Resolve(r.Context(), id)
+	resolution, err := a.Changelog.Resolve(r.Context(), id)
 	a.record(r, "resolve", id, err, "outcome", resolution.Outcome)
 	if err != nil {
 		return nil, &about{cause: err, change: id}
--- a/core/admin/settings.go
+++ b/core/admin/settings.go
@@ -27,7 +27,7 @@
 // newest returns the head; while the store does not reply, the revision in
 // force at this daemon.
 func (a *api) newest(ctx context.Context) (version, error) {
-	revision, doc, err := a.Book.Head(ctx)
+	revision, doc, err := a.Changelog.Head(ctx)
 	if err == nil {
 		return version{revision, doc, SourceStore}, nil
 	}
@@ -46,7 +46,7 @@
 	if n == 0 {
 		return a.newest(r.Context())
 	}
-	doc, err := a.Book.Doc(r.Context(), settle.Revision(n))
+	doc, err := a.Changelog.Doc(r.Context(), settle.Revision(n))
 	return version{settle.Revision(n), doc, SourceStore}, err
 }
 
@@ -101,7 +101,7 @@
 	if !slices.Contains(doc.Owners(), operator) {
 		return nil, fault.New(fault.Forbidden, "operator %s is not among the owners of the document", operator)
 	}
-	revision, written, err := a.Book.Bootstrap(r.Context(), doc, operator)
+	revision, written, err := a.Changelog.Bootstrap(r.Context(), doc, operator)
 	a.record(r, "bootstrap", "", err, "revision", revision, "written", written)
 	if err != nil {
 		return nil, &about{cause: err, askAgain: "POST /v1/settings/bootstrap"}
@@ -118,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	list, err := a.Book.History(r.Context(), settle.Revision(before), limit)
+	list, err := a.Changelog.History(r.Context(), settle.Revision(before), limit)
 	return HistoryReply{Revisions: list}, err
 }
 
@@ -141,13 +141,13 @@
 		return nil, err
 	}
 	if to == 0 {
-		head, _, err := a.Book.Head(r.Context())
+		head, _, err := a.Changelog.Head(r.Context())
 		if err != nil {
 			return nil, err
 		}
 		to = uint64(head)
 	}
-	list, err := a.Book.Diff(r.Context(), settle.Revision(from), settle.Revision(to))
+	list, err := a.Changelog.Diff(r.Context(), settle.Revision(from), settle.Revision(to))
 	return DiffReply{From: settle.Revision(from), To: settle.Revision(to), Differences: list}, err
 }
 
@@ -156,7 +156,7 @@
 	if err := readBody(r, &body); err != nil {
 		return nil, err
 	}
-	c, err := a.Book.Rollback(r.Context(), body.To, callOf(r).operator, body.Note)
+	c, err := a.Changelog.Rollback(r.Context(), body.To, callOf(r).operator, body.Note)
 	a.record(r, "rollback", c.ID, err, "to", body.To)
 	if err != nil {
 		return nil, &about{cause: err, change: c.ID, askAgain: "GET /v1/changes"}
--- a/core/admin/suite_test.go
+++ b/core/admin/suite_test.go
@@ -46,11 +46,11 @@
 	service   = fleet.ServiceID("reservas")
 )
 
-// rig is an API over a real book and ejector.
+// rig is an API over a real changelog and ejector.
 type rig struct {
 	url      string
 	platform *stand.Platform
-	// beforeApply runs once before the next transaction of the book.
+	// beforeApply runs once before the next transaction of the changelog.
 	beforeApply func()
 	log         bytes.Buffer
 }
@@ -84,7 +84,7 @@
 	Expect(Mount(router, Deps{
 		VM:        "mdp-1",
 		Operators: []config.Operator{seal("marta"), seal("hector")},
-		Book:      settle.NewBook(store.Table{Get: table.Get, Scan: table.Scan, Apply: r.apply}),
+		Changelog: settle.NewChangelog(store.Table{Get: table.Get, Scan: table.Scan, Apply: r.apply}),
 		Applied:   func() *settle.Applied { return &settle.Applied{Revision: 1, Doc: doc} },
 		Live:      func() []fleet.VM { return live },
 		Carriers: func(id fleet.ServiceID) []fleet.VM {
--- a/core/admin/targets.go
+++ b/core/admin/targets.go
@@ -104,7 +104,7 @@
 		if try == drainTries || !fault.Is(err, fault.SettingsConflict) {
 			return reply, err
 		}
-		if _, err := a.Book.Withdraw(r.Context(), id, callOf(r).operator); err != nil {
+		if _, err := a.Changelog.Withdraw(r.Context(), id, callOf(r).operator); err != nil {
 			return nil, &about{cause: err, change: id, askAgain: "GET /v1/changes/" + id}
 		}
 	}
@@ -112,7 +112,7 @@
 
 func (a *api) tryDrain(r *http.Request, drained bool, note string) (reply any, id string, err error) {
 	ctx := r.Context()
-	revision, doc, err := a.Book.Head(ctx)
+	revision, doc, err := a.Changelog.Head(ctx)
 	if err != nil {
 		return nil, "", err
 	}
@@ -126,10 +126,10 @@
 	}
 	id = newID()
 	p := settle.Proposal{ID: id, Base: revision, Ops: []tree.Op{op}, Author: callOf(r).operator, Note: note}
-	if _, err := a.Book.Propose(ctx, p); err != nil {
+	if _, err := a.Changelog.Propose(ctx, p); err != nil {
 		return nil, id, &about{cause: err, change: id, askAgain: "GET /v1/changes/" + id}
 	}
-	revision, err = a.Book.Commit(ctx, id)
+	revision, err = a.Changelog.Commit(ctx, id)
 	if fault.Is(err, fault.SettingsUnsettled) {
 		return CommitReply{Change: id, Outcome: AwaitsApproval, Detail: fault.From(err).Detail}, id, nil
 	}
--- a/core/daemon/admin.go
+++ b/core/daemon/admin.go
@@ -26,7 +26,7 @@
 	err := admin.Mount(r, admin.Deps{
 		VM:        s.VM,
 		Operators: s.Operators,
-		Book:      settle.NewBook(p.Table, settle.WithObjects(p.Objects)),
+		Changelog: settle.NewChangelog(p.Table, settle.WithObjects(p.Objects)),
 		Applied:   func() *settle.Applied { return e.follower.Current() },
 		Live:      func() []fleet.VM { return e.members.View().Live },
 		Carriers:  e.carriersOf,
--- a/core/daemon/bench_test.go
+++ b/core/daemon/bench_test.go
@@ -102,7 +102,7 @@
 		tree.Set(service, "region", "ar-costa"), tree.Set(service, "targets", entries),
 	})
 	must(err)
-	_, _, err = settle.NewBook(f.platform.Table()).Bootstrap(context.Background(), doc, "marta")
+	_, _, err = settle.NewChangelog(f.platform.Table()).Bootstrap(context.Background(), doc, "marta")
 	must(err)
 	authority, err := inner.NewAuthority()
 	must(err)
--- a/core/daemon/daemon.go
+++ b/core/daemon/daemon.go
@@ -86,7 +86,7 @@
 	Engine     *engine
 	Members    *member.Table
 	Peers      *peers
-	Desk       *order.Desk
+	Manager    *order.Manager
 	Relay      *proxy.Relay
 	Ports      *ports
 	Dump       *stats.Dump
@@ -114,7 +114,7 @@
 		fx.Supply(settings, o, d.incarnation),
 		fx.Provide(func() log.Logger { return d.logger }, stats.New, stats.NewDump),
 		fx.Provide(newBackground, newPlatform, newIdentity, newClient, newEngine, newMembers, newPeers, newFollower),
-		fx.Provide(newDesk, newRelay, newHandlers, newAdmin, newPorts),
+		fx.Provide(newManager, newRelay, newHandlers, newAdmin, newPorts),
 		fx.Invoke(bind, registerState, openPorts),
 		fx.Populate(&d.parts),
 	)
--- a/core/daemon/handlers.go
+++ b/core/daemon/handlers.go
@@ -17,8 +17,8 @@
 )
 
 // newHandlers returns the answers to the calls of peers.
-func newHandlers(m *member.Table, desk *order.Desk, f *settle.Follower, e *engine, dump *stats.Dump) inner.Handlers {
-	h := &handlers{desk: desk, follower: f, engine: e, dump: dump}
+func newHandlers(m *member.Table, manager *order.Manager, f *settle.Follower, e *engine, dump *stats.Dump) inner.Handlers {
+	h := &handlers{manager: manager, follower: f, engine: e, dump: dump}
 	return inner.Handlers{
 		Report:      m.Receive,
 		OrderAsk:    h.orderAsk,
@@ -32,19 +32,19 @@
 }
 
 type handlers struct {
-	desk     *order.Desk
+	manager  *order.Manager
 	follower *settle.Follower
 	engine   *engine
 	dump     *stats.Dump
 }
 
 func (h *handlers) orderAsk(_ context.Context, _ fleet.VMID, m *inner.OrderAskMsg) (*inner.OrderReplyMsg, error) {
-	reply := h.desk.Answer(*m)
+	reply := h.manager.Answer(*m)
 	return &reply, nil
 }
 
 func (h *handlers) ledger(_ context.Context, _ fleet.VMID, m *inner.LedgerMsg) (*inner.LedgerReplyMsg, error) {
-	if err := h.desk.Import(*m); err != nil {
+	if err := h.manager.Import(*m); err != nil {
 		return nil, err
 	}
 	return &inner.LedgerReplyMsg{Kept: uint32(len(m.Records))}, nil
@@ -74,7 +74,7 @@
 	Revision    uint64            `json:"revision"`
 }
 
-func registerState(s *config.Settings, inc fleet.Incarnation, p Platform, m *member.Table, f *settle.Follower, e *engine, desk *order.Desk, rl *proxy.Relay, dump *stats.Dump, set *stats.Set) {
+func registerState(s *config.Settings, inc fleet.Incarnation, p Platform, m *member.Table, f *settle.Follower, e *engine, manager *order.Manager, rl *proxy.Relay, dump *stats.Dump, set *stats.Set) {
 	started := time.Now()
 	dump.Add("daemon", func() any {
 		return daemonState{
@@ -87,7 +87,7 @@
 	dump.Add("settings", func() any { return f.State() })
 	dump.Add("members", func() any { return m.Dump(time.Now()) })
 	dump.Add("reports", func() any { return m.Counters() })
-	dump.Add("orders", func() any { return desk.Dump() })
+	dump.Add("orders", func() any { return manager.Dump() })
 	if p.State != nil {
 		dump.Add("platform", p.State)
 	}
--- a/core/daemon/parts.go
+++ b/core/daemon/parts.go
@@ -157,7 +157,7 @@
 		settle.WithApplied(e.onApplied))
 }
 
-func newDesk(s *config.Settings, inc fleet.Incarnation, p Platform, ps *peers) (*order.Desk, error) {
+func newManager(s *config.Settings, inc fleet.Incarnation, p Platform, ps *peers) (*order.Manager, error) {
 	secrets := make([][]byte, 0, len(s.FleetSecrets))
 	for _, secret := range s.FleetSecrets {
 		secrets = append(secrets, secret)
@@ -166,21 +166,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return order.NewDesk(inc, signer,
+	return order.NewManager(inc, signer,
 		order.WithTable(p.Table),
 		order.WithAskHome(ps.askHome),
 		order.WithHolders(ps.holders)), nil
 }
 
-func newRelay(s *config.Settings, e *engine, desk *order.Desk, set *stats.Set, l log.Logger) *proxy.Relay {
-	return proxy.NewRelay(s.Self(), e.view(), desk,
+func newRelay(s *config.Settings, e *engine, manager *order.Manager, set *stats.Set, l log.Logger) *proxy.Relay {
+	return proxy.NewRelay(s.Self(), e.view(), manager,
 		proxy.WithDomain(s.Domain),
 		proxy.WithLogger(l),
 		proxy.WithStats(set))
 }
 
 // bind joins engine and peers with the parts that were made from them, and runs all.
-func bind(lc fx.Lifecycle, b *background, e *engine, ps *peers, m *member.Table, f *settle.Follower, desk *order.Desk) {
+func bind(lc fx.Lifecycle, b *background, e *engine, ps *peers, m *member.Table, f *settle.Follower, manager *order.Manager) {
 	ps.members = m
 	e.members = m
 	e.follower = f
@@ -188,7 +188,7 @@
 		b.start(m.Run)
 		b.start(e.run)
 		f.Start(b.ctx)
-		desk.Start(b.ctx)
+		manager.Start(b.ctx)
 	}))
 	lc.Append(fx.StopHook(f.Stop))
 }
--- a/core/daemon/peers.go
+++ b/core/daemon/peers.go
@@ -183,7 +183,7 @@
 // incarnation.
 func (p *peers) handOver(ctx context.Context, parts []order.LedgerPart) int {
 	copies := 0
-	for _, to := range p.heirs() {
+	for _, to := range p.successors() {
 		if copies == ledgerCopies {
 			break
 		}
@@ -196,9 +196,9 @@
 	return copies
 }
 
-// heirs returns the peers that may take over the ledger, those first that are
+// successors returns the peers that may take over the ledger, those first that are
 // heard in both directions.
-func (p *peers) heirs() []inner.Peer {
+func (p *peers) successors() []inner.Peer {
 	now := time.Now()
 	var both, other []inner.Peer
 	view := p.members.View()
--- a/core/daemon/session_test.go
+++ b/core/daemon/session_test.go
@@ -102,7 +102,7 @@
 }
 
 // operator returns an operator's view of the settings.
-func (s *session) operator() *settle.Book { return settle.NewBook(s.platform.Table()) }
+func (s *session) operator() *settle.Changelog { return settle.NewChangelog(s.platform.Table()) }
 
 // memServer runs an HTTP server in memory.
 type memServer struct {
--- a/core/daemon/trouble_golden_test.go
+++ b/core/daemon/trouble_golden_test.go
@@ -96,7 +96,7 @@
 }
 
 // propose returns the id of a change that its author has approved.
-func (s *session) propose(b *settle.Book, author string, ops []tree.Op) string {
+func (s *session) propose(b *settle.Changelog, author string, ops []tree.Op) string {
 	c, err := b.Propose(context.Background(), settle.Proposal{Ops: ops, Author: author})
 	s.g.Expect(err).NotTo(HaveOccurred())
 	_, err = b.Approve(context.Background(), c.ID, author)
@@ -104,7 +104,7 @@
 	return c.ID
 }
 
-func (s *session) commit(b *settle.Book, owner, id string) {
+func (s *session) commit(b *settle.Changelog, owner, id string) {
 	revision, err := b.Commit(context.Background(), id)
 	var conflict *settle.Conflict
 	switch {
@@ -141,14 +141,14 @@
 	play(t, name, func(s *session) {
 		s.startReady()
 		table := s.platform.Table()
-		id := s.propose(settle.NewBook(table), "marta", ttl("7s"))
+		id := s.propose(settle.NewChangelog(table), "marta", ttl("7s"))
 		apply := table.Apply
 		table.Apply = func(ctx context.Context, tx store.Tx) error {
 			err := apply(ctx, tx)
 			s.platform.Misbehave(stand.PlatformFaults{TableDown: true})
 			return err
 		}
-		book := settle.NewBook(table)
+		book := settle.NewChangelog(table)
 		s.platform.Misbehave(f)
 		s.commit(book, "marta", id)
 		r, err := book.Resolve(context.Background(), id)
--- a/core/detect/assess.go
+++ b/core/detect/assess.go
@@ -54,7 +54,7 @@
 func (s *Service) Assess(now time.Time) []Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	x := s.newExam(now)
+	x := s.newEvaluation(now)
 	s.suspect = map[fleet.TargetID]bool{}
 	s.typical = 0
 	if code, ok := x.codes.median(); ok {
@@ -79,7 +79,7 @@
 }
 
 // unconfirmed returns the suspects that this daemon has not used enough to judge.
-func (x *exam) unconfirmed() map[fleet.TargetID]bool {
+func (x *evaluation) unconfirmed() map[fleet.TargetID]bool {
 	out := map[fleet.TargetID]bool{}
 	for id := range x.s.suspect {
 		if x.own == nil {
@@ -122,7 +122,7 @@
 }
 
 // judge gives the verdict on one target, if there is one.
-func (x *exam) judge(t int) (Verdict, bool) {
+func (x *evaluation) judge(t int) (Verdict, bool) {
 	id := x.targets[t]
 	typical, _ := x.ratios.without(t)
 	m := measure{limit: typical + (1-typical)*x.p.FailureRatio}
@@ -155,7 +155,7 @@
 // if it holds enough requests; else the newest requests of the wide window do.
 // A burst of failures in the newest requests decides before the window is
 // full, at a limit halfway to certainty.
-func (x *exam) view(w *witness, t int, m measure) *view {
+func (x *evaluation) view(w *observation, t int, m measure) *view {
 	se := w.o.series[x.targets[t]]
 	v := &view{o: w.o, basis: w.recent[t]}
 	if v.basis.requests() < x.p.MinRequests {
@@ -179,7 +179,7 @@
 	return v.basis.failures() >= failures && v.basis.ratio() >= limit
 }
 
-func (x *exam) isSlow(id fleet.TargetID, code, base float64) bool {
+func (x *evaluation) isSlow(id fleet.TargetID, code, base float64) bool {
 	factor := x.p.SlowFactor
 	if at, ok := x.s.started[id]; ok && x.now.Sub(at) < x.s.svc.Policy.SlowStart+x.p.Window {
 		factor *= coldFactor
@@ -193,7 +193,7 @@
 // target, which takes a second or two to pass, is not slowness of the target.
 // Once there is a verdict of slowness, little or no work follows, so the check is not
 // repeated.
-func (x *exam) steadySlowness(t int, m measure) (time.Duration, bool) {
+func (x *evaluation) steadySlowness(t int, m measure) (time.Duration, bool) {
 	id := x.targets[t]
 	if !m.haveBase {
 		return 0, false
@@ -214,7 +214,7 @@
 
 // joinsSlow reports whether an observer that has too few requests of its own
 // shares the pooled finding that the target is slow.
-func (x *exam) joinsSlow(v *view, t int, m measure) bool {
+func (x *evaluation) joinsSlow(v *view, t int, m measure) bool {
 	own := v.o.series[x.targets[t]].since(x.now.Add(-m.slowSpan))
 	if own.counts[OK] < pooledRequests || !x.isSlow(x.targets[t], own.code(), m.base) {
 		return false
@@ -223,7 +223,7 @@
 	return true
 }
 
-func (x *exam) halfSlow(id fleet.TargetID, half tally, base float64) bool {
+func (x *evaluation) halfSlow(id fleet.TargetID, half tally, base float64) bool {
 	return half.counts[OK] > 0 && x.isSlow(id, half.code(), base)
 }
 
@@ -233,7 +233,7 @@
 // wide window for a target with little traffic. It returns the number of own
 // failures with which an observer joins, 0 if the pool does not fail: one is
 // enough if the pool holds a whole minimum of failures and little else.
-func (x *exam) poolFails(t int, limit float64) (int, tally) {
+func (x *evaluation) poolFails(t int, limit float64) (int, tally) {
 	if x.pooled[t].failures() < pooledFailures {
 		return 0, tally{}
 	}
@@ -256,7 +256,7 @@
 
 // probesFail reports whether probes fail in a row and nothing better is known:
 // probes are evidence of second rank, so one good request outweighs them.
-func (x *exam) probesFail(t int) bool {
+func (x *evaluation) probesFail(t int) bool {
 	id := x.targets[t]
 	from := x.now.Add(-max(x.p.Window, probeFailures*x.s.svc.Policy.Probe.Interval))
 	failed := false
@@ -278,7 +278,7 @@
 	return all.probesFailed >= probeFailures
 }
 
-func (x *exam) confirmsProbes(o *observer, id fleet.TargetID) bool {
+func (x *evaluation) confirmsProbes(o *observer, id fleet.TargetID) bool {
 	t := o.series[id].since(x.wide)
 	return t.failures() > 0 || t.probesFailed >= probeFailures
 }
@@ -286,14 +286,14 @@
 // agreed applies the rule of agreement: enough observers, in two data centres
 // where carriers stand in two, and not fewer than those with enough evidence
 // to the contrary.
-func (x *exam) agreed(agree []*view, against int) bool {
+func (x *evaluation) agreed(agree []*view, against int) bool {
 	if len(agree) < max(1, x.p.MinObservers) || len(agree) < against {
 		return false
 	}
 	return len(dataCentres(agree)) >= min(minDataCentres, x.carrierDataCentres())
 }
 
-func (x *exam) carrierDataCentres() int {
+func (x *evaluation) carrierDataCentres() int {
 	all := map[fleet.DataCentre]bool{}
 	for _, dc := range x.s.carriers {
 		all[dc] = true
@@ -315,7 +315,7 @@
 	return dcs
 }
 
-func (x *exam) condemn(id fleet.TargetID, agree []*view, pool tally, m measure) Verdict {
+func (x *evaluation) condemn(id fleet.TargetID, agree []*view, pool tally, m measure) Verdict {
 	var all tally
 	failing := false
 	for _, v := range agree {
@@ -333,7 +333,7 @@
 
 // avoid gives this daemon's own view. It needs another target in good order,
 // since avoiding all of them gains nothing.
-func (x *exam) avoid(t int, m measure, probesFail bool) (Verdict, bool) {
+func (x *evaluation) avoid(t int, m measure, probesFail bool) (Verdict, bool) {
 	id := x.targets[t]
 	if probesFail {
 		return Verdict{
@@ -354,7 +354,7 @@
 	return v, true
 }
 
-func (x *exam) ownAlternative(but int) bool {
+func (x *evaluation) ownAlternative(but int) bool {
 	for t := range x.targets {
 		seen := &x.own.recent[t]
 		if t != but && seen.requests() > 0 && seen.ratio() < x.p.FailureRatio {
@@ -364,7 +364,7 @@
 	return false
 }
 
-func (x *exam) verdict(id fleet.TargetID, a Action, t tally, m measure, failing bool) Verdict {
+func (x *evaluation) verdict(id fleet.TargetID, a Action, t tally, m measure, failing bool) Verdict {
 	v := Verdict{Target: id, Action: a}
 	if failing {
 		v.Cause, v.Severity, v.Reason = causeOf(t), 1+t.ratio(), failingReason(t, m.limit)
--- a/core/detect/exam.go
+++ b/core/detect/evaluation.go
@@ -8,15 +8,15 @@
 	"wisteriarelay.example/core/fleet"
 )
 
-// witness is one observer with its evidence of the window, by target.
-type witness struct {
+// observation is one observer with its evidence of the window, by target.
+type observation struct {
 	o      *observer
 	recent []tally
 }
 
-// exam is the work of one Assess. Targets are numbered as in targets, which
+// evaluation is the work of one Assess. Targets are numbered as in targets, which
 // leaves out those that are not judged.
-type exam struct {
+type evaluation struct {
 	s       *Service
 	p       fleet.Detection
 	now     time.Time
@@ -24,9 +24,9 @@
 	wide    time.Time
 	targets []fleet.TargetID
 	// counted observers do not fail against most targets.
-	counted  []witness
+	counted  []observation
 	excluded int
-	own      *witness
+	own      *observation
 	// pooled is the evidence of all counted observers, of the window or, with
 	// too few requests, of the wide window.
 	pooled []tally
@@ -34,9 +34,9 @@
 	ratios column
 }
 
-func (s *Service) newExam(now time.Time) *exam {
+func (s *Service) newEvaluation(now time.Time) *evaluation {
 	p := s.svc.Policy.Detection
-	x := &exam{s: s, p: p, now: now, recent: now.Add(-p.Window), wide: now.Add(-wideWindows * p.Window)}
+	x := &evaluation{s: s, p: p, now: now, recent: now.Add(-p.Window), wide: now.Add(-wideWindows * p.Window)}
 	for i := range s.svc.Targets {
 		t := &s.svc.Targets[i]
 		if !s.held[t.ID] && !t.Drained {
@@ -48,7 +48,7 @@
 			delete(s.observers, id)
 			continue
 		}
-		w := witness{o: o, recent: make([]tally, len(x.targets))}
+		w := observation{o: o, recent: make([]tally, len(x.targets))}
 		for t, id := range x.targets {
 			w.recent[t] = o.series[id].since(x.recent)
 		}
@@ -61,14 +61,14 @@
 			x.counted = append(x.counted, w)
 		}
 	}
-	slices.SortFunc(x.counted, func(a, b witness) int { return cmp.Compare(a.o.id, b.o.id) })
+	slices.SortFunc(x.counted, func(a, b observation) int { return cmp.Compare(a.o.id, b.o.id) })
 	x.pool()
 	return x
 }
 
 // failsEverywhere reports whether the observer fails against most targets it
 // used, which points at the observer or at the service rather than at a target.
-func (x *exam) failsEverywhere(w *witness) bool {
+func (x *evaluation) failsEverywhere(w *observation) bool {
 	used, failing := 0, 0
 	for t := range w.recent {
 		seen := &w.recent[t]
@@ -83,7 +83,7 @@
 	return failing > 1 && 2*failing > used
 }
 
-func (x *exam) pool() {
+func (x *evaluation) pool() {
 	n := len(x.targets)
 	x.pooled, x.codes, x.ratios = make([]tally, n), newColumn(n), newColumn(n)
 	for t := range x.targets {
@@ -103,7 +103,7 @@
 	x.ratios.sort()
 }
 
-func (x *exam) pooledRecent(t int) tally {
+func (x *evaluation) pooledRecent(t int) tally {
 	var all tally
 	for i := range x.counted {
 		all.merge(x.counted[i].recent[t])
@@ -112,7 +112,7 @@
 }
 
 // poolSince sums the evidence of all counted observers over the span.
-func (x *exam) poolSince(t int, span time.Duration) tally {
+func (x *evaluation) poolSince(t int, span time.Duration) tally {
 	var all tally
 	for i := range x.counted {
 		all.merge(x.counted[i].o.series[x.targets[t]].since(x.now.Add(-span)))
@@ -123,7 +123,7 @@
 // mostFail reports whether more than half of the targets with evidence fail, or
 // more than half of the observers fail everywhere, so that the service as a
 // whole is at fault.
-func (x *exam) mostFail() bool {
+func (x *evaluation) mostFail() bool {
 	if x.excluded > len(x.counted) {
 		return true
 	}
@@ -134,7 +134,7 @@
 // requests, by the evidence of all observers. When a whole service begins to
 // fail, some targets pass the limit of the window before others; the newest
 // evidence shows earlier that most of them fail.
-func (x *exam) onset() []float64 {
+func (x *evaluation) onset() []float64 {
 	ratios := make([]float64, 0, len(x.targets))
 	for t := range x.targets {
 		if newest := x.poolSince(t, x.p.Window/poolSteps); newest.requests() >= x.p.MinRequests/2 {
@@ -144,7 +144,7 @@
 	return ratios
 }
 
-func (x *exam) mostFailing(ratios []float64) bool {
+func (x *evaluation) mostFailing(ratios []float64) bool {
 	failing := 0
 	for _, r := range ratios {
 		if r >= x.p.FailureRatio {
--- a/core/order/bench_test.go
+++ b/core/order/bench_test.go
@@ -11,8 +11,8 @@
 	"wisteriarelay.example/core/fault"
 )
 
-// benchDesk returns a desk and b.N requests with keys under its tokens.
-func benchDesk(b *testing.B, own bool) (*crew, *Desk, []Request) {
+// benchDesk returns a manager and b.N requests with keys under its tokens.
+func benchDesk(b *testing.B, own bool) (*crew, *Manager, []Request) {
 	c := newCrew()
 	d := c.join("vm-0123", WithRecords(1<<30), WithKept(1<<40, 64<<10))
 	list := make([]Request, b.N)
--- a/core/order/copy.go
+++ b/core/order/copy.go
@@ -7,22 +7,22 @@
 	"wisteriarelay.example/core/fleet"
 )
 
-// copyOf is one copy of an order on its way through the desk.
+// copyOf is one copy of an order on its way through the manager.
 type copyOf struct {
-	desk  *Desk
-	req   Request
-	hash  Hash
-	token Token
+	manager *Manager
+	req     Request
+	hash    Hash
+	token   Token
 }
 
 // run returns the decision to run under a record of this ledger.
 func (c *copyOf) run(epoch uint32, claim *heldClaim) Decision {
-	return Decision{Verdict: VerdictRun, Ticket: Ticket{desk: c.desk, key: c.hash, epoch: epoch, claim: claim}}
+	return Decision{Verdict: VerdictRun, Ticket: Ticket{manager: c.manager, key: c.hash, epoch: epoch, claim: claim}}
 }
 
 // beginOwn decides on a key under a token of this incarnation.
 func (c *copyOf) beginOwn(ctx context.Context) Decision {
-	r, admitted := c.desk.ledger.begin(c.token.Epoch, c.hash, c.req.Digest, c.req.Carried)
+	r, admitted := c.manager.ledger.begin(c.token.Epoch, c.hash, c.req.Digest, c.req.Carried)
 	switch {
 	case admitted:
 		return c.run(c.token.Epoch, nil)
@@ -40,7 +40,7 @@
 	if !c.req.Carried {
 		return 0, d, false
 	}
-	r, known, epoch := c.desk.ledger.reserve(c.hash, c.req.Digest)
+	r, known, epoch := c.manager.ledger.reserve(c.hash, c.req.Digest)
 	if known {
 		return 0, decide(r.reply(c.req.Digest)), true
 	}
@@ -55,10 +55,10 @@
 	}
 	ask := OrderAsk{Ledger: c.token.Home, Epoch: c.token.Epoch, Key: c.hash, Digest: c.req.Digest, Want: WantClose}
 	if epoch != 0 {
-		ask.Want, ask.Asker = WantRelease, &Grant{Holder: c.desk.self, Epoch: epoch}
+		ask.Want, ask.Asker = WantRelease, &Grant{Holder: c.manager.self, Epoch: epoch}
 	}
-	reply, err := c.desk.askLedger(ctx, ask)
-	if err == nil && reply.State == StateReleased && reply.Grant.Holder == c.desk.self {
+	reply, err := c.manager.askLedger(ctx, ask)
+	if err == nil && reply.State == StateReleased && reply.Grant.Holder == c.manager.self {
 		return c.useGrant(epoch, *reply.Grant, nil)
 	}
 	c.unreserve(epoch)
@@ -74,7 +74,7 @@
 
 func (c *copyOf) unreserve(epoch uint32) {
 	if epoch != 0 {
-		c.desk.ledger.drop(epoch, c.hash)
+		c.manager.ledger.drop(epoch, c.hash)
 	}
 }
 
@@ -83,7 +83,7 @@
 	if epoch == 0 {
 		return c.askOwn(g)
 	}
-	r, admitted := c.desk.ledger.take(epoch, g.Epoch, c.hash, c.req.Digest)
+	r, admitted := c.manager.ledger.take(epoch, g.Epoch, c.hash, c.req.Digest)
 	if admitted {
 		return c.run(g.Epoch, claim)
 	}
@@ -92,7 +92,7 @@
 
 // askOwn closes a key whose right to run this incarnation holds already.
 func (c *copyOf) askOwn(g Grant) Decision {
-	reply := c.desk.ledger.answer(c.closeAsk(g))
+	reply := c.manager.ledger.answer(c.closeAsk(g))
 	return decide(reply)
 }
 
@@ -103,7 +103,7 @@
 // askHolder asks the one incarnation that may run the key. If that has not
 // seen it, it closes it, since the right to run is given away only once.
 func (c *copyOf) askHolder(ctx context.Context, g Grant) Decision {
-	reply, err := c.desk.askLedger(ctx, c.closeAsk(g))
+	reply, err := c.manager.askLedger(ctx, c.closeAsk(g))
 	if err != nil {
 		return unknown(err, "the daemon that may have run the order can't be asked")
 	}
@@ -112,24 +112,24 @@
 
 // askLedger asks for a ledger where it may be: here, at its owner, at those
 // to whom it was handed over.
-func (d *Desk) askLedger(ctx context.Context, ask OrderAsk) (OrderReply, error) {
-	if ask.Ledger == d.self {
-		return d.ledger.answer(ask), nil
+func (m *Manager) askLedger(ctx context.Context, ask OrderAsk) (OrderReply, error) {
+	if ask.Ledger == m.self {
+		return m.ledger.answer(ask), nil
 	}
-	if reply := d.holdings.answer(ask); reply.State != StateNotHeld {
+	if reply := m.holdings.answer(ask); reply.State != StateNotHeld {
 		return reply, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, d.timeout)
+	ctx, cancel := context.WithTimeout(ctx, m.timeout)
 	defer cancel()
-	reply, err := d.askOne(ctx, ask.Ledger, ask)
+	reply, err := m.askOne(ctx, ask.Ledger, ask)
 	if err == nil {
 		return reply, nil
 	}
-	for _, h := range d.holders(ask.Ledger) {
-		if h == d.self || h == ask.Ledger {
+	for _, h := range m.holders(ask.Ledger) {
+		if h == m.self || h == ask.Ledger {
 			continue
 		}
-		if reply, holderErr := d.askOne(ctx, h, ask); holderErr == nil {
+		if reply, holderErr := m.askOne(ctx, h, ask); holderErr == nil {
 			return reply, nil
 		}
 	}
@@ -137,8 +137,8 @@
 }
 
 // askOne returns an error unless the daemon holds the ledger.
-func (d *Desk) askOne(ctx context.Context, to fleet.Incarnation, ask OrderAsk) (OrderReply, error) {
-	reply, err := d.ask(ctx, to, ask)
+func (m *Manager) askOne(ctx context.Context, to fleet.Incarnation, ask OrderAsk) (OrderReply, error) {
+	reply, err := m.ask(ctx, to, ask)
 	if err != nil {
 		return OrderReply{}, err
 	}
@@ -159,17 +159,17 @@
 	}
 	key := claimKey(c.req.Workspace, c.hash)
 	row := ClaimRow{
-		ID:     c.desk.claims.newID(),
-		Holder: Grant{Holder: c.desk.self, Epoch: max(epoch, 1)},
+		ID:     c.manager.claims.newID(),
+		Holder: Grant{Holder: c.manager.self, Epoch: max(epoch, 1)},
 		Digest: c.req.Digest,
 		State:  StateRunning,
 	}
 	if epoch == 0 {
 		row.State = StateNotRun
 	}
-	limited, cancel := context.WithTimeout(ctx, c.desk.timeout)
+	limited, cancel := context.WithTimeout(ctx, c.manager.timeout)
 	defer cancel()
-	err := c.desk.claims.insert(limited, key, row)
+	err := c.manager.claims.insert(limited, key, row)
 	if err == nil && epoch == 0 {
 		return decide(OrderReply{State: StateNotRun})
 	}
@@ -180,7 +180,7 @@
 		c.unreserve(epoch)
 		return unknown(err, "the key can't be claimed")
 	}
-	other, err := c.desk.claims.read(limited, key)
+	other, err := c.manager.claims.read(limited, key)
 	if err != nil {
 		c.unreserve(epoch)
 		return unknown(err, "the claim of the key can't be read")
@@ -195,7 +195,7 @@
 		c.unreserve(epoch)
 		return decide(OrderReply{State: StateMismatch})
 	}
-	if row.State == StateRunning && row.Holder.Holder == c.desk.self {
+	if row.State == StateRunning && row.Holder.Holder == c.manager.self {
 		// An earlier attempt of this incarnation whose reply was lost.
 		return c.useGrant(epoch, row.Holder, &heldClaim{key, row})
 	}
--- a/core/order/decision.go
+++ b/core/order/decision.go
@@ -60,10 +60,10 @@
 // Ticket is the right to run an order once. The zero ticket stands for an
 // order without a key.
 type Ticket struct {
-	desk  *Desk
-	key   Hash
-	epoch uint32
-	claim *heldClaim
+	manager *Manager
+	key     Hash
+	epoch   uint32
+	claim   *heldClaim
 }
 
 // heldClaim is a claim of this incarnation that waits for its outcome.
@@ -76,12 +76,12 @@
 // NotRun may be stated only if no byte of the request can have been acted on;
 // it closes the key for good.
 func (t Ticket) Finish(outcome fault.Outcome, res *Response) {
-	if t.desk == nil {
+	if t.manager == nil {
 		return
 	}
-	t.desk.ledger.finish(t.epoch, t.key, outcome, res)
+	t.manager.ledger.finish(t.epoch, t.key, outcome, res)
 	if t.claim != nil {
-		t.desk.claims.settle(t.claim.key, t.claim.row, outcome, res)
+		t.manager.claims.settle(t.claim.key, t.claim.row, outcome, res)
 	}
 }
 
--- a/core/order/dump.go
+++ b/core/order/dump.go
@@ -2,7 +2,7 @@
 
 import "wisteriarelay.example/core/fleet"
 
-// Dump is the state of a desk in counts, without keys or contents.
+// Dump is the state of a manager in counts, without keys or contents.
 type Dump struct {
 	Incarnation fleet.Incarnation `json:"incarnation"`
 	// Epoch is the open epoch, 0 while the daemon leaves.
@@ -20,11 +20,11 @@
 	OutcomesDropped uint64                    `json:"outcomes-dropped"`
 }
 
-// Dump returns the state of the desk.
-func (d *Desk) Dump() Dump {
-	l := d.ledger
+// Dump returns the state of the manager.
+func (m *Manager) Dump() Dump {
+	l := m.ledger
 	out := Dump{
-		Incarnation: d.self,
+		Incarnation: m.self,
 		Epoch:       l.current.Load(),
 		Records:     l.records.Load(),
 		MaxRecords:  l.maxRecords,
@@ -39,12 +39,12 @@
 	for i := range l.shards {
 		l.shards[i].countStates(out.States)
 	}
-	d.holdings.mu.Lock()
-	for inc, h := range d.holdings.ledgers {
+	m.holdings.mu.Lock()
+	for inc, h := range m.holdings.ledgers {
 		out.Held[inc] = len(h.records)
 	}
-	d.holdings.mu.Unlock()
-	c := d.claims
+	m.holdings.mu.Unlock()
+	c := m.claims
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out.OutcomesWaiting, out.OutcomesWritten, out.OutcomesDropped = len(c.waiting), c.written, c.dropped
--- a/core/order/desk.go
+++ b/core/order/manager.go
@@ -9,8 +9,8 @@
 	"wisteriarelay.example/core/store"
 )
 
-// Desk decides for each copy of an order whether it may run at this daemon.
-type Desk struct {
+// Manager decides for each copy of an order whether it may run at this daemon.
+type Manager struct {
 	self     fleet.Incarnation
 	signer   *Signer
 	ledger   *Ledger
@@ -24,8 +24,8 @@
 	rowResponse int64
 }
 
-// Option changes a Desk.
-type Option func(*Desk)
+// Option changes a Manager.
+type Option func(*Manager)
 
 // defaultAskTimeout bounds the asks of one copy, all together: the round trip
 // between regions and two more tries fit well.
@@ -34,40 +34,40 @@
 // WithAskHome sets the function that asks other daemons; without it every
 // other daemon is unreachable.
 func WithAskHome(ask AskHome) Option {
-	return func(d *Desk) { d.ask = ask }
+	return func(m *Manager) { m.ask = ask }
 }
 
 // WithHolders sets the function that returns the incarnations that may hold
 // the ledger of one that left, best first. An incarnation that doesn't hold it
 // says so and does no harm.
 func WithHolders(holders func(gone fleet.Incarnation) []fleet.Incarnation) Option {
-	return func(d *Desk) { d.holders = holders }
+	return func(m *Manager) { m.holders = holders }
 }
 
 // WithTable sets the table service for claims; without it callers' own keys
 // are answered with unknown.
 func WithTable(t store.Table) Option {
-	return func(d *Desk) { d.table = t }
+	return func(m *Manager) { m.table = t }
 }
 
 // WithRowResponse sets the size up to which responses are kept in claim rows.
 func WithRowResponse(bytes int64) Option {
-	return func(d *Desk) { d.rowResponse = bytes }
+	return func(m *Manager) { m.rowResponse = bytes }
 }
 
 // WithAskTimeout sets the time for asking other daemons and the table about one copy.
 func WithAskTimeout(t time.Duration) Option {
-	return func(d *Desk) { d.timeout = t }
+	return func(m *Manager) { m.timeout = t }
 }
 
 // WithLedger replaces the ledger.
 func WithLedger(l *Ledger) Option {
-	return func(d *Desk) { d.ledger = l }
+	return func(m *Manager) { m.ledger = l }
 }
 
-// NewDesk returns the desk of an incarnation.
-func NewDesk(self fleet.Incarnation, signer *Signer, opts ...Option) *Desk {
-	d := &Desk{
+// NewManager returns the manager of an incarnation.
+func NewManager(self fleet.Incarnation, signer *Signer, opts ...Option) *Manager {
+	m := &Manager{
 		self:    self,
 		signer:  signer,
 		ledger:  NewLedger(self),
@@ -79,15 +79,15 @@
 		rowResponse: defaultRowResponse,
 	}
 	for _, o := range opts {
-		o(d)
+		o(m)
 	}
-	d.claims = newClaims(d.table, d.rowResponse)
-	d.holdings = holdings{
-		maxRecords: d.ledger.maxRecords,
-		maxKept:    d.ledger.maxKept / 2,
+	m.claims = newClaims(m.table, m.rowResponse)
+	m.holdings = holdings{
+		maxRecords: m.ledger.maxRecords,
+		maxKept:    m.ledger.maxKept / 2,
 		ledgers:    map[fleet.Incarnation]*held{},
 	}
-	return d
+	return m
 }
 
 func unreachable(_ context.Context, to fleet.Incarnation, _ OrderAsk) (OrderReply, error) {
@@ -104,14 +104,14 @@
 }
 
 // Start closes epochs and writes outcomes in the background until ctx ends.
-func (d *Desk) Start(ctx context.Context) {
-	go d.ledger.run(ctx)
-	go d.claims.run(ctx)
-	go d.run(ctx)
+func (m *Manager) Start(ctx context.Context) {
+	go m.ledger.run(ctx)
+	go m.claims.run(ctx)
+	go m.run(ctx)
 }
 
 // run drops ledgers that were handed over long ago.
-func (d *Desk) run(ctx context.Context) {
+func (m *Manager) run(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -119,24 +119,24 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			d.holdings.expire(time.Now())
+			m.holdings.expire(time.Now())
 		}
 	}
 }
 
 // Token issues a token for the service with this incarnation as its home. It
 // fails with NotReady while the daemon leaves and QueueFull while its ledger is full.
-func (d *Desk) Token(service fleet.ServiceID, mode Mode) (string, error) {
-	number, err := d.ledger.issueEpoch()
+func (m *Manager) Token(service fleet.ServiceID, mode Mode) (string, error) {
+	number, err := m.ledger.issueEpoch()
 	if err != nil {
 		return "", err
 	}
-	return d.signer.Issue(Token{Service: service, Home: d.self, Epoch: number, Mode: mode})
+	return m.signer.Issue(Token{Service: service, Home: m.self, Epoch: number, Mode: mode})
 }
 
 // Begin decides on one copy of an order. With VerdictRun the caller sends the
 // request and then calls Finish of the ticket.
-func (d *Desk) Begin(ctx context.Context, r Request) Decision {
+func (m *Manager) Begin(ctx context.Context, r Request) Decision {
 	if r.Key == "" && r.Mode == fleet.KeyOptional {
 		if !r.Carried {
 			return refuse(VerdictNotRun, fault.NotCarried, "the service isn't carried here")
@@ -146,7 +146,7 @@
 	if r.Carried && r.Digest.IsZero() {
 		return invalid(fault.New(fault.Internal, "order without the digest of its request"))
 	}
-	key, err := d.signer.ParseKey(r.Key)
+	key, err := m.signer.ParseKey(r.Key)
 	if err != nil {
 		return invalid(err)
 	}
@@ -154,11 +154,11 @@
 		// Every daemon refuses the request, so that it is certain not to run.
 		return invalid(fault.New(fault.OrderKeyInvalid, "the token is for service %q", key.Token.Service))
 	}
-	c := copyOf{desk: d, req: r, hash: key.hash(r.Workspace, r.Service), token: key.Token}
+	c := copyOf{manager: m, req: r, hash: key.hash(r.Workspace, r.Service), token: key.Token}
 	switch {
 	case key.Own || key.Token.Mode == ModeClaim:
 		return c.beginClaim(ctx)
-	case key.Token.Home == d.self:
+	case key.Token.Home == m.self:
 		return c.beginOwn(ctx)
 	default:
 		return c.beginForeign(ctx)
@@ -167,42 +167,42 @@
 
 // Close decides on a copy that is not to be run here, for example because it
 // is rejected early. Its verdict is not-run only if no copy ran or will run.
-func (d *Desk) Close(ctx context.Context, r Request) Decision {
+func (m *Manager) Close(ctx context.Context, r Request) Decision {
 	r.Carried = false
-	return d.Begin(ctx, r)
+	return m.Begin(ctx, r)
 }
 
 // Answer replies to the ask of another daemon.
-func (d *Desk) Answer(a OrderAsk) OrderReply {
+func (m *Manager) Answer(a OrderAsk) OrderReply {
 	if a.Validate() != nil {
 		return OrderReply{State: StateNotHeld}
 	}
-	if a.Ledger == d.self {
-		return d.ledger.answer(a)
+	if a.Ledger == m.self {
+		return m.ledger.answer(a)
 	}
-	return d.holdings.answer(a)
+	return m.holdings.answer(a)
 }
 
 // Export closes all epochs for good and returns the ledger in parts, together
 // with the ledgers that this daemon holds for others.
-func (d *Desk) Export() []LedgerPart {
-	return append(d.ledger.export(), d.holdings.export(time.Now())...)
+func (m *Manager) Export() []LedgerPart {
+	return append(m.ledger.export(), m.holdings.export(time.Now())...)
 }
 
 // Import takes over one part of the ledger of a daemon that leaves. It fails
 // with QueueFull if there is no room; unseen keys of that ledger are then
 // answered with unknown.
-func (d *Desk) Import(p LedgerPart) error {
+func (m *Manager) Import(p LedgerPart) error {
 	if err := p.Validate(); err != nil {
 		return err
 	}
-	if p.Ledger == d.self {
+	if p.Ledger == m.self {
 		return nil
 	}
-	return d.holdings.add(p, time.Now())
+	return m.holdings.add(p, time.Now())
 }
 
 // Flush writes the outcomes that wait for the store; it is called before exit.
-func (d *Desk) Flush(ctx context.Context) error {
-	return d.claims.flush(ctx)
+func (m *Manager) Flush(ctx context.Context) error {
+	return m.claims.flush(ctx)
 }
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -22,10 +22,10 @@
 
 var testSecret = []byte("0123456789abcdef0123456789abcdef")
 
-// crew is a small fleet whose desks ask each other through encoded messages.
+// crew is a small fleet whose managers ask each other through encoded messages.
 type crew struct {
 	platform *stand.Platform
-	desks    map[fleet.Incarnation]*Desk
+	managers map[fleet.Incarnation]*Manager
 	// cut holds the incarnations that can't be reached.
 	cut map[fleet.Incarnation]bool
 	// lose is the number of next asks that arrive while their reply is lost.
@@ -33,11 +33,11 @@
 }
 
 func newCrew() *crew {
-	return &crew{platform: stand.NewPlatform(), desks: map[fleet.Incarnation]*Desk{}, cut: map[fleet.Incarnation]bool{}}
+	return &crew{platform: stand.NewPlatform(), managers: map[fleet.Incarnation]*Manager{}, cut: map[fleet.Incarnation]bool{}}
 }
 
 func (c *crew) ask(_ context.Context, to fleet.Incarnation, ask OrderAsk) (OrderReply, error) {
-	d := c.desks[to]
+	d := c.managers[to]
 	if d == nil || c.cut[to] {
 		return OrderReply{}, fault.New(fault.PeerUnreachable, "%s", to)
 	}
@@ -65,26 +65,26 @@
 
 func (c *crew) others(fleet.Incarnation) []fleet.Incarnation {
 	var list []fleet.Incarnation
-	for inc := range c.desks {
+	for inc := range c.managers {
 		list = append(list, inc)
 	}
 	return list
 }
 
-func (c *crew) join(vm fleet.VMID, opts ...LedgerOption) *Desk {
+func (c *crew) join(vm fleet.VMID, opts ...LedgerOption) *Manager {
 	s, err := NewSigner(testSecret)
 	if err != nil {
 		panic(err)
 	}
 	inc := fleet.NewIncarnation(vm)
-	d := NewDesk(inc, s, WithLedger(NewLedger(inc, opts...)), WithTable(c.platform.Table()),
+	d := NewManager(inc, s, WithLedger(NewLedger(inc, opts...)), WithTable(c.platform.Table()),
 		WithAskHome(c.ask), WithHolders(c.others), WithAskTimeout(time.Second))
-	c.desks[inc] = d
+	c.managers[inc] = d
 	return d
 }
 
-func (c *crew) leave(d *Desk) {
-	delete(c.desks, d.self)
+func (c *crew) leave(d *Manager) {
+	delete(c.managers, d.self)
 }
 
 func digest(body string) Hash {
@@ -97,7 +97,7 @@
 	return Request{Key: key, Service: "reservas", Workspace: "w", Digest: digest(body), Carried: true}
 }
 
-func tokenKey(d *Desk, suffix string) string {
+func tokenKey(d *Manager, suffix string) string {
 	t, err := d.Token("reservas", ModeHome)
 	Expect(err).NotTo(HaveOccurred())
 	return `"` + t + "." + suffix + `"`
@@ -115,10 +115,10 @@
 	return And(verdict(VerdictReplay), HaveField("Response.Body", []byte(body)))
 }
 
-var _ = Describe("Desk", func() {
+var _ = Describe("Manager", func() {
 	ctx := context.Background()
 	var c *crew
-	var home, other, third *Desk
+	var home, other, third *Manager
 	BeforeEach(func() {
 		c = newCrew()
 		home, other, third = c.join("home"), c.join("other"), c.join("third")
@@ -154,21 +154,21 @@
 			It("gives no response to a copy without a digest", func() {
 				home.Begin(ctx, r).Ticket.Finish(fault.Run, response("booked"))
 				r.Digest = Hash{}
-				for _, d := range []*Desk{home, other} {
+				for _, d := range []*Manager{home, other} {
 					Expect(d.Close(ctx, r)).To(And(verdict(VerdictReplay), HaveField("Response", BeNil())))
 				}
 			})
 
 			It("keeps not-run final", func() {
 				home.Begin(ctx, r).Ticket.Finish(fault.NotRun, nil)
-				for _, d := range []*Desk{home, other} {
+				for _, d := range []*Manager{home, other} {
 					Expect(d.Begin(ctx, r)).To(And(verdict(VerdictNotRun), HaveField("Fault.Kind", fault.OrderClosed)))
 				}
 			})
 
 			It("keeps unknown final", func() {
 				home.Begin(ctx, r).Ticket.Finish(fault.Unknown, nil)
-				for _, d := range []*Desk{home, other} {
+				for _, d := range []*Manager{home, other} {
 					Expect(d.Begin(ctx, r)).To(verdict(VerdictUnknown))
 				}
 			})
--- a/core/order/parallel_test.go
+++ b/core/order/parallel_test.go
@@ -15,9 +15,9 @@
 
 // rival sends copies of the same keys as the other rivals, at once.
 type rival struct {
-	desk *Desk
-	keys []string
-	runs []atomic.Int32
+	manager *Manager
+	keys    []string
+	runs    []atomic.Int32
 	// gates lets the rivals start on each key together.
 	gates []sync.WaitGroup
 	all   *sync.WaitGroup
@@ -28,13 +28,13 @@
 	for i, k := range r.keys {
 		switch i {
 		case len(r.keys) / 2:
-			r.desk.ledger.tick(time.Now().Add(defaultEpoch))
+			r.manager.ledger.tick(time.Now().Add(defaultEpoch))
 		case len(r.keys) * 3 / 4:
-			r.desk.ledger.tick(time.Now().Add(defaultEpoch + defaultKeep))
+			r.manager.ledger.tick(time.Now().Add(defaultEpoch + defaultKeep))
 		}
 		r.gates[i].Done()
 		r.gates[i].Wait()
-		if d := r.desk.Begin(context.Background(), request(k, "a")); d.Verdict == VerdictRun {
+		if d := r.manager.Begin(context.Background(), request(k, "a")); d.Verdict == VerdictRun {
 			r.runs[i].Add(1)
 			d.Ticket.Finish(fault.Run, response("booked"))
 		}
@@ -48,11 +48,11 @@
 	g := NewWithT(t)
 	RegisterTestingT(t)
 	c := newCrew()
-	desks := []*Desk{c.join("a", WithKept(shardCount*500, 400)), c.join("b"), c.join("c")}
+	managers := []*Manager{c.join("a", WithKept(shardCount*500, 400)), c.join("b"), c.join("c")}
 	const keys, rivals = 300, 12
 	var list []string
 	for i := range keys {
-		list = append(list, tokenKey(desks[0], "1"), fmt.Sprint("own", i))
+		list = append(list, tokenKey(managers[0], "1"), fmt.Sprint("own", i))
 	}
 	runs := make([]atomic.Int32, len(list))
 	gates := make([]sync.WaitGroup, len(list))
@@ -62,7 +62,7 @@
 	var all sync.WaitGroup
 	for i := range rivals {
 		all.Add(1)
-		go (&rival{desks[i%3], list, runs, gates, &all}).run()
+		go (&rival{managers[i%3], list, runs, gates, &all}).run()
 	}
 	all.Wait()
 	total := 0
--- a/core/order/sim_test.go
+++ b/core/order/sim_test.go
@@ -37,10 +37,10 @@
 
 // proc is one daemon process.
 type proc struct {
-	desk   *Desk
-	dead   atomic.Bool
-	paused atomic.Int64 // end of the pause in Unix nanoseconds
-	stop   context.CancelFunc
+	manager *Manager
+	dead    atomic.Bool
+	paused  atomic.Int64 // end of the pause in Unix nanoseconds
+	stop    context.CancelFunc
 }
 
 func (p *proc) pauseLeft() time.Duration {
@@ -147,18 +147,18 @@
 	signer.random = s.random
 	p := &proc{}
 	ledger := NewLedger(self, WithRecords(400), WithKept(24<<10, 2<<10), WithEpoch(2*time.Second, 12*time.Second, 2*time.Second))
-	p.desk = NewDesk(self, signer, WithLedger(ledger), WithTable(s.table(p)), WithAskTimeout(simAsk), WithRowResponse(140),
+	p.manager = NewManager(self, signer, WithLedger(ledger), WithTable(s.table(p)), WithAskTimeout(simAsk), WithRowResponse(140),
 		WithAskHome(func(ctx context.Context, to fleet.Incarnation, a OrderAsk) (OrderReply, error) {
 			return s.ask(ctx, p, to, a)
 		}),
 		WithHolders(func(fleet.Incarnation) []fleet.Incarnation { return s.living() }))
-	p.desk.claims.random = s.random
+	p.manager.claims.random = s.random
 	ctx, stop := context.WithCancel(numbered(simActors + 2*id))
 	p.stop = stop
 	s.mu.Lock()
 	s.slots[slot], s.all[self] = p, p
 	s.mu.Unlock()
-	go p.desk.claims.run(ctx)
+	go p.manager.claims.run(ctx)
 	go (&clock{p, numbered(simActors + 2*id + 1)}).run()
 }
 
@@ -166,7 +166,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.slots {
-		list = append(list, p.desk.self)
+		list = append(list, p.manager.self)
 	}
 	return list
 }
@@ -181,8 +181,8 @@
 	for !c.proc.dead.Load() {
 		sleep(c.ctx, 100*time.Millisecond)
 		c.proc.gate(c.ctx)
-		c.proc.desk.ledger.tick(time.Now())
-		c.proc.desk.holdings.expire(time.Now())
+		c.proc.manager.ledger.tick(time.Now())
+		c.proc.manager.holdings.expire(time.Now())
 	}
 }
 
@@ -231,13 +231,13 @@
 		delay += p.pauseLeft()
 	}
 	if deadline, _ := ctx.Deadline(); time.Until(deadline) < delay {
-		time.AfterFunc(delay, func() { s.deliver(from.desk.self, to, a) })
+		time.AfterFunc(delay, func() { s.deliver(from.manager.self, to, a) })
 		sleep(ctx, time.Until(deadline))
 		return OrderReply{}, lost
 	}
 	sleep(ctx, delay)
-	reply := s.deliver(from.desk.self, to, a)
-	if reply.State == StateNotHeld || s.isCut(to, from.desk.self) || s.chance(s.lossNow()) {
+	reply := s.deliver(from.manager.self, to, a)
+	if reply.State == StateNotHeld || s.isCut(to, from.manager.self) || s.chance(s.lossNow()) {
 		return OrderReply{}, lost
 	}
 	sleep(ctx, s.upTo(20*time.Millisecond))
@@ -261,7 +261,7 @@
 	if p == nil || p.dead.Load() || s.isCut(from, to) {
 		return OrderReply{State: StateNotHeld}
 	}
-	recode(p.desk.Answer(a), &out)
+	recode(p.manager.Answer(a), &out)
 	return out
 }
 
@@ -312,7 +312,7 @@
 	}
 	r := request(o.key, body)
 	r.Carried = !s.chance(0.06)
-	d := p.desk.Begin(a.ctx, r)
+	d := p.manager.Begin(a.ctx, r)
 	p.gate(a.ctx)
 	if p.dead.Load() {
 		return
@@ -342,11 +342,11 @@
 		if s.chance(0.2) {
 			mode = ModeClaim
 		}
-		token, err := p.desk.Token("reservas", mode)
+		token, err := p.manager.Token("reservas", mode)
 		if err != nil {
 			return nil
 		}
-		o.key, o.home = token+".1", p.desk.self
+		o.key, o.home = token+".1", p.manager.self
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -414,13 +414,13 @@
 	s.verdicts[d.Verdict]++
 	switch d.Verdict {
 	case VerdictNotRun:
-		o.notRun = string(p.desk.self)
+		o.notRun = string(p.manager.self)
 		if o.runs > 0 {
-			s.fail(o, "a caller is told not-run by %s after the order ran", p.desk.self)
+			s.fail(o, "a caller is told not-run by %s after the order ran", p.manager.self)
 		}
 	case VerdictReplay:
 		if !o.done || o.body != body {
-			s.fail(o, "%s tells run for copy %s; done %t, ran copy %s", p.desk.self, body, o.done, o.body)
+			s.fail(o, "%s tells run for copy %s; done %t, ran copy %s", p.manager.self, body, o.done, o.body)
 		}
 		if d.Response != nil && string(d.Response.Body[:len(o.key)+1]) != o.key+body {
 			s.fail(o, "replay of another response %q", d.Response.Body)
--- a/core/order/slope_test.go
+++ b/core/order/slope_test.go
@@ -10,12 +10,12 @@
 	"wisteriarelay.example/core/fleet"
 )
 
-func slopeDesk(b *testing.B) *Desk {
+func slopeDesk(b *testing.B) *Manager {
 	s, err := NewSigner(testSecret)
 	if err != nil {
 		b.Fatal(err)
 	}
-	return NewDesk(fleet.NewIncarnation("vm"), s)
+	return NewManager(fleet.NewIncarnation("vm"), s)
 }
 
 // BenchmarkNewToken measures an order token.
@@ -30,7 +30,7 @@
 }
 
 // runOrder runs the order with the number under a token and keeps an answer of 200 B.
-func runOrder(b *testing.B, d *Desk, token string, n int) {
+func runOrder(b *testing.B, d *Manager, token string, n int) {
 	r := Request{Key: fmt.Sprintf(`"%s.%d"`, token, n), Service: "reservas", Workspace: "w", Digest: Hash{1}, Carried: true}
 	decision := d.Begin(context.Background(), r)
 	if decision.Verdict != VerdictRun {
--- a/core/order/trouble_test.go
+++ b/core/order/trouble_test.go
@@ -41,7 +41,7 @@
 		cut := map[[2]fleet.Incarnation]bool{}
 		for range s.intN(4) {
 			_, other := s.slot()
-			cut[[2]fleet.Incarnation{p.desk.self, other.desk.self}] = true
+			cut[[2]fleet.Incarnation{p.manager.self, other.manager.self}] = true
 		}
 		s.mu.Lock()
 		s.cut = cut
@@ -79,7 +79,7 @@
 // leave hands the ledger of a process over while its last requests still run.
 func (t *trouble) leave(slot int, p *proc) {
 	s := t.sim
-	parts := p.desk.Export()
+	parts := p.manager.Export()
 	for range 2 {
 		_, to := s.slot()
 		for _, part := range parts {
@@ -88,7 +88,7 @@
 			}
 			var in LedgerPart
 			recode(part, &in)
-			if to.desk.Import(in) == nil {
+			if to.manager.Import(in) == nil {
 				s.handed++
 			}
 		}
--- a/core/proxy/order.go
+++ b/core/proxy/order.go
@@ -55,65 +55,65 @@
 	return o.reserve(r)
 }
 
-// serveOrder runs a non-idempotent request if the desk allows it.
-func (v *visit) serveOrder(ctx context.Context, carrier *Carrier) {
-	v.offerToken()
-	decision := v.relay.desk.Begin(ctx, v.orderRequest(true))
-	if v.settled(decision) {
+// serveOrder runs a non-idempotent request if the manager allows it.
+func (c *call) serveOrder(ctx context.Context, carrier *Carrier) {
+	c.offerToken()
+	decision := c.relay.manager.Begin(ctx, c.orderRequest(true))
+	if c.settled(decision) {
 		return
 	}
-	if v.request.Header.Get(HeaderOrderKey) != "" {
+	if c.request.Header.Get(HeaderOrderKey) != "" {
 		// The response is kept for a repeat, so the work goes on although the
 		// caller may have gone.
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), v.in.deadline)
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), c.in.deadline)
 		defer cancel()
 	}
-	a := (&exchange{carrier: carrier, in: v.in}).run(ctx)
-	v.finishOrder(a, decision.Ticket)
+	a := (&exchange{carrier: carrier, in: c.in}).run(ctx)
+	c.finishOrder(a, decision.Ticket)
 }
 
-func (v *visit) orderRequest(carried bool) order.Request {
-	digest := order.NewDigester(v.in.workspace, v.request.Method, v.request.URL.RequestURI())
-	_, _ = digest.Write(v.in.body)
+func (c *call) orderRequest(carried bool) order.Request {
+	digest := order.NewDigester(c.in.workspace, c.request.Method, c.request.URL.RequestURI())
+	_, _ = digest.Write(c.in.body)
 	return order.Request{
-		Key:       v.request.Header.Get(HeaderOrderKey),
-		Service:   v.serviceID,
-		Workspace: v.in.workspace,
+		Key:       c.request.Header.Get(HeaderOrderKey),
+		Service:   c.serviceID,
+		Workspace: c.in.workspace,
 		Digest:    digest.Sum(),
-		Mode:      v.in.route.OrderKey,
+		Mode:      c.in.route.OrderKey,
 		Carried:   carried,
 	}
 }
 
 // settled answers a copy of an order that is not to be run, and reports
 // whether it did.
-func (v *visit) settled(d order.Decision) bool {
+func (c *call) settled(d order.Decision) bool {
 	if d.Verdict == order.VerdictRun {
 		return false
 	}
-	v.relay.count("orders", d.Verdict.String())
+	c.relay.count("orders", d.Verdict.String())
 	if d.Response == nil {
-		v.refuse(d.Fault)
+		c.refuse(d.Fault)
 		return true
 	}
-	h := v.writer.Header()
+	h := c.writer.Header()
 	for _, f := range d.Response.Header {
 		h.Add(f.Name, f.Value)
 	}
 	h.Set(HeaderReplayed, "true")
 	h.Set(HeaderOutcome, string(fault.Run))
-	v.writeWhole(&answer{status: d.Response.Status, body: d.Response.Body})
+	c.writeWhole(&answer{status: d.Response.Status, body: d.Response.Body})
 	return true
 }
 
 // finishOrder records the outcome before the caller sees it, so that a repeat
 // can never learn less than the first copy did.
-func (v *visit) finishOrder(a *answer, t order.Ticket) {
+func (c *call) finishOrder(a *answer, t order.Ticket) {
 	switch {
 	case a.err != nil:
 		t.Finish(a.err.Outcome, nil)
-		if a.err.Outcome == fault.NotRun && v.request.Header.Get(HeaderOrderKey) != "" {
+		if a.err.Outcome == fault.NotRun && c.request.Header.Get(HeaderOrderKey) != "" {
 			a.err = a.err.WithRetry(fault.RetryNewKey)
 		}
 	case a.whole():
@@ -121,7 +121,7 @@
 	default:
 		a.ended = func(err error) { t.Finish(streamedOutcome(a, err), nil) }
 	}
-	v.respond(a)
+	c.respond(a)
 }
 
 // streamedOutcome is the outcome of an order whose response was too large to
@@ -152,35 +152,35 @@
 // closeElsewhere closes the key of an order that reached a daemon which does
 // not carry its service, and reports whether it answered. Without that, a copy
 // that is still under way could run after the caller was told "not run".
-func (v *visit) closeElsewhere(service *fleet.Service) bool {
-	if v.request.Header.Get(HeaderOrderKey) == "" {
+func (c *call) closeElsewhere(service *fleet.Service) bool {
+	if c.request.Header.Get(HeaderOrderKey) == "" {
 		return false
 	}
-	release, err := v.relay.bodies.reserveFor(service, v.request)
+	release, err := c.relay.bodies.reserveFor(service, c.request)
 	if err != nil {
-		v.refuse(fault.From(err))
+		c.refuse(fault.From(err))
 		return true
 	}
 	defer release()
-	in, err := newInbound(v.writer, v.request, service, v.requestID, v.arrived)
+	in, err := newInbound(c.writer, c.request, service, c.requestID, c.arrived)
 	if err != nil {
-		v.refuse(fault.From(err))
+		c.refuse(fault.From(err))
 		return true
 	}
 	if in.route.Idempotent {
 		return false
 	}
-	v.in = in
-	ctx, cancel := context.WithDeadline(v.request.Context(), in.deadline)
+	c.in = in
+	ctx, cancel := context.WithDeadline(c.request.Context(), in.deadline)
 	defer cancel()
-	return v.settled(v.relay.desk.Close(ctx, v.orderRequest(false)))
+	return c.settled(c.relay.manager.Close(ctx, c.orderRequest(false)))
 }
 
 // offerToken sends the caller a token for its next order.
-func (v *visit) offerToken() {
-	token, err := v.relay.desk.Token(v.serviceID, order.ModeHome)
+func (c *call) offerToken() {
+	token, err := c.relay.manager.Token(c.serviceID, order.ModeHome)
 	if err == nil {
-		v.writer.Header().Set(HeaderOrderToken, token)
+		c.writer.Header().Set(HeaderOrderToken, token)
 	}
 }
 
@@ -203,7 +203,7 @@
 		p.write(w)
 		return
 	}
-	token, err := rl.desk.Token(service, order.ModeHome)
+	token, err := rl.manager.Token(service, order.ModeHome)
 	if err != nil {
 		newProblem(fault.From(err), id).write(w)
 		return
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -66,16 +66,16 @@
 		},
 		Ready:   func() bool { return true },
 		Leaving: func() bool { return false },
-	}, newDesk())
+	}, newManager())
 	rg.server = httptest.NewServer(rg.relay)
 	DeferCleanup(rg.server.Close)
 	return rg
 }
 
-func newDesk() *order.Desk {
+func newManager() *order.Manager {
 	signer, err := order.NewSigner([]byte("0123456789abcdef"))
 	Expect(err).NotTo(HaveOccurred())
-	return order.NewDesk(fleet.NewIncarnation("vm1"), signer)
+	return order.NewManager(fleet.NewIncarnation("vm1"), signer)
 }
 
 func (rg *rig) do(method, path string, header http.Header, body io.Reader) *http.Response {
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -40,15 +40,15 @@
 
 // Relay serves the callers' port.
 type Relay struct {
-	self   fleet.VM
-	domain string
-	fleet  Fleet
-	desk   *order.Desk
-	bodies orderBodies
-	logger log.Logger
-	meters *stats.Set
-	router http.Handler
-	active atomic.Int64
+	self    fleet.VM
+	domain  string
+	fleet   Fleet
+	manager *order.Manager
+	bodies  orderBodies
+	logger  log.Logger
+	meters  *stats.Set
+	router  http.Handler
+	active  atomic.Int64
 }
 
 // RelayOption changes a Relay.
@@ -69,10 +69,10 @@
 	return func(rl *Relay) { rl.meters = s }
 }
 
-// NewRelay returns the handler of the callers' port of the daemon self; desk
+// NewRelay returns the handler of the callers' port of the daemon self; manager
 // decides which orders may run.
-func NewRelay(self fleet.VM, f Fleet, desk *order.Desk, opts ...RelayOption) *Relay {
-	rl := &Relay{self: self, fleet: f, desk: desk, bodies: newOrderBodies(), logger: log.NewNopLogger(), meters: stats.New()}
+func NewRelay(self fleet.VM, f Fleet, manager *order.Manager, opts ...RelayOption) *Relay {
+	rl := &Relay{self: self, fleet: f, manager: manager, bodies: newOrderBodies(), logger: log.NewNopLogger(), meters: stats.New()}
 	for _, o := range opts {
 		o(rl)
 	}
@@ -112,8 +112,8 @@
 }
 
 func (rl *Relay) relay(w http.ResponseWriter, r *http.Request, id fleet.ServiceID, active int64) {
-	v := &visit{relay: rl, writer: w, request: r, serviceID: id, requestID: requestID(r), arrived: time.Now()}
-	w.Header().Set(HeaderRequestID, v.requestID)
+	c := &call{relay: rl, writer: w, request: r, serviceID: id, requestID: requestID(r), arrived: time.Now()}
+	w.Header().Set(HeaderRequestID, c.requestID)
 	if r.ProtoMajor == 1 && len(r.TransferEncoding) > 0 {
 		// net/http lets chunked framing override a Content-Length; closing the
 		// connection drops whatever such a request tried to hide behind itself.
@@ -123,14 +123,14 @@
 		w.Header().Set("Connection", "close")
 	}
 	if active > maxActive {
-		v.refuse(fault.New(fault.QueueFull, "%d requests are in progress at this daemon", maxActive))
+		c.refuse(fault.New(fault.QueueFull, "%d requests are in progress at this daemon", maxActive))
 		return
 	}
-	v.serve()
+	c.serve()
 }
 
-// visit is one request on the callers' port.
-type visit struct {
+// call is one request on the callers' port.
+type call struct {
 	relay     *Relay
 	writer    http.ResponseWriter
 	request   *http.Request
@@ -140,79 +140,79 @@
 	in        *inbound
 }
 
-func (v *visit) serve() {
-	rl := v.relay
-	carrier, ok := rl.fleet.Carrier(v.serviceID)
+func (c *call) serve() {
+	rl := c.relay
+	carrier, ok := rl.fleet.Carrier(c.serviceID)
 	if !ok {
-		v.serveElsewhere()
+		c.serveElsewhere()
 		return
 	}
-	release, err := rl.bodies.reserveFor(carrier.Service(), v.request)
+	release, err := rl.bodies.reserveFor(carrier.Service(), c.request)
 	if err != nil {
-		v.refuse(fault.From(err))
+		c.refuse(fault.From(err))
 		return
 	}
 	defer release()
-	in, err := newInbound(v.writer, v.request, carrier.Service(), v.requestID, v.arrived)
+	in, err := newInbound(c.writer, c.request, carrier.Service(), c.requestID, c.arrived)
 	if err != nil {
-		v.refuse(fault.From(err))
+		c.refuse(fault.From(err))
 		return
 	}
-	v.in = in
-	ctx, cancel := context.WithDeadline(v.request.Context(), in.deadline)
+	c.in = in
+	ctx, cancel := context.WithDeadline(c.request.Context(), in.deadline)
 	defer cancel()
 	if in.route.Idempotent {
-		v.respond((&exchange{carrier: carrier, in: in}).run(ctx))
+		c.respond((&exchange{carrier: carrier, in: in}).run(ctx))
 		return
 	}
-	v.serveOrder(ctx, carrier)
+	c.serveOrder(ctx, carrier)
 }
 
 // serveElsewhere refuses a request for a service that this daemon does not carry.
-func (v *visit) serveElsewhere() {
-	rl := v.relay
+func (c *call) serveElsewhere() {
+	rl := c.relay
 	if !rl.fleet.Ready() {
-		v.refuse(rl.notReady())
+		c.refuse(rl.notReady())
 		return
 	}
-	service, ok := rl.fleet.Service(v.serviceID)
+	service, ok := rl.fleet.Service(c.serviceID)
 	if !ok {
-		v.refuse(fault.New(fault.UnknownService, "no service %q", v.serviceID))
+		c.refuse(fault.New(fault.UnknownService, "no service %q", c.serviceID))
 		return
 	}
-	if v.closeElsewhere(service) {
+	if c.closeElsewhere(service) {
 		return
 	}
-	v.refuse(fault.New(fault.NotCarried, "service %s is carried by the daemons listed", v.serviceID))
+	c.refuse(fault.New(fault.NotCarried, "service %s is carried by the daemons listed", c.serviceID))
 }
 
 // refuse answers with a problem and logs the reason.
-func (v *visit) refuse(e *fault.Error) {
-	rl := v.relay
-	if v.in == nil && v.request.Header.Get(HeaderOrderKey) != "" && e.Outcome == fault.NotRun {
+func (c *call) refuse(e *fault.Error) {
+	rl := c.relay
+	if c.in == nil && c.request.Header.Get(HeaderOrderKey) != "" && e.Outcome == fault.NotRun {
 		// An earlier copy under the key may have run; nobody has asked yet.
 		e = e.WithOutcome(fault.Unknown)
 	}
 	rl.count("refused", e.Kind.String())
-	rl.logRefusal(v, e)
+	rl.logRefusal(c, e)
 	if e.Kind == fault.CallerGone {
 		panic(http.ErrAbortHandler)
 	}
-	p := newProblem(e, v.requestID)
+	p := newProblem(e, c.requestID)
 	if e.Kind == fault.NotCarried || e.Kind == fault.NotReady {
-		list := rl.fleet.Addresses(v.serviceID, rl.self.DataCentre, v.requestID)
+		list := rl.fleet.Addresses(c.serviceID, rl.self.DataCentre, c.requestID)
 		p.Addresses = &list
 	}
-	p.write(v.writer)
+	p.write(c.writer)
 }
 
-func (rl *Relay) logRefusal(v *visit, e *fault.Error) {
+func (rl *Relay) logRefusal(c *call, e *fault.Error) {
 	l := level.Info(rl.logger)
 	if e.Kind == fault.Internal {
 		l = level.Error(rl.logger)
 	}
-	_ = l.Log("msg", "request refused", "request-id", v.requestID, "service", v.serviceID, "method", v.request.Method,
-		"kind", e.Kind, "outcome", e.Outcome, "detail", e.Error(), "took", time.Since(v.arrived))
+	_ = l.Log("msg", "request refused", "request-id", c.requestID, "service", c.serviceID, "method", c.request.Method,
+		"kind", e.Kind, "outcome", e.Outcome, "detail", e.Error(), "took", time.Since(c.arrived))
 }
 
 func (rl *Relay) count(metric, kind string) {
--- a/core/proxy/respond.go
+++ b/core/proxy/respond.go
@@ -19,34 +19,34 @@
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
 // respond passes an answer to the caller.
-func (v *visit) respond(a *answer) {
+func (c *call) respond(a *answer) {
 	if a.err != nil {
-		v.refuse(a.err)
+		c.refuse(a.err)
 		return
 	}
-	rl := v.relay
-	copyResponseHeader(v.writer.Header(), a.header)
-	if v.writer.Header().Get(HeaderRequestID) == "" {
-		v.writer.Header().Set(HeaderRequestID, v.requestID)
+	rl := c.relay
+	copyResponseHeader(c.writer.Header(), a.header)
+	if c.writer.Header().Get(HeaderRequestID) == "" {
+		c.writer.Header().Set(HeaderRequestID, c.requestID)
 	}
 	if a.outcome != "" {
-		v.writer.Header().Set(HeaderOutcome, string(a.outcome))
+		c.writer.Header().Set(HeaderOutcome, string(a.outcome))
 	}
 	if a.whole() {
-		v.writeWhole(a)
+		c.writeWhole(a)
 	} else {
-		v.stream(a)
+		c.stream(a)
 	}
 	rl.count("answered", a.ending.String())
-	rl.meters.Histogram("wisteria_request_micros").Update(time.Since(v.arrived).Microseconds())
+	rl.meters.Histogram("wisteria_request_micros").Update(time.Since(c.arrived).Microseconds())
 }
 
-func (v *visit) writeWhole(a *answer) {
-	if bodyAllowed(v.request.Method, a.status) {
-		v.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+func (c *call) writeWhole(a *answer) {
+	if bodyAllowed(c.request.Method, a.status) {
+		c.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
-	v.writer.WriteHeader(a.status)
-	_, _ = v.writer.Write(a.body)
+	c.writer.WriteHeader(a.status)
+	_, _ = c.writer.Write(a.body)
 }
 
 func bodyAllowed(method string, status int) bool {
@@ -55,28 +55,28 @@
 
 // stream passes a body on as it comes. If the body is truncated, the caller's
 // stream is aborted, so that it cannot be taken for a whole one.
-func (v *visit) stream(a *answer) {
-	v.writer.WriteHeader(a.status)
-	err := v.copy(a)
+func (c *call) stream(a *answer) {
+	c.writer.WriteHeader(a.status)
+	err := c.copy(a)
 	if a.ended != nil {
 		a.ended(err)
 	}
 	_ = a.rest.Close()
-	a.settle(v.streamResult(err))
+	a.settle(c.streamResult(err))
 	a.cancel()
 	if err == nil {
 		return
 	}
-	_ = level.Info(v.relay.logger).Log("msg", "response aborted", "request-id", v.requestID, "service", v.serviceID,
+	_ = level.Info(c.relay.logger).Log("msg", "response aborted", "request-id", c.requestID, "service", c.serviceID,
 		"target", a.target, "detail", err)
-	v.relay.count("aborted", "stream")
+	c.relay.count("aborted", "stream")
 	panic(http.ErrAbortHandler)
 }
 
 var errCallerWrite = errors.New("caller stopped reading")
 
-func (v *visit) copy(a *answer) error {
-	if _, err := v.writer.Write(a.body); err != nil {
+func (c *call) copy(a *answer) error {
+	if _, err := c.writer.Write(a.body); err != nil {
 		return errors.Mark(err, errCallerWrite)
 	}
 	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
@@ -85,7 +85,7 @@
 	for {
 		n, err := a.rest.Read(buffer[:])
 		if n > 0 {
-			if writeErr := v.pass(buffer[:n], flush); writeErr != nil {
+			if writeErr := c.pass(buffer[:n], flush); writeErr != nil {
 				return errors.Mark(writeErr, errCallerWrite)
 			}
 		}
@@ -93,7 +93,7 @@
 			return nil
 		}
 		if err != nil {
-			v.recordCut(a)
+			c.recordCut(a)
 			return err
 		}
 	}
@@ -101,30 +101,30 @@
 
 // pass writes a part of the body; parts of a body of unknown length are
 // flushed at once, because the caller may wait for them.
-func (v *visit) pass(p []byte, flush bool) error {
-	if _, err := v.writer.Write(p); err != nil {
+func (c *call) pass(p []byte, flush bool) error {
+	if _, err := c.writer.Write(p); err != nil {
 		return err
 	}
 	if !flush {
 		return nil
 	}
-	return http.NewResponseController(v.writer).Flush()
+	return http.NewResponseController(c.writer).Flush()
 }
 
-func (v *visit) recordCut(a *answer) {
-	if v.request.Context().Err() != nil {
+func (c *call) recordCut(a *answer) {
+	if c.request.Context().Err() != nil {
 		return
 	}
-	if carrier, ok := v.relay.fleet.Carrier(v.serviceID); ok {
+	if carrier, ok := c.relay.fleet.Carrier(c.serviceID); ok {
 		carrier.recorder.Record(a.target, detect.Short, 0)
 	}
 }
 
-func (v *visit) streamResult(err error) limit.Result {
+func (c *call) streamResult(err error) limit.Result {
 	switch {
 	case err == nil:
 		return limit.Served
-	case errors.Is(err, errCallerWrite) || v.request.Context().Err() != nil:
+	case errors.Is(err, errCallerWrite) || c.request.Context().Err() != nil:
 		return limit.Unused
 	default:
 		return limit.Failed
--- a/core/settle/bench_test.go
+++ b/core/settle/bench_test.go
@@ -135,21 +135,21 @@
 // BenchmarkCommit proposes and commits one change over a table in memory.
 func BenchmarkCommit(b *testing.B) {
 	ctx := context.Background()
-	book := NewBook(newPlatform().table())
-	if _, _, err := book.Bootstrap(ctx, bigDoc(b), "ana"); err != nil {
+	changelog := NewChangelog(newPlatform().table())
+	if _, _, err := changelog.Bootstrap(ctx, bigDoc(b), "ana"); err != nil {
 		b.Fatal(err)
 	}
-	if _, _, err := book.Head(ctx); err != nil {
+	if _, _, err := changelog.Head(ctx); err != nil {
 		b.Fatal(err)
 	}
 	i := 0
 	for b.Loop() {
 		i++
-		c, err := book.Propose(ctx, Proposal{Ops: []tree.Op{tree.Set(bigService(i%360), "queue-length", i%1000)}, Author: "ana"})
+		c, err := changelog.Propose(ctx, Proposal{Ops: []tree.Op{tree.Set(bigService(i%360), "queue-length", i%1000)}, Author: "ana"})
 		if err != nil {
 			b.Fatal(err)
 		}
-		if _, err := book.Commit(ctx, c.ID); err != nil {
+		if _, err := changelog.Commit(ctx, c.ID); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/core/settle/book.go
+++ b/core/settle/changelog.go
@@ -15,9 +15,9 @@
 	"wisteriarelay.example/core/tree"
 )
 
-// Book decides changes in the table service. It holds no state of its own but
-// a cache of the last document, so any number of books may work on one table.
-type Book struct {
+// Changelog decides changes in the table service. It holds no state of its own but
+// a cache of the last document, so any number of changelogs may work on one table.
+type Changelog struct {
 	src    source
 	cached atomic.Pointer[version]
 }
@@ -28,17 +28,17 @@
 	doc      *tree.Doc
 }
 
-// BookOption changes a Book.
-type BookOption func(*Book)
+// ChangelogOption changes a Changelog.
+type ChangelogOption func(*Changelog)
 
-// WithObjects lets the book start from snapshot objects in place of revision 1.
-func WithObjects(o store.Objects) BookOption {
-	return func(b *Book) { b.src.objects = o }
+// WithObjects lets the changelog start from snapshot objects in place of revision 1.
+func WithObjects(o store.Objects) ChangelogOption {
+	return func(b *Changelog) { b.src.objects = o }
 }
 
-// NewBook returns a book over the table.
-func NewBook(table store.Table, opts ...BookOption) *Book {
-	b := &Book{src: source{table: table}}
+// NewChangelog returns a changelog over the table.
+func NewChangelog(table store.Table, opts ...ChangelogOption) *Changelog {
+	b := &Changelog{src: source{table: table}}
 	for _, o := range opts {
 		o(b)
 	}
@@ -74,21 +74,21 @@
 func now() time.Time { return time.Now().UTC().Truncate(time.Second) }
 
 // Propose validates ops against the base revision and keeps them as a change.
-func (b *Book) Propose(ctx context.Context, p Proposal) (Change, error) {
-	c, err := b.prepare(ctx, p)
+func (l *Changelog) Propose(ctx context.Context, p Proposal) (Change, error) {
+	c, err := l.prepare(ctx, p)
 	if err != nil {
 		return Change{}, err
 	}
 	var doubt doubt
 	for range storeTries {
-		err = doubt.note(b.write(ctx, c, 0))
+		err = doubt.note(l.write(ctx, c, 0))
 		if err == nil {
 			return c, nil
 		}
 		if !repeatable(err) {
 			return Change{}, doubt.or(err)
 		}
-		found, _, readErr := b.read(ctx, c.ID)
+		found, _, readErr := l.read(ctx, c.ID)
 		if readErr == nil {
 			return sameProposal(found, c)
 		}
@@ -125,7 +125,7 @@
 	return fault.Is(err, fault.StoreConflict) || fault.Is(err, fault.StoreAmbiguous)
 }
 
-func (b *Book) prepare(ctx context.Context, p Proposal) (Change, error) {
+func (l *Changelog) prepare(ctx context.Context, p Proposal) (Change, error) {
 	if p.ID == "" {
 		p.ID = newID()
 	}
@@ -135,7 +135,7 @@
 	if err := checkChange(p.ID, p.Author, p.Ops); err != nil {
 		return Change{}, err
 	}
-	head, err := b.acceptedHead(ctx)
+	head, err := l.acceptedHead(ctx)
 	if err != nil {
 		return Change{}, err
 	}
@@ -145,7 +145,7 @@
 	if p.Base > head.Revision {
 		return Change{}, fault.New(fault.BadRequest, "base %d is above the head %d", p.Base, head.Revision)
 	}
-	doc, err := b.docAt(ctx, p.Base)
+	doc, err := l.docAt(ctx, p.Base)
 	if err != nil {
 		return Change{}, err
 	}
@@ -176,14 +176,14 @@
 }
 
 // Change returns the change of the id.
-func (b *Book) Change(ctx context.Context, id string) (Change, error) {
-	c, _, err := b.read(ctx, id)
+func (l *Changelog) Change(ctx context.Context, id string) (Change, error) {
+	c, _, err := l.read(ctx, id)
 	return c, err
 }
 
 // Changes returns up to limit changes whose id sorts behind after.
-func (b *Book) Changes(ctx context.Context, after string, limit int) ([]Change, error) {
-	rows, err := b.src.table.Scan(ctx, changePrefix, changePrefix+after, limit)
+func (l *Changelog) Changes(ctx context.Context, after string, limit int) ([]Change, error) {
+	rows, err := l.src.table.Scan(ctx, changePrefix, changePrefix+after, limit)
 	if err != nil {
 		return nil, err
 	}
@@ -199,11 +199,11 @@
 }
 
 // Approve adds an owner's approval; a second one of the same owner changes nothing.
-func (b *Book) Approve(ctx context.Context, id, owner string) (Change, error) {
-	if err := b.demandOwner(ctx, owner); err != nil {
+func (l *Changelog) Approve(ctx context.Context, id, owner string) (Change, error) {
+	if err := l.demandOwner(ctx, owner); err != nil {
 		return Change{}, err
 	}
-	return b.update(ctx, id, func(c *Change) (bool, error) {
+	return l.update(ctx, id, func(c *Change) (bool, error) {
 		given := func(a Approval) bool { return a.Owner == owner }
 		if slices.ContainsFunc(c.Approvals, given) {
 			return false, nil
@@ -214,27 +214,27 @@
 }
 
 // Reject closes a change on behalf of an owner.
-func (b *Book) Reject(ctx context.Context, id, owner, reason string) (Change, error) {
-	if err := b.demandOwner(ctx, owner); err != nil {
+func (l *Changelog) Reject(ctx context.Context, id, owner, reason string) (Change, error) {
+	if err := l.demandOwner(ctx, owner); err != nil {
 		return Change{}, err
 	}
-	return b.decide(ctx, id, Rejected, owner, reason)
+	return l.decide(ctx, id, Rejected, owner, reason)
 }
 
 // Withdraw closes a change on behalf of its author.
-func (b *Book) Withdraw(ctx context.Context, id, author string) (Change, error) {
-	c, err := b.Change(ctx, id)
+func (l *Changelog) Withdraw(ctx context.Context, id, author string) (Change, error) {
+	c, err := l.Change(ctx, id)
 	if err != nil {
 		return Change{}, err
 	}
 	if c.Author != author {
 		return Change{}, fault.New(fault.Forbidden, "change %s belongs to %s", id, c.Author)
 	}
-	return b.decide(ctx, id, Withdrawn, author, "")
+	return l.decide(ctx, id, Withdrawn, author, "")
 }
 
-func (b *Book) decide(ctx context.Context, id string, s State, by, reason string) (Change, error) {
-	return b.update(ctx, id, func(c *Change) (bool, error) {
+func (l *Changelog) decide(ctx context.Context, id string, s State, by, reason string) (Change, error) {
+	return l.update(ctx, id, func(c *Change) (bool, error) {
 		if c.State == s && c.DecidedBy == by {
 			return false, nil
 		}
@@ -253,12 +253,12 @@
 	return fault.New(fault.SettingsDecided, "change %s is %s", c.ID, c.State)
 }
 
-func (b *Book) demandOwner(ctx context.Context, name string) error {
-	head, err := b.acceptedHead(ctx)
+func (l *Changelog) demandOwner(ctx context.Context, name string) error {
+	head, err := l.acceptedHead(ctx)
 	if err != nil {
 		return err
 	}
-	doc, err := b.docAt(ctx, head.Revision)
+	doc, err := l.docAt(ctx, head.Revision)
 	if err != nil {
 		return err
 	}
@@ -270,11 +270,11 @@
 
 // update changes the row of a change by compare-and-swap. After a lost reply
 // the row is read again and change, which must be idempotent, decides anew.
-func (b *Book) update(ctx context.Context, id string, change func(*Change) (bool, error)) (Change, error) {
+func (l *Changelog) update(ctx context.Context, id string, change func(*Change) (bool, error)) (Change, error) {
 	var doubt doubt
 	var failed error
 	for range storeTries {
-		c, row, err := b.read(ctx, id)
+		c, row, err := l.read(ctx, id)
 		if err != nil {
 			return Change{}, doubt.or(err)
 		}
@@ -285,7 +285,7 @@
 		if !changed {
 			return c, nil
 		}
-		failed = doubt.note(b.write(ctx, c, row))
+		failed = doubt.note(l.write(ctx, c, row))
 		if failed == nil {
 			return c, nil
 		}
@@ -296,8 +296,8 @@
 	return Change{}, doubt.or(failed)
 }
 
-func (b *Book) read(ctx context.Context, id string) (Change, uint64, error) {
-	row, err := b.src.table.Get(ctx, changePrefix+id)
+func (l *Changelog) read(ctx context.Context, id string) (Change, uint64, error) {
+	row, err := l.src.table.Get(ctx, changePrefix+id)
 	if fault.Is(err, fault.RowMissing) {
 		return Change{}, 0, fault.New(fault.NotFound, "change %q", id)
 	}
@@ -311,13 +311,13 @@
 	return c, row.Version, nil
 }
 
-func (b *Book) write(ctx context.Context, c Change, version uint64) error {
+func (l *Changelog) write(ctx context.Context, c Change, version uint64) error {
 	key := changePrefix + c.ID
 	value, err := json.Marshal(c)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "change %s", c.ID)
 	}
-	return b.src.table.Apply(ctx, store.Tx{
+	return l.src.table.Apply(ctx, store.Tx{
 		ID:    c.ID,
 		Conds: []store.Cond{{Key: key, Version: version}},
 		Puts:  []store.Put{{Key: key, Value: value}},
--- a/core/settle/book_test.go
+++ b/core/settle/changelog_test.go
@@ -13,11 +13,11 @@
 	"wisteriarelay.example/core/tree"
 )
 
-var _ = Describe("Book", func() {
+var _ = Describe("Changelog", func() {
 	var (
 		ctx context.Context
 		p   *platform
-		b   *Book
+		b   *Changelog
 	)
 	BeforeEach(func() {
 		ctx = context.Background()
@@ -54,9 +54,9 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r).To(Equal(Revision(1)))
 		Expect(created).To(BeFalse())
-		_, _, err = NewBook(newPlatform().table()).Bootstrap(ctx, tree.New(), "ana")
+		_, _, err = NewChangelog(newPlatform().table()).Bootstrap(ctx, tree.New(), "ana")
 		Expect(kindOf(err)).To(Equal(fault.SettingsInvalid))
-		empty := NewBook(newPlatform().table())
+		empty := NewChangelog(newPlatform().table())
 		_, err = empty.Propose(ctx, Proposal{Ops: []tree.Op{queue(1)}, Author: "ana"})
 		Expect(kindOf(err)).To(Equal(fault.NotFound))
 	})
@@ -65,7 +65,7 @@
 		for _, form := range []string{"applied", "dropped"} {
 			p := newPlatform()
 			p.loseReply = form
-			r, created, err := NewBook(p.table()).Bootstrap(ctx, baseDoc(), "ana")
+			r, created, err := NewChangelog(p.table()).Bootstrap(ctx, baseDoc(), "ana")
 			Expect(err).NotTo(HaveOccurred(), form)
 			Expect(r).To(Equal(Revision(1)))
 			Expect(created).To(BeTrue(), form)
@@ -104,7 +104,7 @@
 	It("loses to a commit that lands between its reads and its write", func() {
 		ana, luis := propose("ana", queue(10)), propose("luis", queue(20))
 		p.beforeApply = func() {
-			_, err := NewBook(p.table()).Commit(ctx, luis.ID)
+			_, err := NewChangelog(p.table()).Commit(ctx, luis.ID)
 			Expect(err).NotTo(HaveOccurred())
 		}
 		_, err := b.Commit(ctx, ana.ID)
@@ -162,7 +162,7 @@
 			p.setDown(true)
 			return err
 		}
-		_, err := NewBook(table).Commit(ctx, c.ID)
+		_, err := NewChangelog(table).Commit(ctx, c.ID)
 		Expect(kindOf(err)).To(Equal(fault.StoreAmbiguous))
 		Expect(b.Resolve(ctx, c.ID)).To(Equal(Resolution{Outcome: NotYetKnown}))
 		p.setDown(false)
@@ -198,7 +198,7 @@
 			p.setDown(true)
 			return err
 		}
-		doubtful := NewBook(table)
+		doubtful := NewChangelog(table)
 		_, err := doubtful.Approve(ctx, c.ID, "luis")
 		Expect(kindOf(err)).To(Equal(fault.StoreAmbiguous))
 		p.setDown(false)
@@ -207,7 +207,7 @@
 		p = newPlatform()
 		inner = p.table()
 		table.Get, table.Scan = inner.Get, inner.Scan
-		_, _, err = NewBook(table).Bootstrap(ctx, baseDoc(), "ana")
+		_, _, err = NewChangelog(table).Bootstrap(ctx, baseDoc(), "ana")
 		Expect(kindOf(err)).To(Equal(fault.StoreAmbiguous))
 	})
 
@@ -220,7 +220,7 @@
 	It("reports a revision row that cannot be decoded", func() {
 		settleOps(Default, b, queue(10))
 		p.rows[revKey(2)] = store.Row{Key: revKey(2), Version: 1, Value: []byte("{")}
-		_, _, err := NewBook(p.table()).Head(ctx)
+		_, _, err := NewChangelog(p.table()).Head(ctx)
 		Expect(kindOf(err)).To(Equal(fault.SettingsInvalid))
 		Expect(err).To(MatchError(ContainSubstring("revision 2")))
 	})
@@ -323,7 +323,7 @@
 	It("does not commit a change that is withdrawn at the same moment", func() {
 		c := propose("ana", queue(1))
 		p.beforeApply = func() {
-			_, err := NewBook(p.table()).Withdraw(ctx, c.ID, "ana")
+			_, err := NewChangelog(p.table()).Withdraw(ctx, c.ID, "ana")
 			Expect(err).NotTo(HaveOccurred())
 		}
 		_, err := b.Commit(ctx, c.ID)
--- a/core/settle/commit.go
+++ b/core/settle/commit.go
@@ -15,25 +15,25 @@
 // It returns fault.SettingsConflict with a Conflict in its chain if another
 // change was accepted since the base, fault.SettingsUnsettled if an approval is
 // missing, and fault.StoreAmbiguous if the outcome is not yet known.
-func (b *Book) Commit(ctx context.Context, id string) (Revision, error) {
+func (l *Changelog) Commit(ctx context.Context, id string) (Revision, error) {
 	var err error
 	for range storeTries {
 		var a attempt
-		a, err = b.prepareCommit(ctx, id)
+		a, err = l.prepareCommit(ctx, id)
 		if err != nil || a.done {
 			return a.revision, err
 		}
-		err = b.src.table.Apply(ctx, a.tx)
+		err = l.src.table.Apply(ctx, a.tx)
 		switch {
 		case err == nil:
-			b.remember(version{revision: a.revision, doc: a.after})
+			l.remember(version{revision: a.revision, doc: a.after})
 			return a.revision, nil
 		case fault.Is(err, fault.StoreConflict):
 			continue
 		case !fault.Is(err, fault.StoreAmbiguous):
 			return 0, err
 		}
-		r, resolveErr := b.Resolve(ctx, id)
+		r, resolveErr := l.Resolve(ctx, id)
 		if resolveErr != nil || r.Outcome == NotYetKnown {
 			return 0, fault.Wrap(err, fault.StoreAmbiguous, "commit of change %s is not yet known", id)
 		}
@@ -53,8 +53,8 @@
 	done bool
 }
 
-func (b *Book) prepareCommit(ctx context.Context, id string) (attempt, error) {
-	c, changeRow, err := b.read(ctx, id)
+func (l *Changelog) prepareCommit(ctx context.Context, id string) (attempt, error) {
+	c, changeRow, err := l.read(ctx, id)
 	if err != nil {
 		return attempt{}, err
 	}
@@ -64,14 +64,14 @@
 	if err := demandProposed(c); err != nil {
 		return attempt{}, err
 	}
-	head, headRow, err := b.src.head(ctx)
+	head, headRow, err := l.src.head(ctx)
 	if err != nil {
 		return attempt{}, err
 	}
 	if head.Revision != c.Base {
-		return b.lost(ctx, c, head)
+		return l.lost(ctx, c, head)
 	}
-	before, err := b.docAt(ctx, head.Revision)
+	before, err := l.docAt(ctx, head.Revision)
 	if err != nil {
 		return attempt{}, err
 	}
@@ -109,12 +109,12 @@
 
 // lost returns the conflict of a change whose base is not the head. Between
 // the reads of change and head the change itself may have been accepted.
-func (b *Book) lost(ctx context.Context, c Change, head Head) (attempt, error) {
-	if again, _, err := b.read(ctx, c.ID); err == nil && again.State == Committed {
+func (l *Changelog) lost(ctx context.Context, c Change, head Head) (attempt, error) {
+	if again, _, err := l.read(ctx, c.ID); err == nil && again.State == Committed {
 		return attempt{revision: again.Revision, done: true}, nil
 	}
 	to := min(head.Revision, c.Base+farBehind)
-	since, _ := b.src.deltas(ctx, c.Base, to)
+	since, _ := l.src.deltas(ctx, c.Base, to)
 	conflict := &Conflict{Change: c.ID, Base: c.Base, Head: head.Revision, Since: since, Overlaps: overlaps(since, c.Ops)}
 	return attempt{}, fault.Wrap(conflict, fault.SettingsConflict, "base %d, head %d", c.Base, head.Revision)
 }
@@ -142,9 +142,9 @@
 // commit depends, so that NotAccepted stays true. While the store does not
 // answer, the outcome is NotYetKnown. The error is fault.NotFound for an
 // unknown change.
-func (b *Book) Resolve(ctx context.Context, id string) (Resolution, error) {
+func (l *Changelog) Resolve(ctx context.Context, id string) (Resolution, error) {
 	for range storeTries {
-		c, row, err := b.read(ctx, id)
+		c, row, err := l.read(ctx, id)
 		if fault.Is(err, fault.NotFound) {
 			return Resolution{}, err
 		}
@@ -158,7 +158,7 @@
 			return Resolution{Outcome: NotAccepted}, nil
 		}
 		next := c.Base + 1
-		found, err := b.src.table.Get(ctx, revKey(next))
+		found, err := l.src.table.Get(ctx, revKey(next))
 		if err == nil {
 			return readBack(found, next, id), nil
 		}
@@ -166,7 +166,7 @@
 			break
 		}
 		c.Fence++
-		err = b.write(ctx, c, row)
+		err = l.write(ctx, c, row)
 		if err == nil {
 			return Resolution{Outcome: NotAccepted}, nil
 		}
--- a/core/settle/follower_test.go
+++ b/core/settle/follower_test.go
@@ -66,7 +66,7 @@
 }
 
 // settleQueue proposes and commits n changes of one value.
-func settleQueue(g gomega.Gomega, b *Book, n int) Revision {
+func settleQueue(g gomega.Gomega, b *Changelog, n int) Revision {
 	var r Revision
 	for i := range n {
 		r = settleOps(g, b, tree.Set(stock, "queue-length", 100+i+int(r)))
@@ -143,8 +143,8 @@
 		synctest.Wait()
 		g.Expect(whole.Current().Revision).To(gomega.Equal(Revision(301)))
 		g.Expect(whole.State().StoreError).To(gomega.BeEmpty())
-		// A book starts from the snapshot too.
-		_, doc, err := NewBook(p.table(), WithObjects(p.objectStore())).Head(t.Context())
+		// A changelog starts from the snapshot too.
+		_, doc, err := NewChangelog(p.table(), WithObjects(p.objectStore())).Head(t.Context())
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(tree.Changes(doc, whole.Current().Doc)).To(gomega.BeEmpty())
 	})
@@ -167,7 +167,7 @@
 	})
 }
 
-// writeRevision writes a revision behind the book's back.
+// writeRevision writes a revision behind the changelog's back.
 func writeRevision(g gomega.Gomega, p *platform, value []byte) Revision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/core/settle/history.go
+++ b/core/settle/history.go
@@ -17,7 +17,7 @@
 // Bootstrap makes the document revision 1 if there are no settings yet. It
 // returns the head revision and whether this call, or a lost one before it,
 // wrote it. The document must name the owners.
-func (b *Book) Bootstrap(ctx context.Context, doc *tree.Doc, author string) (Revision, bool, error) {
+func (l *Changelog) Bootstrap(ctx context.Context, doc *tree.Doc, author string) (Revision, bool, error) {
 	ops := tree.Changes(tree.New(), doc)
 	if err := checkChange(bootstrapID, author, ops); err != nil {
 		return 0, false, err
@@ -32,7 +32,7 @@
 	var doubt doubt
 	var failed error
 	for range storeTries {
-		head, _, err := b.src.head(ctx)
+		head, _, err := l.src.head(ctx)
 		if err != nil {
 			return 0, false, doubt.or(err)
 		}
@@ -41,7 +41,7 @@
 			own := doubt.lost != nil && head == Head{Revision: 1, Change: bootstrapID}
 			return head.Revision, own, nil
 		}
-		failed = doubt.note(b.src.table.Apply(ctx, tx))
+		failed = doubt.note(l.src.table.Apply(ctx, tx))
 		if failed == nil {
 			return 1, true, nil
 		}
@@ -66,8 +66,8 @@
 }
 
 // acceptedHead returns the head, or fault.NotFound before the bootstrap.
-func (b *Book) acceptedHead(ctx context.Context) (Head, error) {
-	head, _, err := b.src.head(ctx)
+func (l *Changelog) acceptedHead(ctx context.Context) (Head, error) {
+	head, _, err := l.src.head(ctx)
 	if err == nil && head.Revision == 0 {
 		return Head{}, fault.New(fault.NotFound, "no settings: revision 1 is not written yet")
 	}
@@ -75,40 +75,40 @@
 }
 
 // Head returns the newest accepted revision and its document.
-func (b *Book) Head(ctx context.Context) (Revision, *tree.Doc, error) {
-	head, err := b.acceptedHead(ctx)
+func (l *Changelog) Head(ctx context.Context) (Revision, *tree.Doc, error) {
+	head, err := l.acceptedHead(ctx)
 	if err != nil {
 		return 0, nil, err
 	}
-	doc, err := b.docAt(ctx, head.Revision)
+	doc, err := l.docAt(ctx, head.Revision)
 	return head.Revision, doc, err
 }
 
 // Doc returns the document of an accepted revision.
-func (b *Book) Doc(ctx context.Context, r Revision) (*tree.Doc, error) {
-	head, err := b.acceptedHead(ctx)
+func (l *Changelog) Doc(ctx context.Context, r Revision) (*tree.Doc, error) {
+	head, err := l.acceptedHead(ctx)
 	if err != nil {
 		return nil, err
 	}
 	if r == 0 || r > head.Revision {
 		return nil, fault.New(fault.NotFound, "revision %d; the head is %d", r, head.Revision)
 	}
-	return b.docAt(ctx, r)
+	return l.docAt(ctx, r)
 }
 
 // docAt returns the document of a revision that is known to be accepted.
-func (b *Book) docAt(ctx context.Context, r Revision) (*tree.Doc, error) {
+func (l *Changelog) docAt(ctx context.Context, r Revision) (*tree.Doc, error) {
 	from := version{doc: tree.New()}
-	if c := b.cached.Load(); c != nil && c.revision <= r {
+	if c := l.cached.Load(); c != nil && c.revision <= r {
 		from = *c
 	}
 	if r-from.revision > farBehind {
-		snap, found, err := b.src.snapshotUpTo(ctx, from.revision, r)
+		snap, found, err := l.src.snapshotUpTo(ctx, from.revision, r)
 		if err == nil && found {
 			from = version{revision: snap.Revision, doc: snap.Document}
 		}
 	}
-	deltas, err := b.src.deltas(ctx, from.revision, r)
+	deltas, err := l.src.deltas(ctx, from.revision, r)
 	if err != nil {
 		return nil, asFault(err)
 	}
@@ -117,7 +117,7 @@
 	}); failed != nil {
 		return nil, asFault(failed)
 	}
-	b.remember(from)
+	l.remember(from)
 	return from.doc, nil
 }
 
@@ -131,13 +131,13 @@
 }
 
 // remember keeps the version if it is the newest seen.
-func (b *Book) remember(v version) {
+func (l *Changelog) remember(v version) {
 	for {
-		old := b.cached.Load()
+		old := l.cached.Load()
 		if old != nil && old.revision >= v.revision {
 			return
 		}
-		if b.cached.CompareAndSwap(old, &v) {
+		if l.cached.CompareAndSwap(old, &v) {
 			return
 		}
 	}
@@ -145,8 +145,8 @@
 
 // History returns up to limit accepted revisions below before, newest first;
 // before 0 starts at the head.
-func (b *Book) History(ctx context.Context, before Revision, limit int) ([]*Delta, error) {
-	head, err := b.acceptedHead(ctx)
+func (l *Changelog) History(ctx context.Context, before Revision, limit int) ([]*Delta, error) {
+	head, err := l.acceptedHead(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -155,7 +155,7 @@
 		last = min(last, before-1)
 	}
 	first := last - min(last, Revision(max(limit, 0)))
-	deltas, err := b.src.deltas(ctx, first, last)
+	deltas, err := l.src.deltas(ctx, first, last)
 	if err != nil {
 		return nil, asFault(err)
 	}
@@ -164,12 +164,12 @@
 }
 
 // Diff returns what differs between two accepted revisions.
-func (b *Book) Diff(ctx context.Context, from, to Revision) ([]tree.Difference, error) {
-	a, err := b.Doc(ctx, from)
+func (l *Changelog) Diff(ctx context.Context, from, to Revision) ([]tree.Difference, error) {
+	a, err := l.Doc(ctx, from)
 	if err != nil {
 		return nil, err
 	}
-	z, err := b.Doc(ctx, to)
+	z, err := l.Doc(ctx, to)
 	if err != nil {
 		return nil, err
 	}
@@ -179,12 +179,12 @@
 // Rollback proposes the change that leads from the head back to the document
 // of an earlier revision. It needs approval and commit like any other change
 // and becomes a new revision.
-func (b *Book) Rollback(ctx context.Context, to Revision, author, note string) (Change, error) {
-	head, now, err := b.Head(ctx)
+func (l *Changelog) Rollback(ctx context.Context, to Revision, author, note string) (Change, error) {
+	head, now, err := l.Head(ctx)
 	if err != nil {
 		return Change{}, err
 	}
-	then, err := b.Doc(ctx, to)
+	then, err := l.Doc(ctx, to)
 	if err != nil {
 		return Change{}, err
 	}
@@ -192,19 +192,19 @@
 	if len(ops) == 0 {
 		return Change{}, fault.New(fault.BadRequest, "revision %d equals the head %d", to, head)
 	}
-	return b.Propose(ctx, Proposal{Base: head, Ops: ops, Author: author, Note: note})
+	return l.Propose(ctx, Proposal{Base: head, Ops: ops, Author: author, Note: note})
 }
 
 // Rebase moves a change that lost to the head, on behalf of its author or an
 // owner. Approvals are kept if nothing that was accepted since touches what
 // the change touches. Otherwise they are dropped and only the author may
 // rebase, because the author's consent counts without a further approval.
-func (b *Book) Rebase(ctx context.Context, id, by string) (Change, error) {
-	head, doc, err := b.Head(ctx)
+func (l *Changelog) Rebase(ctx context.Context, id, by string) (Change, error) {
+	head, doc, err := l.Head(ctx)
 	if err != nil {
 		return Change{}, err
 	}
-	c, err := b.Change(ctx, id)
+	c, err := l.Change(ctx, id)
 	if err != nil {
 		return Change{}, err
 	}
@@ -214,7 +214,7 @@
 	if _, err := applied(doc, c.Ops); err != nil {
 		return Change{}, err
 	}
-	since, err := b.src.deltas(ctx, c.Base, head)
+	since, err := l.src.deltas(ctx, c.Base, head)
 	if err != nil {
 		return Change{}, asFault(err)
 	}
@@ -223,7 +223,7 @@
 		return Change{}, fault.New(fault.Forbidden, "change %s overlaps accepted ones; only its author %s may rebase it", id, c.Author)
 	}
 	base := c.Base
-	return b.update(ctx, id, func(c *Change) (bool, error) {
+	return l.update(ctx, id, func(c *Change) (bool, error) {
 		if err := demandProposed(*c); err != nil {
 			return false, err
 		}
--- a/core/settle/suite_test.go
+++ b/core/settle/suite_test.go
@@ -188,10 +188,10 @@
 	return doc
 }
 
-// opened returns a book over a platform with revision 1.
-func opened(g Gomega) (*platform, *Book) {
+// opened returns a changelog over a platform with revision 1.
+func opened(g Gomega) (*platform, *Changelog) {
 	p := newPlatform()
-	b := NewBook(p.table(), WithObjects(p.objectStore()))
+	b := NewChangelog(p.table(), WithObjects(p.objectStore()))
 	r, created, err := b.Bootstrap(context.Background(), baseDoc(), "ana")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(r).To(Equal(Revision(1)))
@@ -199,7 +199,7 @@
 	return p, b
 }
 
-func settleOps(g Gomega, b *Book, ops ...tree.Op) Revision {
+func settleOps(g Gomega, b *Changelog, ops ...tree.Op) Revision {
 	c, err := b.Propose(context.Background(), Proposal{Ops: ops, Author: "ana"})
 	g.Expect(err).NotTo(HaveOccurred())
 	r, err := b.Commit(context.Background(), c.ID)
--- a/standin/demo/fleet.go
+++ b/standin/demo/fleet.go
@@ -84,8 +84,8 @@
 	if err := f.loadSettings(settingsFile); err != nil {
 		return nil, err
 	}
-	book := settle.NewBook(f.Platform.Table(), settle.WithObjects(f.Platform.Objects()))
-	_, _, err = book.Bootstrap(context.Background(), f.Doc, f.Doc.Owners()[0])
+	changelog := settle.NewChangelog(f.Platform.Table(), settle.WithObjects(f.Platform.Objects()))
+	_, _, err = changelog.Bootstrap(context.Background(), f.Doc, f.Doc.Owners()[0])
 	return f, err
 }
 
--- a/standin/demo/owners.go
+++ b/standin/demo/owners.go
@@ -11,13 +11,13 @@
 
 // race lets both owners change the same setting from the same revision.
 func (d *Demo) race(ctx context.Context) {
-	book := settle.NewBook(d.fleet.Platform.Table())
+	changelog := settle.NewChangelog(d.fleet.Platform.Table())
 	owners := d.fleet.Doc.Owners()
 	path := d.workspacePath()
 	d.say("OWNERS %s and %s change the floor at the same moment", owners[0], owners[1])
 	var ids []string
 	for i, value := range []string{"55%", "65%"} {
-		c, err := book.Propose(ctx, settle.Proposal{Ops: []tree.Op{tree.Set(path, "floor", value)}, Author: owners[i]})
+		c, err := changelog.Propose(ctx, settle.Proposal{Ops: []tree.Op{tree.Set(path, "floor", value)}, Author: owners[i]})
 		if err != nil {
 			d.say("       proposal refused: %v", err)
 			return
@@ -25,7 +25,7 @@
 		ids = append(ids, c.ID)
 	}
 	for i, id := range ids {
-		revision, err := book.Commit(ctx, id)
+		revision, err := changelog.Commit(ctx, id)
 		switch {
 		case err == nil:
 			d.say("       %s's change is revision %d", owners[i], revision)
@@ -39,22 +39,22 @@
 
 // loseReply commits a change whose reply is lost.
 func (d *Demo) loseReply(ctx context.Context) {
-	book := settle.NewBook(d.fleet.Platform.Table())
+	changelog := settle.NewChangelog(d.fleet.Platform.Table())
 	owner := d.fleet.Doc.Owners()[0]
-	c, err := book.Propose(ctx, settle.Proposal{Ops: []tree.Op{tree.Set(d.workspacePath(), "floor", "60%")}, Author: owner})
+	c, err := changelog.Propose(ctx, settle.Proposal{Ops: []tree.Op{tree.Set(d.workspacePath(), "floor", "60%")}, Author: owner})
 	if err != nil {
 		d.say("       proposal refused: %v", err)
 		return
 	}
 	d.say("FAULT  the platform's next reply to a write is lost while %s commits", owner)
 	d.fleet.Platform.Misbehave(stand.PlatformFaults{LoseReplies: 1})
-	revision, err := book.Commit(ctx, c.ID)
+	revision, err := changelog.Commit(ctx, c.ID)
 	if err == nil {
 		d.say("       the commit read its own change back: revision %d", revision)
 		return
 	}
 	d.say("       %s is told: %v", owner, err)
-	resolution, err := book.Resolve(ctx, c.ID)
+	resolution, err := changelog.Resolve(ctx, c.ID)
 	d.say("       asked again: %s, revision %d (error: %v)", resolution.Outcome, resolution.Revision, err)
 }
 
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -67,7 +67,7 @@
 	if len(owners) == 0 {
 		return fault.New(fault.SettingsInvalid, "%s: key owners is missing at /", file)
 	}
-	_, _, err = settle.NewBook(p.Table()).Bootstrap(ctx, doc, owners[0])
+	_, _, err = settle.NewChangelog(p.Table()).Bootstrap(ctx, doc, owners[0])
 	return err
 }
 
--- a/wisteriactl/main_test.go
+++ b/wisteriactl/main_test.go
@@ -47,7 +47,7 @@
 	}
 	router := mux.NewRouter()
 	Expect(admin.Mount(router, admin.Deps{
-		VM: "mdp-1", Operators: operators, Book: settle.NewBook(c.platform.Table()),
+		VM: "mdp-1", Operators: operators, Changelog: settle.NewChangelog(c.platform.Table()),
 		Applied: func() *settle.Applied { return nil },
 		Targets: func(id fleet.ServiceID) ([]admin.Target, bool) {
 			return []admin.Target{
