Report a leaving target to the peers at once

Cause: the read-through showed that nothing called member.Table.ReportNow, so peers learned of a leaving target with the next report in turn, up to 3 s later, although the design says at once. Change: the watch asks for a report out of turn when a first-hand sign changes.

--- a/core/daemon/engine.go
+++ b/core/daemon/engine.go
@@ -41,6 +41,7 @@
 
 func newEngineWith(parts watchParts, shared *background, logger log.Logger) *engine {
 	e := &engine{parts: parts, shared: shared, logger: logger, wake: make(chan struct{}, 1)}
+	e.parts.reportNow = func(id fleet.ServiceID) { e.members.ReportNow(id) }
 	e.watches.Store(&map[fleet.ServiceID]*watch{})
 	return e
 }
--- a/core/daemon/failures_test.go
+++ b/core/daemon/failures_test.go
@@ -22,6 +22,9 @@
 	agreeTime = 2*detectTime + 2*time.Second
 	// leavingTime is the time after which a leaving target gets no new work.
 	leavingTime = 5 * time.Second
+	// probeTime is the longest time until a target without traffic is probed,
+	// an interval of 5 s with its jitter.
+	probeTime = 8 * time.Second
 	// settingsTime is the time within which a change is in force everywhere.
 	settingsTime = 7 * time.Second
 )
@@ -154,6 +157,18 @@
 	})
 }
 
+// TestLeavingIsReportedAtOnce guards against peers that learn only with the next
+// report in turn that a target leaves, and give it new work until then.
+func TestLeavingIsReportedAtOnce(t *testing.T) {
+	playFleet(t, 6, func(s *session) {
+		time.Sleep(10 * time.Second)
+		s.targets[0].Misbehave(stand.Faults{Leaving: true})
+		s.within(probeTime, "one daemon sees the sign", func() bool { return slices.Contains(s.states(0), "leaving") })
+		time.Sleep(200 * time.Millisecond)
+		s.g.Expect(s.states(0)).To(HaveEach("leaving"))
+	})
+}
+
 // TestTargetLeaves guards against new work at a leaving target, also from
 // daemons that have sent it none.
 func TestTargetLeaves(t *testing.T) {
--- a/core/daemon/watch.go
+++ b/core/daemon/watch.go
@@ -28,19 +28,21 @@
 // watch keeps one carried service: its evidence, ejection list, probes and the
 // target states that the request path reads.
 type watch struct {
-	self     fleet.VM
-	service  atomic.Pointer[fleet.Service]
-	carrier  *proxy.Carrier
-	sink     proxy.RouteSink
-	evidence *detect.Service
-	ejector  *detect.Ejector
-	prober   *detect.Prober
-	leaving  *detect.LeavingTracker
-	states   atomic.Pointer[[]detect.TargetState]
-	carriers atomic.Pointer[[]fleet.VMID]
-	wake     chan struct{}
-	stop     context.CancelFunc
-	done     chan struct{}
+	self    fleet.VM
+	service atomic.Pointer[fleet.Service]
+	carrier *proxy.Carrier
+	sink    proxy.RouteSink
+	// reportNow tells the peers of a target that starts or ceases to leave.
+	reportNow func(fleet.ServiceID)
+	evidence  *detect.Service
+	ejector   *detect.Ejector
+	prober    *detect.Prober
+	leaving   *detect.LeavingTracker
+	states    atomic.Pointer[[]detect.TargetState]
+	carriers  atomic.Pointer[[]fleet.VMID]
+	wake      chan struct{}
+	stop      context.CancelFunc
+	done      chan struct{}
 
 	mu sync.Mutex
 	// pending holds the own rows that no report has carried yet.
@@ -59,6 +61,8 @@
 	dial        func(ctx context.Context, network, address string) (net.Conn, error)
 	// onAttempt takes the end of each attempt, for metrics and logs.
 	onAttempt proxy.RouteSink
+	// reportNow sends the service's report to the peers out of turn.
+	reportNow func(fleet.ServiceID)
 	probe     func(context.Context, fleet.Target, fleet.Probe) detect.ProbeAnswer
 }
 
@@ -75,6 +79,7 @@
 	w.states.Store(&[]detect.TargetState{})
 	w.carriers.Store(&[]fleet.VMID{})
 	w.sink = p.onAttempt
+	w.reportNow = p.reportNow
 	w.carrier = proxy.NewCarrier(p.self, service, proxy.WithTargetDial(p.dial), proxy.WithLeavingSign(w.onResponse), proxy.WithAttempts(w.onAttempt))
 	w.ejector = detect.NewEjector(service.ID, p.incarnation, p.table,
 		detect.WithRank(w.rank),
@@ -113,6 +118,7 @@
 		case <-ticker.C:
 		case <-w.wake:
 		case <-w.leaving.Changed():
+			w.reportNow(w.service.Load().ID)
 		}
 		w.tick(time.Now())
 	}
