Refuse made-up workspaces and test a stalled reader

Cause: the read-through found Catalog.HasWorkspace unused: a caller could name any workspace and so get a turn of its own in the queue; the write deadline for a caller that stops reading had no test. Change: a request for a workspace that is not in the settings is refused as bad-request; TestStalledReader holds a response of 1 MiB unread; unused code of the state dump goes.

--- a/core/daemon/engine.go
+++ b/core/daemon/engine.go
@@ -175,11 +175,12 @@
 // view returns what the request path reads.
 func (e *engine) view() proxy.Fleet {
 	return proxy.Fleet{
-		Carrier:   e.carrier,
-		Service:   e.service,
-		Addresses: e.addresses,
-		Ready:     e.isReady,
-		Leaving:   e.leaving.Load,
+		Carrier:      e.carrier,
+		Service:      e.service,
+		HasWorkspace: e.hasWorkspace,
+		Addresses:    e.addresses,
+		Ready:        e.isReady,
+		Leaving:      e.leaving.Load,
 	}
 }
 
@@ -199,6 +200,11 @@
 	return a.Catalog.Service(id)
 }
 
+func (e *engine) hasWorkspace(id fleet.WorkspaceID) bool {
+	a := e.follower.Current()
+	return a != nil && a.Catalog.HasWorkspace(id)
+}
+
 // addresses returns the carriers of a service in the order in which the caller
 // is to try them.
 func (e *engine) addresses(id fleet.ServiceID, dc fleet.DataCentre, caller string) proxy.AddressList {
--- a/core/daemon/failures_test.go
+++ b/core/daemon/failures_test.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"io"
+	"net/http"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -256,3 +259,28 @@
 		s.g.Expect(runs).To(Equal(map[string]int{"run": 1, "not-run": 0}[final]), "%v", outcomes)
 	})
 }
+
+// TestStalledReader guards against a caller that stops reading and so holds a
+// slot of the target for ever.
+func TestStalledReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSession(t, sessionSettings)
+		large := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1<<20)) })
+		for _, address := range []string{"10.1.0.1:80", "10.1.0.2:80"} {
+			s.serve(address, large)
+		}
+		s.startReady()
+		c, err := s.net.dialFrom(callerHost)(t.Context(), "tcp", "10.0.0.1:7000")
+		s.g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(c, "GET /bookings/7 HTTP/1.1\r\nHost: wisteria\r\nWisteria-Service: reservas\r\n\r\n")
+		s.g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Second)
+		s.g.Expect(s.daemons[0].parts.Relay.Active()).To(BeEquivalentTo(1))
+		time.Sleep(7 * time.Second)
+		s.g.Expect(s.daemons[0].parts.Relay.Active()).To(BeZero())
+		w, _ := s.daemons[0].parts.Engine.watch("reservas")
+		s.g.Expect(w.carrier.Gate().InUse()).To(BeEmpty())
+		s.g.Expect(c.Close()).To(Succeed())
+		s.close()
+	})
+}
--- a/core/proxy/bench_test.go
+++ b/core/proxy/bench_test.go
@@ -58,10 +58,11 @@
 	carrier := NewCarrier(fleet.VM{ID: "vm1"}, service)
 	carrier.Update(service, states, nil)
 	relay := NewRelay(fleet.VM{ID: "vm1"}, Fleet{
-		Carrier: func(fleet.ServiceID) (*Carrier, bool) { return carrier, true },
-		Service: func(fleet.ServiceID) (*fleet.Service, bool) { return service, true },
-		Ready:   func() bool { return true },
-		Leaving: func() bool { return false },
+		Carrier:      func(fleet.ServiceID) (*Carrier, bool) { return carrier, true },
+		Service:      func(fleet.ServiceID) (*fleet.Service, bool) { return service, true },
+		HasWorkspace: func(id fleet.WorkspaceID) bool { return id != "nowhere" },
+		Ready:        func() bool { return true },
+		Leaving:      func() bool { return false },
 	}, nil)
 	return benchServe(b, relay)
 }
@@ -183,9 +184,10 @@
 	carrier := NewCarrier(fleet.VM{ID: "vm1"}, service)
 	carrier.Update(service, []limit.Target{{ID: "t1", Slots: 2, State: choose.Ready, Weight: 1}}, nil)
 	relay := NewRelay(fleet.VM{ID: "vm1"}, Fleet{
-		Carrier: func(fleet.ServiceID) (*Carrier, bool) { return carrier, true },
-		Ready:   func() bool { return true },
-		Leaving: func() bool { return false },
+		Carrier:      func(fleet.ServiceID) (*Carrier, bool) { return carrier, true },
+		HasWorkspace: func(id fleet.WorkspaceID) bool { return id != "nowhere" },
+		Ready:        func() bool { return true },
+		Leaving:      func() bool { return false },
 	}, nil)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -64,8 +64,9 @@
 		Addresses: func(id fleet.ServiceID, dc fleet.DataCentre, _ string) AddressList {
 			return AddressList{Service: id, TTLSeconds: 30, Addresses: []Address{{VM: "vm1", DataCentre: dc, Address: "127.0.0.1:1"}}}
 		},
-		Ready:   func() bool { return true },
-		Leaving: func() bool { return false },
+		HasWorkspace: func(id fleet.WorkspaceID) bool { return id != "nowhere" },
+		Ready:        func() bool { return true },
+		Leaving:      func() bool { return false },
 	}, newManager())
 	rg.server = httptest.NewServer(rg.relay)
 	DeferCleanup(rg.server.Close)
@@ -161,6 +162,7 @@
 		Entry("method", "DELETE", "/stock", nil, 405, "method-not-allowed"),
 		Entry("unknown service", "GET", "/stock", http.Header{HeaderService: {"nope"}}, 404, "unknown-service"),
 		Entry("service of other daemons", "GET", "/stock", http.Header{HeaderService: {"reservas"}}, 421, "not-carried"),
+		Entry("made-up workspace", "GET", "/stock", http.Header{HeaderWorkspace: {"nowhere"}}, 400, "bad-request"),
 		Entry("bad deadline", "GET", "/stock", http.Header{HeaderDeadline: {"-5"}}, 400, "bad-request"),
 	)
 
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -23,6 +23,8 @@
 	Carrier func(fleet.ServiceID) (*Carrier, bool)
 	// Service returns a service of the settings.
 	Service func(fleet.ServiceID) (*fleet.Service, bool)
+	// HasWorkspace reports whether a workspace stands in the settings.
+	HasWorkspace func(fleet.WorkspaceID) bool
 	// Addresses returns the carriers of a service for a caller in a data centre.
 	Addresses func(fleet.ServiceID, fleet.DataCentre, string) AddressList
 	// Ready reports whether the daemon has settings and targets to serve from.
@@ -158,6 +160,11 @@
 		c.refuse(fault.From(err))
 		return
 	}
+	if !rl.fleet.HasWorkspace(in.workspace) {
+		// A made-up workspace would get a turn of its own in the queue.
+		c.refuse(fault.New(fault.BadRequest, "no workspace %q", in.workspace))
+		return
+	}
 	c.in = in
 	ctx, cancel := context.WithDeadline(c.request.Context(), in.deadline)
 	defer cancel()
--- a/core/stats/dump.go
+++ b/core/stats/dump.go
@@ -1,11 +1,6 @@
 package stats
 
-import (
-	"encoding/json"
-	"net/http"
-	"sort"
-	"sync"
-)
+import "sync"
 
 // Dump collects the state of the parts of a process on request.
 type Dump struct {
@@ -26,18 +21,6 @@
 	d.parts[part] = read
 }
 
-// Parts returns the names of the parts in order.
-func (d *Dump) Parts() []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	names := make([]string, 0, len(d.parts))
-	for n := range d.parts {
-		names = append(names, n)
-	}
-	sort.Strings(names)
-	return names
-}
-
 // Read returns the state of one part, or of all parts by name if part is empty.
 func (d *Dump) Read(part string) any {
 	d.mu.Lock()
@@ -54,14 +37,3 @@
 	}
 	return state
 }
-
-// ServeHTTP writes the state as JSON; the query parameter "part" selects one part.
-func (d *Dump) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	data, err := json.MarshalIndent(d.Read(r.URL.Query().Get("part")), "", "  ")
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(append(data, '\n'))
-}
