--- a/core/order/bench_test.go
+++ b/core/order/bench_test.go
@@ -11,8 +11,8 @@
 	"wisteriarelay.example/core/fault"
 )
 
-// benchDesk returns a manager and b.N requests with keys under its tokens.
-func benchDesk(b *testing.B, own bool) (*crew, *Manager, []Request) {
+// benchManager returns a manager and b.N requests with keys under its tokens.
+func benchManager(b *testing.B, own bool) (*crew, *Manager, []Request) {
 	c := newCrew()
 	d := c.join("vm-0123", WithRecords(1<<30), WithKept(1<<40, 64<<10))
 	list := make([]Request, b.N)
@@ -34,7 +34,7 @@
 // BenchmarkOwnToken measures Begin and Finish of a new order, and the heap
 // that each record holds without a response.
 func BenchmarkOwnToken(b *testing.B) {
-	_, d, list := benchDesk(b, false)
+	_, d, list := benchManager(b, false)
 	ctx := context.Background()
 	before := heap()
 	b.ReportAllocs()
@@ -57,7 +57,7 @@
 
 // BenchmarkIssue measures the issue of one token and its length.
 func BenchmarkIssue(b *testing.B) {
-	_, d, _ := benchDesk(b, false)
+	_, d, _ := benchManager(b, false)
 	b.ReportAllocs()
 	size := 0
 	for b.Loop() {
@@ -89,7 +89,7 @@
 func BenchmarkWrites(b *testing.B) {
 	for name, own := range map[string]bool{"home": false, "claim": true} {
 		b.Run(name, func(b *testing.B) {
-			c, d, list := benchDesk(b, own)
+			c, d, list := benchManager(b, own)
 			ctx := context.Background()
 			for _, r := range list {
 				d.Begin(ctx, r).Ticket.Finish(fault.Run, response("booked"))
--- a/core/order/slope_test.go
+++ b/core/order/slope_test.go
@@ -10,7 +10,7 @@
 	"wisteriarelay.example/core/fleet"
 )
 
-func slopeDesk(b *testing.B) *Manager {
+func slopeManager(b *testing.B) *Manager {
 	s, err := NewSigner(testSecret)
 	if err != nil {
 		b.Fatal(err)
@@ -20,7 +20,7 @@
 
 // BenchmarkNewToken measures an order token.
 func BenchmarkNewToken(b *testing.B) {
-	d := slopeDesk(b)
+	d := slopeManager(b)
 	b.ReportAllocs()
 	for b.Loop() {
 		if _, err := d.Token("reservas", ModeHome); err != nil {
@@ -41,13 +41,13 @@
 
 // BenchmarkOrderLife measures Begin and Finish of a new order.
 func BenchmarkOrderLife(b *testing.B) {
-	d := slopeDesk(b)
+	d := slopeManager(b)
 	token, _ := d.Token("reservas", ModeHome)
 	b.ReportAllocs()
 	n := 0
 	for b.Loop() {
 		if n++; n%100_000 == 0 {
-			d = slopeDesk(b)
+			d = slopeManager(b)
 			token, _ = d.Token("reservas", ModeHome)
 		}
 		runOrder(b, d, token, n)
@@ -61,7 +61,7 @@
 		b.Run(fmt.Sprint("orders=", orders), func(b *testing.B) {
 			held := 0.0
 			for b.Loop() {
-				d := slopeDesk(b)
+				d := slopeManager(b)
 				token, _ := d.Token("reservas", ModeHome)
 				before := slopeHeap()
 				for n := range orders {
