Keep suspect targets open to orders while evidence is gathered

Cause: the read-through found that a target about which a daemon lacked evidence was set to trial there, which closes it to orders; several such targets at once could take a service below its floor without any ejection, and a service with orders only would never have gathered the evidence. Change: the state stays, and the choice gives the target a fifth of the idempotent requests, one at a time, by a flag of its own.

--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -27,6 +27,10 @@
 	// TrialAllowed says that this daemon may send a trial to the target.
 	TrialAllowed   bool
 	SameDataCentre bool
+	// Confirm asks for a share of the idempotent requests, because this daemon has
+	// too little evidence of its own about a suspect target. The target stays
+	// open as its state says, so that it still counts as capacity.
+	Confirm bool
 	// Weight is the share of full traffic for SlowStart, and the share of idempotent
 	// requests spent on trials for Trial, in [0, 1].
 	Weight float64
@@ -79,6 +83,10 @@
 	// whose slowness then looks like sickness (docs/policy.md, case herding).
 	peerDiscount = 4
 	noKey        = ^uint64(0)
+	// confirmShare is the share of idempotent requests by which a daemon gathers
+	// evidence about a target that only others have found suspect. It ends as
+	// soon as the daemon has the few requests that a judgement needs.
+	confirmShare = 0.2
 	// manyEqual is the number of equal candidates from which two are drawn and the
 	// better rank wins; fewer are decided by rank alone.
 	manyEqual = 3
@@ -154,6 +162,9 @@
 // class places the candidate. A target in slow start competes with the ready
 // ones for the share of requests that its weight states.
 func (c *Candidate) class(idempotent bool, draw uint64) int {
+	if c.Confirm && idempotent && c.InFlight == 0 && c.drawn(draw, confirmShare) {
+		return classTrialDue
+	}
 	switch c.State {
 	case Ready:
 		return classReady
@@ -181,8 +192,13 @@
 // admitted reports true for the share of draws that Weight states; the rank makes
 // it independent between targets.
 func (c *Candidate) admitted(draw uint64) bool {
+	return c.drawn(draw, c.Weight)
+}
+
+// drawn reports true for the given share of draws.
+func (c *Candidate) drawn(draw uint64, share float64) bool {
 	const mantissa = 53
-	return float64(mix(draw^c.Rank)>>(64-mantissa))/(1<<mantissa) < c.Weight
+	return float64(mix(draw^c.Rank)>>(64-mantissa))/(1<<mantissa) < share
 }
 
 // mix is the finaliser of splitmix64.
--- a/core/choose/choose_test.go
+++ b/core/choose/choose_test.go
@@ -128,3 +128,33 @@
 		Expect(n).To(BeNumerically("<", 40), "%s is first for too many daemons", id)
 	}
 })
+
+// A suspect target that waits for evidence still counts as capacity; closing it
+// to orders would take a service below its floor without an ejection.
+var _ = Describe("Confirm", func() {
+	suspect := choose.Candidate{State: choose.Ready, Confirm: true, Limit: 2, Slots: 2}
+	healthy := choose.Candidate{State: choose.Ready, SameDataCentre: true, Limit: 2, Slots: 2}
+
+	It("leaves the target open to orders, also as the only one", func() {
+		_, ok := choose.Pick([]choose.Candidate{suspect}, false, 7)
+		Expect(ok).To(BeTrue())
+		for draw := range uint64(1000) {
+			pos, _ := choose.Pick([]choose.Candidate{suspect, healthy}, false, draw)
+			Expect(pos).To(Equal(1), "orders are not spent on finding out")
+		}
+	})
+
+	It("gives it a fifth of the idempotent requests, one at a time", func() {
+		taken := 0
+		for draw := range uint64(10_000) {
+			if pos, _ := choose.Pick([]choose.Candidate{suspect, healthy}, true, draw); pos == 0 {
+				taken++
+			}
+		}
+		Expect(taken).To(BeNumerically("~", 2000, 200))
+		busy := suspect
+		busy.InFlight = 1
+		pos, _ := choose.Pick([]choose.Candidate{busy, healthy}, true, 7)
+		Expect(pos).To(Equal(1))
+	})
+})
--- a/core/daemon/watch.go
+++ b/core/daemon/watch.go
@@ -215,14 +215,8 @@
 	detect.Leaving:   choose.Closed,
 }
 
-const (
-	// trialShare is the share of idempotent requests that a target in trial gets.
-	trialShare = 0.05
-	// confirmShare is the share of idempotent requests by which a daemon gathers
-	// evidence about a target that only others have found suspect. It ends as
-	// soon as the daemon has the few requests that a judgement needs.
-	confirmShare = 0.2
-)
+// trialShare is the share of idempotent requests that a target in trial gets.
+const trialShare = 0.05
 
 func (w *watch) gateTargets(service *fleet.Service, states []detect.TargetState) []limit.Target {
 	unconfirmed := w.evidence.Unconfirmed()
@@ -237,14 +231,11 @@
 			SameDataCentre: t.DataCentre == w.self.DataCentre,
 			DataCentre:     t.DataCentre,
 		}
-		switch {
-		case s.State == detect.Trial:
+		if s.State == detect.Trial {
 			g.Weight = trialShare
 			g.TrialAllowed = w.isProber(s.Target)
-		case unconfirmed[s.Target] && !g.SameDataCentre && g.State != choose.Closed:
-			g.State = choose.Trial
-			g.Weight = confirmShare
-			g.TrialAllowed = true
+		} else {
+			g.Confirm = unconfirmed[s.Target] && !g.SameDataCentre
 		}
 		targets = append(targets, g)
 	}
--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -180,7 +180,8 @@
 func (g *Gate) pick(v *view, ask *Ask, cands []choose.Candidate) (pos, limit int) {
 	if len(ask.Exclude) > 0 {
 		for i := range cands {
-			// A request that failed once is not spent on a trial as well.
+			// A request that failed once is not spent on a trial, or on evidence, as well.
+			cands[i].Confirm = false
 			if cands[i].State == choose.Trial || slices.Contains(ask.Exclude, v.entries[i].slot.id) {
 				cands[i].State = choose.Closed
 			}
--- a/core/limit/snapshot.go
+++ b/core/limit/snapshot.go
@@ -22,6 +22,8 @@
 	Weight         float64
 	TrialAllowed   bool
 	SameDataCentre bool
+	// Confirm asks for a share of the idempotent requests; see choose.Candidate.
+	Confirm bool
 	// DataCentre is compared with Snapshot.Members when the slots are divided.
 	DataCentre fleet.DataCentre
 }
@@ -136,6 +138,7 @@
 		Weight:         t.Weight,
 		TrialAllowed:   t.TrialAllowed,
 		SameDataCentre: t.SameDataCentre,
+		Confirm:        t.Confirm,
 		PeerInFlight:   busy,
 		Share:          share,
 		Limit:          max(t.Slots-busy, share),
