--- a/core/judge/judge_test.go
+++ b/core/judge/judge_test.go
@@ -19,12 +19,12 @@
 	return at
 }
 
-// Guards against a target that keeps losing orders because one reset does not
-// count: after it the next request is more likely to fail than not.
+// Guards against a target that keeps losing orders because one reset does not count.
 func TestOneResetMakesAKnownTargetSick(t *testing.T) {
 	g := NewWithT(t)
 	var b judge.Belief
 	now := observe(&b, time.Unix(0, 0), judge.Served, judge.Served, judge.Served, judge.Broken)
+	g.Expect(b.Sick(model, now)).To(BeNumerically(">", 0.8))
 	g.Expect(b.FailRate(model, now)).To(BeNumerically(">", 0.5))
 }
 
@@ -47,8 +47,11 @@
 	g := NewWithT(t)
 	var b judge.Belief
 	now := observe(&b, time.Unix(0, 0), judge.Served, judge.Served, judge.Served, judge.Served, judge.Failed)
+	g.Expect(b.Sick(model, now)).To(BeNumerically("<", 0.5))
 	g.Expect(b.FailRate(model, now)).To(BeNumerically("<", 0.15))
-	now = observe(&b, now, judge.Failed, judge.Failed)
+	now = observe(&b, now, judge.Failed)
+	g.Expect(b.Sick(model, now)).To(BeNumerically(">", 0.5))
+	now = observe(&b, now, judge.Failed)
 	g.Expect(b.FailRate(model, now)).To(BeNumerically(">", 0.3))
 }
 
@@ -58,8 +61,9 @@
 	g := NewWithT(t)
 	var b judge.Belief
 	now := observe(&b, time.Unix(0, 0), judge.Served, judge.Broken)
+	g.Expect(b.Sick(model, now.Add(9*time.Second))).To(BeNumerically(">", 0.7))
 	g.Expect(b.FailRate(model, now.Add(9*time.Second))).To(BeNumerically(">", 0.5))
-	g.Expect(b.FailRate(model, now.Add(14*time.Second))).To(BeNumerically("<", 0.4))
+	g.Expect(b.Sick(model, now.Add(14*time.Second))).To(BeNumerically("<", 0.4))
 }
 
 // Guards against a service that refuses half of its requests everywhere hiding
@@ -69,8 +73,8 @@
 	var refusing, losing judge.Belief
 	now := observe(&refusing, time.Unix(0, 0), judge.Served, judge.Shed, judge.Shed, judge.Shed)
 	_ = observe(&losing, time.Unix(0, 0), judge.Served, judge.Shed, judge.Broken, judge.Shed)
-	g.Expect(refusing.FailRate(model, now)).To(BeNumerically("<", 0.2))
-	g.Expect(losing.FailRate(model, now)).To(BeNumerically(">", 0.5))
+	g.Expect(refusing.Sick(model, now)).To(BeNumerically("<", 0.2))
+	g.Expect(losing.Sick(model, now)).To(BeNumerically(">", 0.8))
 }
 
 // Guards against a restarted daemon that learns at the callers' cost what its
@@ -83,11 +87,12 @@
 	g.Expect(ok).To(BeTrue())
 
 	fresh.Adopt(now, snapshot)
+	g.Expect(fresh.Sick(model, now)).To(BeNumerically("~", known.Sick(model, now), 1e-9))
 	g.Expect(fresh.FailRate(model, now)).To(BeNumerically("~", known.FailRate(model, now), 1e-9))
-	g.Expect(fresh.FailRate(model, now.Add(14*time.Second))).To(BeNumerically("<", 0.4))
+	g.Expect(fresh.Sick(model, now.Add(14*time.Second))).To(BeNumerically("<", 0.4))
 
 	later := observe(&fresh, now.Add(20*time.Second), judge.Served, judge.Served, judge.Served)
 	snapshot.Age = 30 * time.Second
 	fresh.Adopt(later, snapshot)
-	g.Expect(fresh.FailRate(model, later)).To(BeNumerically("<", 0.1))
+	g.Expect(fresh.Sick(model, later)).To(BeNumerically("<", 0.1))
 }
