--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -66,6 +66,7 @@
 	t.grant = grant
 	t.exchange.granted <- t
 	t.sentAt = time.Now()
+	t.exchange.relay.noteWait(t)
 	r := t.send()
 	r.took = time.Since(t.sentAt)
 	if r.response == nil || r.response.rest == nil {
--- a/core/relay/exchange.go
+++ b/core/relay/exchange.go
@@ -91,8 +91,10 @@
 		results:  x.results,
 		ask: sched.Ask{
 			Idempotent: x.route.Idempotent,
+			Last:       !x.repeatable(),
 			Priority:   x.route.Priority,
 			Deadline:   x.deadline,
+			Objective:  x.objective(),
 			Tried:      x.tried,
 		},
 	}
@@ -100,6 +102,20 @@
 	go t.run()
 }
 
+// repeatable reports whether the request could be sent once more after the
+// attempt that is about to start.
+func (x *exchange) repeatable() bool {
+	return x.route.Idempotent && x.started-x.unsent < x.route.Attempts && x.window.Left(time.Now())
+}
+
+// objective returns when the answer should have arrived; zero if the route states none.
+func (x *exchange) objective() time.Time {
+	if x.route.Objective == 0 {
+		return time.Time{}
+	}
+	return x.request.Received.Add(x.route.Objective)
+}
+
 // cancelRunning ends the attempts whose results are not awaited any more. A
 // non-idempotent request that a target may be working on is left to end.
 func (x *exchange) cancelRunning() {
--- a/core/relay/record.go
+++ b/core/relay/record.go
@@ -24,6 +24,21 @@
 	_ = r.logger.Log(fields...)
 }
 
+// notableWait is the wait for a target from which it is recorded.
+const notableWait = 20 * time.Millisecond
+
+// noteWait records how long a request waited for its target.
+func (r *Relay) noteWait(t *attempt) {
+	x := t.exchange
+	waited := t.sentAt.Sub(t.started)
+	r.set.Histogram(stats.Label("relay_wait_ms", "service", x.service)).Update(waited.Milliseconds())
+	if waited < notableWait {
+		return
+	}
+	_ = r.logger.Log("msg", "waited for a target", "id", x.id, "service", x.service, "waited", waited,
+		"target", t.grant.Target.ID, "fail-rate", t.grant.FailRate, "load", t.grant.Load)
+}
+
 // logAnswer records the final answer to a request.
 func (r *Relay) logAnswer(x *exchange, status int, why string) {
 	took := time.Since(x.request.Received)
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -77,13 +77,25 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.slide(now)
-	if float64(sum(w.extras)+1) > w.ratio*float64(w.recent())+w.share*w.slack {
+	if !w.left() {
 		return false
 	}
 	w.extras[w.bucket%windowBuckets]++
 	return true
 }
 
+// Left reports whether an extra send is left, without using it.
+func (w *Window) Left(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slide(now)
+	return w.left()
+}
+
+func (w *Window) left() bool {
+	return float64(sum(w.extras)+1) <= w.ratio*float64(w.recent())+w.share*w.slack
+}
+
 // slide empties the buckets that have left the window.
 func (w *Window) slide(now time.Time) {
 	at := int64(now.Sub(w.start) / (w.span / windowSteps))
--- a/core/sched/choice.go
+++ b/core/sched/choice.go
@@ -11,10 +11,13 @@
 	// queueDepth is the work beyond its slots that a target is given. A longer
 	// queue at the target would tie requests to it that another could serve sooner.
 	queueDepth = 2
-	// orderPenalty is the delay that a failed non-idempotent request is worth: it
-	// is lost, because it must not be sent again.
-	orderPenalty = 6 * time.Second
-	// retryPenalty is the delay that a failed idempotent request costs.
+	// lossPenalty is the delay that the loss of a request is worth.
+	lossPenalty = 6 * time.Second
+	// sickRate is the expected share of failures from which a request rather waits
+	// than goes to the target. A target of which nothing is known stays below it:
+	// the service needs to learn of its capacity when the known targets are full.
+	sickRate = 0.45
+	// retryPenalty is the delay that a failure costs if the request is sent again.
 	retryPenalty = 600 * time.Millisecond
 	// remotePenalty prefers targets of the own data centre: traffic between data
 	// centres is paid for.
@@ -33,31 +36,69 @@
 	return slices.Contains(a.Tried, k)
 }
 
-// choose returns the target for a request and the share of requests that it is expected to fail.
+// choose returns the target for a request and the share of requests that it is
+// expected to fail, or nil if the request should wait.
 func (p *Pool) choose(a Ask, now time.Time) (*member, float64) {
-	if m := p.duty(a, now); m != nil {
-		return m, m.failRate(p.model, now)
+	if len(a.Tried) == 0 {
+		if m := p.duty(a, now); m != nil {
+			return m, m.failRate(p.model, now)
+		}
+	}
+	free, full := p.best(a, now)
+	if full.member != nil && p.worthWaiting(a, now, free, full) {
+		return nil, 0
 	}
-	return p.best(a, now)
+	return free.member, free.rate
+}
+
+// option is a target that a request could go to.
+type option struct {
+	member *member
+	cost   time.Duration
+	rate   float64
+}
+
+func (o option) cheaper(other option) bool {
+	return other.member == nil || o.cost < other.cost
 }
 
-// best returns the target with the lowest expected cost that has room, and the
-// share of requests that it is expected to fail.
-func (p *Pool) best(a Ask, now time.Time) (*member, float64) {
-	var best *member
-	var bestCost time.Duration
-	var bestRate float64
+// best returns the cheapest target that has room and the cheapest that has none.
+func (p *Pool) best(a Ask, now time.Time) (free, full option) {
 	for k, m := range p.members {
-		if a.tried(k) || m.load(now) >= m.target.Slots+queueDepth {
+		if a.tried(k) {
 			continue
 		}
-		rate := m.failRate(p.model, now)
-		cost := p.cost(m, a, now, rate)
-		if best == nil || cost < bestCost {
-			best, bestCost, bestRate = m, cost, rate
+		o := option{member: m, rate: m.failRate(p.model, now)}
+		o.cost = p.cost(m, a, now, o.rate)
+		switch {
+		case m.load(now) < m.target.Slots+queueDepth:
+			if o.cheaper(free) {
+				free = o
+			}
+		case o.cheaper(full):
+			full = o
 		}
 	}
-	return best, bestRate
+	return free, full
+}
+
+// worthWaiting reports whether the request should wait for a target without
+// room. Load pattern: the targets that are well are full while sick ones stand
+// idle; a request that is sent to those is most likely lost, and room at the
+// others is a fraction of a second away. A request that would miss its objective
+// does not wait, because it would take the room from one that can still meet it.
+func (p *Pool) worthWaiting(a Ask, now time.Time, free, full option) bool {
+	if free.member == nil {
+		return true
+	}
+	if free.rate < sickRate {
+		return false
+	}
+	wait := p.expectedWait(a, now)
+	if now.Add(wait + p.serviceTime()).After(a.objective()) {
+		return false
+	}
+	return full.cost+wait < free.cost
 }
 
 // failRate joins what the fleet knows of the target with what this daemon knows
@@ -70,8 +111,8 @@
 // and against a target are expressed in time, so that they can be weighed.
 func (p *Pool) cost(m *member, a Ask, now time.Time, rate float64) time.Duration {
 	penalty := retryPenalty
-	if !a.Idempotent {
-		penalty = orderPenalty
+	if a.Last {
+		penalty = lossPenalty
 	}
 	cost := time.Duration(rate * float64(penalty))
 	cost += p.waitAt(m, now)
--- a/core/sched/floor.go
+++ b/core/sched/floor.go
@@ -4,14 +4,17 @@
 
 const (
 	// floorSpan is the time in which each target of the floor gets a request.
-	floorSpan = 1700 * time.Millisecond
-	// orderFloor is the part of the targets that always get work. A service must
+	floorSpan = 1500 * time.Millisecond
+	// turnSpan bounds the random delay by which the daemons of a service take
+	// turns, so that only one of them sends a request to a target for the floor.
+	turnSpan = 250 * time.Millisecond
+	// defaultFloor is the part of the targets that always get work. A service must
 	// not be reduced to a few targets: what is believed of the others may be
 	// wrong, and when a part of the fleet fails there is no time to find out.
-	orderFloor = 0.72
-	// lookupFloor is the same for idempotent requests, which are sent again when
-	// they fail, so that knowledge of all targets costs little.
-	lookupFloor = 0.95
+	defaultFloor = 0.7
+	// repeatFloor is the same for requests that are sent again when they fail, so
+	// that knowledge of all targets costs little.
+	repeatFloor = 0.95
 	// failureMemory is how long a target that failed does not count for the floor.
 	failureMemory = 1900 * time.Millisecond
 	// introduceAfter is the time after which a target that nobody has used yet gets
@@ -25,11 +28,7 @@
 	if m := p.leastFailing(a, now, p.unintroduced); m != nil {
 		return m
 	}
-	floor := orderFloor
-	if a.Idempotent {
-		floor = lookupFloor
-	}
-	if p.usedShare(now) >= floor {
+	if p.floorHolds(a, now) {
 		return nil
 	}
 	return p.leastFailing(a, now, unused)
@@ -40,12 +39,16 @@
 }
 
 func unused(m *member, now time.Time) bool {
-	return now.Sub(m.usedAt) > floorSpan && now.Sub(m.badAt) >= failureMemory
+	return now.Sub(m.usedAt) > floorSpan+m.turn && now.Sub(m.badAt) >= failureMemory
 }
 
-// usedShare returns the part of the targets that got a request in the span.
+// floorHolds reports whether enough of the targets got a request in the span.
 // Those that have just failed are left out.
-func (p *Pool) usedShare(now time.Time) float64 {
+func (p *Pool) floorHolds(a Ask, now time.Time) bool {
+	floor := repeatFloor
+	if a.Last {
+		floor = p.floor
+	}
 	used, all := 0, 0
 	for _, m := range p.members {
 		if now.Sub(m.badAt) < failureMemory {
@@ -56,7 +59,7 @@
 			used++
 		}
 	}
-	return float64(used) / float64(max(all, 1))
+	return float64(used) >= floor*float64(all)
 }
 
 // leastFailing returns the target with a free slot that fits and is expected to fail least.
--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -11,11 +11,26 @@
 // Ask describes a request that needs a target.
 type Ask struct {
 	Idempotent bool
+	// Last says that the request is lost if it fails: it must not be sent again,
+	// or may not because its attempts or the budget are used up.
+	Last bool
 	// Priority ranks the request; 0 is the highest.
 	Priority int
 	Deadline time.Time
+	// Objective is the time until which an answer is worth most; zero if there is none.
+	Objective time.Time
 	// Tried are the targets that the request was sent to before.
 	Tried []Key
+	// since is when the pool was asked, number the count of asks until then.
+	since  time.Time
+	number uint64
+}
+
+func (a Ask) objective() time.Time {
+	if a.Objective.IsZero() || a.Objective.After(a.Deadline) {
+		return a.Deadline
+	}
+	return a.Objective
 }
 
 // Grant is the permission to send one request to a target. It must be settled once.
@@ -37,7 +52,7 @@
 	if g != nil || err != nil {
 		return g, err
 	}
-	timer := time.NewTimer(time.Until(a.Deadline))
+	timer := time.NewTimer(time.Until(p.latestStart(a)))
 	defer timer.Stop()
 	select {
 	case g := <-w.granted:
@@ -47,21 +62,29 @@
 		return nil, fault.New(fault.CallerGone, "caller left while waiting for a target")
 	case <-timer.C:
 		p.giveUp(w)
-		return nil, fault.New(fault.QueueFull, "no target had room until the deadline")
+		return nil, fault.New(fault.QueueFull, "no target had room in time")
 	}
 }
 
+// latestStart returns when the request is given up if it still waits: another
+// target could not answer it until its deadline.
+func (p *Pool) latestStart(a Ask) time.Time {
+	return a.Deadline.Add(-p.ServiceTime() / 2)
+}
+
 func (p *Pool) ask(a Ask) (*waiter, *Grant, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	p.asked++
+	a.since, a.number = now, p.asked
 	if g := p.grant(a, now); g != nil {
 		return nil, g, nil
 	}
 	if p.untried(a) == 0 {
 		return nil, nil, fault.New(fault.NoTarget, "service %s has no further target", p.service)
 	}
-	if wait := p.expectedWait(a); now.Add(wait + p.serviceTime()).After(a.Deadline) {
+	if wait := p.expectedWait(a, now); now.Add(wait + p.serviceTime()).After(a.Deadline) {
 		return nil, nil, fault.New(fault.QueueFull, "wait of %s would outlast the deadline", wait)
 	}
 	w := &waiter{ask: a, granted: make(chan *Grant, 1)}
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -27,12 +27,15 @@
 	service    string
 	dataCentre string
 	model      judge.Model
+	floor      float64
 	emit       func(Event)
 
 	mu      sync.Mutex
 	members map[Key]*member
 	usual   latency
 	queue   queue
+	// asked counts the requests that asked for a target.
+	asked uint64
 }
 
 // Option changes a Pool.
@@ -57,6 +60,7 @@
 		service:    service,
 		dataCentre: dataCentre,
 		model:      DefaultModel,
+		floor:      defaultFloor,
 		emit:       func(Event) {},
 		members:    map[Key]*member{},
 	}
@@ -114,10 +118,19 @@
 		m.speed.add(now, took)
 		p.usual.add(now, took)
 	}
-	m.belief.Observe(p.model, now, r)
+	m.observe(p.model, now, r, took)
 	m.noteFailure(now, r)
 }
 
+// observe moves the belief. What was sent before the last failure and served
+// after it says nothing of the target since: targets fail requests as they arrive.
+func (m *member) observe(model judge.Model, now time.Time, r judge.Result, took time.Duration) {
+	if r == judge.Served && now.Add(-took).Before(m.badAt) {
+		return
+	}
+	m.belief.Observe(model, now, r)
+}
+
 // noteFailure remembers when the target last failed a request.
 func (m *member) noteFailure(now time.Time, r judge.Result) {
 	if r == judge.Broken || r == judge.Failed {
@@ -140,10 +153,10 @@
 	if e.Result == judge.Shed {
 		m.shedAt = now
 	}
-	m.noteFailure(now, e.Result)
 	if e.Result != judge.Unreached {
-		m.belief.Observe(p.model, now, e.Result)
+		m.observe(p.model, now, e.Result, e.Latency)
 	}
+	m.noteFailure(now, e.Result)
 	if e.Result == judge.Served {
 		m.speed.add(now, e.Latency)
 		p.usual.add(now, e.Latency)
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -23,10 +24,18 @@
 }
 
 func compareWaiters(a, b *waiter) int {
-	if a.ask.Priority != b.ask.Priority {
-		return a.ask.Priority - b.ask.Priority
+	return a.ask.compare(b.ask)
+}
+
+// compare orders requests by rank, deadline and arrival.
+func (a Ask) compare(b Ask) int {
+	if a.Priority != b.Priority {
+		return a.Priority - b.Priority
+	}
+	if byDeadline := a.Deadline.Compare(b.Deadline); byDeadline != 0 {
+		return byDeadline
 	}
-	return a.ask.Deadline.Compare(b.ask.Deadline)
+	return cmp.Compare(a.number, b.number)
 }
 
 func (q *queue) remove(w *waiter) bool {
@@ -54,17 +63,21 @@
 }
 
 // expectedWait returns how long a new request would wait behind those that go
-// before it.
-func (p *Pool) expectedWait(a Ask) time.Duration {
+// before it: at least as long as one of those has waited, because the waiters of
+// other daemons are not known. A slot counts for the share of requests that its
+// target serves.
+func (p *Pool) expectedWait(a Ask, now time.Time) time.Duration {
 	ahead := 1
+	longest := time.Duration(0)
 	for _, w := range p.queue.waiters {
-		if compareWaiters(w, &waiter{ask: a}) <= 0 {
+		if w.ask.compare(a) < 0 {
 			ahead++
+			longest = max(longest, now.Sub(w.ask.since))
 		}
 	}
-	slots := 0
+	slots := 0.0
 	for _, m := range p.members {
-		slots += m.target.Slots
+		slots += float64(m.target.Slots) * (1 - m.failRate(p.model, now))
 	}
-	return p.serviceTime() * time.Duration(ahead) / time.Duration(max(slots, 1))
+	return max(longest, time.Duration(float64(p.serviceTime())*float64(ahead)/max(slots, 1)))
 }
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -36,7 +36,7 @@
 }
 
 func ask(idempotent bool) sched.Ask {
-	return sched.Ask{Idempotent: idempotent, Deadline: time.Now().Add(2 * time.Second)}
+	return sched.Ask{Idempotent: idempotent, Last: !idempotent, Deadline: time.Now().Add(2 * time.Second)}
 }
 
 // spells says when a target resets what it is sent: whole periods, a third of
@@ -304,3 +304,58 @@
 		g.Expect(used).To(HaveLen(10))
 	})
 }
+
+// Load pattern: a target is well, then resets what arrives, while requests that
+// it got before still end well. Guards against taking their answers for a
+// recovery, after which orders were sent into the spell again.
+func TestAnswerToEarlierRequestIsNoRecovery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := newPool(1)
+		first := targets(1)[0].Key
+		var early []*sched.Grant
+		for range 3 {
+			grant, err := p.Acquire(t.Context(), ask(false))
+			g.Expect(err).NotTo(HaveOccurred())
+			early = append(early, grant)
+		}
+		time.Sleep(100 * time.Millisecond)
+		p.Learn("peer", sched.Event{Target: first, Result: judge.Broken})
+		time.Sleep(100 * time.Millisecond)
+		for _, grant := range early {
+			grant.Settle(judge.Served, 200*time.Millisecond)
+		}
+		grant, err := p.Acquire(t.Context(), ask(false))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(grant.FailRate).To(BeNumerically(">", 0.5))
+	})
+}
+
+// Load pattern: a lookup was reset and has one attempt left, while a target that
+// resets everything is due for a request. Guards against keeping the floor with a
+// last attempt: both attempts of one lookup in ten went to sick targets.
+func TestSecondAttemptGoesToASoundTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := newPool(4)
+		all := targets(4)
+		for i := range 40 {
+			for _, target := range all[2:] {
+				p.Learn("peer", sched.Event{Target: target.Key, Result: judge.Served})
+			}
+			time.Sleep(100 * time.Millisecond)
+			for _, target := range all[:2] {
+				if i < 15 {
+					p.Learn("peer", sched.Event{Target: target.Key, Result: judge.Broken})
+				}
+			}
+		}
+		second := ask(true)
+		second.Last = true
+		second.Tried = []sched.Key{all[0].Key}
+		grant, err := p.Acquire(t.Context(), second)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(grant.Target.Key).NotTo(Equal(all[1].Key))
+		g.Expect(grant.FailRate).To(BeNumerically("<", 0.1))
+	})
+}
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"wisteriarelay.example/core/judge"
@@ -48,10 +49,12 @@
 	badAt   time.Time
 	usedAt  time.Time
 	addedAt time.Time
+	// turn is this daemon's delay among those that keep the target at the floor.
+	turn time.Duration
 }
 
 func newMember(t Target, now time.Time) *member {
-	return &member{target: t, peers: map[string]peerLoad{}, addedAt: now}
+	return &member{target: t, peers: map[string]peerLoad{}, addedAt: now, turn: rand.N(turnSpan)}
 }
 
 // load returns the work in flight of the whole fleet.
