--- a/core/gossip/node.go
+++ b/core/gossip/node.go
@@ -53,6 +53,8 @@
 	Near func() []roster.Member
 	// Group returns the daemons that get the events of a service.
 	Group func(service string) []roster.Member
+	// Peers returns the daemons that carry what this daemon carries.
+	Peers func() []roster.Member
 }
 
 // Node sends and receives reports.
@@ -171,11 +173,8 @@
 		return
 	}
 	told := map[string]bool{}
-	for _, service := range report.Carries {
-		for _, m := range n.sources.Group(service) {
-			if m.DataCentre == report.DataCentre || told[m.VM] {
-				continue
-			}
+	for _, m := range n.sources.Peers() {
+		if m.DataCentre != report.DataCentre && !told[m.VM] {
 			told[m.VM] = true
 			n.sendAll(&report, []roster.Member{m})
 		}
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"wisteriarelay.example/core/gossip"
@@ -30,25 +31,58 @@
 	return r
 }
 
-// carried returns the services whose evidence this daemon wants.
+// carried returns the groups of services whose evidence this daemon wants.
 func (n *Node) carried(services []string) []string {
 	now := time.Now()
+	plan := n.plan()
 	var out []string
 	for _, s := range services {
-		if n.roster.Carries(now, s, n.carriers(s)) || n.relay.Recent(s) >= strayRequests {
-			out = append(out, s)
+		group, count := plan.Group(s)
+		if slices.Contains(out, group) {
+			continue
+		}
+		if n.roster.Carries(now, group, count) || n.relay.Recent(s) >= strayRequests {
+			out = append(out, group)
 		}
 	}
 	return out
 }
 
-// carriers returns the number of daemons of one data centre that carry the service.
-func (n *Node) carriers(service string) int {
-	return roster.CarrierCount(n.relay.Pool(service).Size(), len(n.roster.DataCentres()))
+// plan returns which daemons carry which services.
+func (n *Node) plan() *roster.Plan {
+	targets := map[string]int{}
+	for _, s := range n.services() {
+		targets[s] = n.relay.Pool(s).Size()
+	}
+	return roster.NewPlan(targets, len(n.roster.DataCentres()))
 }
 
+func (n *Node) services() []string {
+	if t := n.relay.Table(); t != nil {
+		return t.Services()
+	}
+	return nil
+}
+
+// group returns the other daemons that carry the service.
 func (n *Node) group(service string) []roster.Member {
-	return n.roster.Group(time.Now(), service, n.carriers(service))
+	group, count := n.plan().Group(service)
+	return n.roster.Group(time.Now(), group, count)
+}
+
+// carryingPeers returns the daemons that carry a group which this daemon carries.
+func (n *Node) carryingPeers() []roster.Member {
+	plan := n.plan()
+	carried := n.carried(n.services())
+	var out []roster.Member
+	for _, s := range n.services() {
+		group, count := plan.Group(s)
+		if at := slices.Index(carried, group); at >= 0 {
+			out = append(out, n.roster.Group(time.Now(), group, count)...)
+			carried = slices.Delete(carried, at, at+1)
+		}
+	}
+	return out
 }
 
 func (n *Node) heard(m roster.Member, r *gossip.Report) bool {
@@ -56,15 +90,26 @@
 	if !ok {
 		return false
 	}
-	for _, service := range begun {
-		n.peers.TellBeliefs(m, service, n.relay.Pool(service).Beliefs())
-	}
+	n.tellBeliefs(m, begun)
 	if r.Config > n.newest.Load() {
 		n.newest.Store(r.Config)
 	}
 	return true
 }
 
+// tellBeliefs tells a peer that begins to carry groups what is believed of their targets.
+func (n *Node) tellBeliefs(m roster.Member, groups []string) {
+	if len(groups) == 0 {
+		return
+	}
+	plan := n.plan()
+	for _, service := range n.services() {
+		if group, _ := plan.Group(service); slices.Contains(groups, group) {
+			n.peers.TellBeliefs(m, service, n.relay.Pool(service).Beliefs())
+		}
+	}
+}
+
 func (n *Node) event(peer string, e sched.Event) {
 	n.relay.Pool(e.Service).Learn(peer, e)
 }
@@ -113,8 +158,8 @@
 	if t == nil {
 		return nil, 0
 	}
-	service := t.MainService(host)
-	return n.roster.Answer(time.Now(), service, dataCentre, n.carriers(service)), addressTTL
+	group, count := n.plan().Group(t.MainService(host))
+	return n.roster.Answer(time.Now(), group, dataCentre, count), addressTTL
 }
 
 // addressTTL is how long a caller may keep an answer. Callers leave a dead
--- a/core/node/upkeep.go
+++ b/core/node/upkeep.go
@@ -48,10 +48,11 @@
 		return
 	}
 	now := time.Now()
+	plan := n.plan()
 	for _, s := range t.Services() {
 		share := 0.0
-		if count := n.carriers(s); n.roster.Carries(now, s, count) {
-			share = slackUsed / float64(len(n.roster.Group(now, s, count))+1)
+		if group, count := plan.Group(s); n.roster.Carries(now, group, count) {
+			share = slackUsed / float64(len(n.roster.Group(now, group, count))+1)
 		}
 		n.relay.SetShare(s, share)
 	}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -21,13 +21,13 @@
 
 // Member is one daemon of the fleet.
 type Member struct {
-	VM         string
-	DataCentre string
+	VM         string `cbor:"1,keyasint"`
+	DataCentre string `cbor:"2,keyasint"`
 	// Inner is the address for peers, Callers the one for callers.
-	Inner   string
-	Callers string
+	Inner   string `cbor:"3,keyasint"`
+	Callers string `cbor:"4,keyasint"`
 	// Born is the Unix time in milliseconds at which the daemon started.
-	Born int64
+	Born int64 `cbor:"5,keyasint"`
 }
 
 // entry is a member with what was heard of it.
@@ -75,7 +75,7 @@
 	r.ready, r.leaving = ready, leaving
 }
 
-// Heard notes a message of a member and returns the services that it has begun
+// Heard notes a message of a member and returns the groups that it has begun
 // to carry. ok is false if the message comes from an earlier run of the daemon.
 func (r *Roster) Heard(now time.Time, m Member, ready, leaving bool, carries []string) (begun []string, ok bool) {
 	r.mu.Lock()
@@ -141,14 +141,14 @@
 	return append([]string{r.self.DataCentre}, slices.Compact(others)...)
 }
 
-// Carriers returns the daemons of a data centre that carry the service, best first.
-func (r *Roster) Carriers(now time.Time, service, dataCentre string, count int) []Member {
+// Carriers returns the daemons of a data centre that carry the group, best first.
+func (r *Roster) Carriers(now time.Time, group, dataCentre string, count int) []Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.carriers(now, service, dataCentre, count)
+	return r.carriers(now, group, dataCentre, count)
 }
 
-func (r *Roster) carriers(now time.Time, service, dataCentre string, count int) []Member {
+func (r *Roster) carriers(now time.Time, group, dataCentre string, count int) []Member {
 	var out []Member
 	if dataCentre == r.self.DataCentre && r.ready && !r.leaving {
 		out = append(out, r.self)
@@ -159,25 +159,25 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b Member) int {
-		return cmp.Compare(rank(service, b.VM), rank(service, a.VM))
+		return cmp.Compare(rank(group, b.VM), rank(group, a.VM))
 	})
 	return out[:min(count, len(out))]
 }
 
-// rank orders the daemons for a service by rendezvous hashing: the loss of a
-// daemon moves only its own services.
-func rank(service, vm string) uint64 {
+// rank orders the daemons for a group by rendezvous hashing: the loss of a
+// daemon moves only its own groups.
+func rank(group, vm string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	_, _ = d.WriteString(service)
+	_, _ = d.WriteString(group)
 	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(vm)
 	return d.Sum64()
 }
 
-// Carries reports whether this daemon is among the carriers of the service.
-func (r *Roster) Carries(now time.Time, service string, count int) bool {
-	for _, m := range r.Carriers(now, service, r.self.DataCentre, count) {
+// Carries reports whether this daemon is among the carriers of the group.
+func (r *Roster) Carries(now time.Time, group string, count int) bool {
+	for _, m := range r.Carriers(now, group, r.self.DataCentre, count) {
 		if m.VM == r.self.VM {
 			return true
 		}
@@ -185,25 +185,25 @@
 	return false
 }
 
-// Group returns the other daemons that carry the service, in all data centres:
+// Group returns the other daemons that carry the group, in all data centres:
 // those that said so lately, and those that should by rank.
-func (r *Roster) Group(now time.Time, service string, count int) []Member {
+func (r *Roster) Group(now time.Time, group string, count int) []Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	group := map[string]Member{}
+	members := map[string]Member{}
 	for _, dc := range r.dataCentres() {
-		for _, m := range r.carriers(now, service, dc, count) {
-			group[m.VM] = m
+		for _, m := range r.carriers(now, group, dc, count) {
+			members[m.VM] = m
 		}
 	}
 	for vm, e := range r.entries {
-		if said, ok := e.carries[service]; ok && now.Sub(said) < carryTTL && !e.leaving {
-			group[vm] = e.Member
+		if said, ok := e.carries[group]; ok && now.Sub(said) < carryTTL && !e.leaving {
+			members[vm] = e.Member
 		}
 	}
-	delete(group, r.self.VM)
-	out := make([]Member, 0, len(group))
-	for _, m := range group {
+	delete(members, r.self.VM)
+	out := make([]Member, 0, len(members))
+	for _, m := range members {
 		out = append(out, m)
 	}
 	return out
@@ -238,12 +238,12 @@
 
 // Answer returns the addresses that a caller in the data centre should use:
 // those of the carriers there, or in the next data centre that has any.
-func (r *Roster) Answer(now time.Time, service, dataCentre string, count int) []string {
+func (r *Roster) Answer(now time.Time, group, dataCentre string, count int) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	order := append([]string{dataCentre}, r.dataCentres()...)
 	for _, dc := range order {
-		members := r.carriers(now, service, dc, count)
+		members := r.carriers(now, group, dc, count)
 		if len(members) == 0 {
 			continue
 		}
@@ -255,16 +255,3 @@
 	}
 	return nil
 }
-
-// targetsPerCarrier is the number of targets for which one carrier is enough.
-// Fewer carriers learn faster which targets are sick; more share the load.
-const targetsPerCarrier = 12
-
-// minCarriers lets callers go on at once when one daemon of their data centre fails.
-const minCarriers = 2
-
-// CarrierCount returns the number of carriers in each data centre for a service.
-func CarrierCount(targets, dataCentres int) int {
-	total := (targets + targetsPerCarrier - 1) / targetsPerCarrier
-	return max((total+dataCentres-1)/max(dataCentres, 1), minCarriers)
-}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -122,11 +122,25 @@
 	g.Expect(far(begin.Add(10 * time.Second))).To(BeNumerically("<", carriers+1))
 }
 
-// Guards against large services with too few carriers, and small ones whose
-// evidence is spread over many.
-func TestCarrierCount(t *testing.T) {
+// Guards against a service that is left to a single daemon of a data centre, and
+// against callers of a host with routes to several services who are sent to
+// daemons that do not know all of them: one group carries all, while it is small.
+func TestServicesAreCarriedTogetherWhileTheGroupIsSmall(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(roster.CarrierCount(9, 3)).To(Equal(2))
-	g.Expect(roster.CarrierCount(163, 4)).To(Equal(4))
-	g.Expect(roster.CarrierCount(0, 0)).To(Equal(2))
+	group := func(service string, dataCentres int, targets map[string]int) (string, int) {
+		return roster.NewPlan(targets, dataCentres).Group(service)
+	}
+	small := map[string]int{"orders": 9, "lookups": 6}
+	name, count := group("orders", 3, small)
+	other, _ := group("lookups", 3, small)
+	g.Expect(name).To(Equal(other))
+	g.Expect(count).To(Equal(2))
+	_, count = group("orders", 0, nil)
+	g.Expect(count).To(Equal(2))
+
+	large := map[string]int{"orders": 163, "others": 9000}
+	name, count = group("orders", 4, large)
+	other, _ = group("others", 4, large)
+	g.Expect(name).NotTo(Equal(other))
+	g.Expect(count).To(Equal(4))
 }
