--- a/core/sched/choice.go
+++ b/core/sched/choice.go
@@ -21,7 +21,7 @@
 	retryPenalty = 600 * time.Millisecond
 	// remotePenalty prefers targets of the own data centre: traffic between data
 	// centres is paid for.
-	remotePenalty = 30 * time.Millisecond
+	remotePenalty = 150 * time.Millisecond
 	// shedPenalty is charged for a target that refused a request within shedMemory.
 	shedPenalty = 60 * time.Millisecond
 	shedMemory  = 300 * time.Millisecond
