--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -1,11 +1,17 @@
 package gossip
 
 import (
+	"fmt"
+	"net"
+	"slices"
 	"testing"
+	"time"
 
+	"github.com/go-kit/log"
 	. "github.com/onsi/gomega"
 
 	"wisteriarelay.example/core/judge"
+	"wisteriarelay.example/core/roster"
 	"wisteriarelay.example/core/sched"
 	"wisteriarelay.example/core/watch"
 )
@@ -65,3 +71,75 @@
 		_, _ = Decode(data)
 	})
 }
+
+// fleet is daemons in two data centres that all carry one service.
+type fleet struct {
+	members []roster.Member
+	nodes   []*Node
+	heard   chan string
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	f := &fleet{heard: make(chan string, 100)}
+	var conns []*net.UDPConn
+	for i := range size {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		conns = append(conns, conn)
+		f.members = append(f.members, roster.Member{
+			VM: fmt.Sprintf("vm-%d", i), DataCentre: string(rune('a' + i%2)), Inner: conn.LocalAddr().String(), Born: 1,
+		})
+	}
+	for i, conn := range conns {
+		f.nodes = append(f.nodes, f.newNode(i, conn))
+	}
+	return f
+}
+
+func (f *fleet) newNode(i int, conn *net.UDPConn) *Node {
+	sources := Sources{Group: func(string) []roster.Member {
+		return slices.Concat(f.members[:i], f.members[i+1:])
+	}}
+	handlers := Handlers{Event: func(peer string, _ sched.Event) { f.heard <- peer + " to " + f.members[i].VM }}
+	return NewNode(f.members[i], conn, sources, handlers, log.NewNopLogger())
+}
+
+// Guards against an event that crosses between data centres once for each
+// carrier: at 27 carriers that was the largest part of the paid traffic.
+func TestEventCrossesBetweenDataCentresOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, 8)
+	gateways := map[string]bool{}
+	for i := range f.nodes {
+		r := f.nodes[i].recipients("orders")
+		g.Expect(r.near).To(HaveLen(3))
+		g.Expect(r.far).To(HaveLen(1))
+		gateways[r.far[0][0].VM] = true
+	}
+	g.Expect(len(gateways)).To(BeNumerically(">", 2), "the work of passing on is spread")
+}
+
+// Guards against carriers of another data centre that hear nothing, or hear twice.
+func TestForwardedEventReachesEachCarrierOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, 8)
+	for _, n := range f.nodes {
+		r := &receiver{Node: n, groups: newGroups(n)}
+		go r.run()
+	}
+	s := &sender{Node: f.nodes[0], groups: newGroups(f.nodes[0])}
+	s.Tell(sched.Event{Service: "orders", Target: sched.Key{ID: "t1"}, Result: judge.Broken})
+	s.flush()
+	s.flush()
+	got := map[string]int{}
+	for range 7 {
+		var one string
+		g.Eventually(f.heard, 10*time.Second).Should(Receive(&one))
+		got[one]++
+	}
+	g.Expect(got).To(HaveLen(7))
+	g.Consistently(f.heard, 50*time.Millisecond).ShouldNot(Receive())
+}
--- /dev/null
+++ b/core/gossip/groups.go
@@ -0,0 +1,70 @@
+package gossip
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wisteriarelay.example/core/roster"
+)
+
+// groupTTL is how long the members of a group are taken as known.
+const groupTTL = 100 * time.Millisecond
+
+// recipients are the daemons that get the events of one service.
+type recipients struct {
+	near []roster.Member
+	// far holds the members of each other data centre, the preferred gateway first.
+	far [][]roster.Member
+}
+
+// groups remembers the recipients of each service for a moment. It belongs to
+// one goroutine.
+type groups struct {
+	node  *Node
+	known map[string]*recipients
+	asOf  time.Time
+}
+
+func newGroups(n *Node) *groups {
+	return &groups{node: n, known: map[string]*recipients{}}
+}
+
+func (g *groups) of(service string) *recipients {
+	if now := time.Now(); now.Sub(g.asOf) > groupTTL {
+		clear(g.known)
+		g.asOf = now
+	}
+	r := g.known[service]
+	if r == nil {
+		r = g.node.recipients(service)
+		g.known[service] = r
+	}
+	return r
+}
+
+func (n *Node) recipients(service string) *recipients {
+	out := &recipients{}
+	far := map[string][]roster.Member{}
+	for _, m := range n.sources.Group(service) {
+		if m.DataCentre == n.self.DataCentre {
+			out.near = append(out.near, m)
+			continue
+		}
+		far[m.DataCentre] = append(far[m.DataCentre], m)
+	}
+	for _, members := range far {
+		n.sortGateways(members)
+		out.far = append(out.far, members)
+	}
+	return out
+}
+
+// sortGateways orders the members of another data centre so that the daemons of
+// this one spread over them.
+func (n *Node) sortGateways(members []roster.Member) {
+	rank := func(m roster.Member) uint64 { return xxhash.Sum64String(n.self.VM + " " + m.VM) }
+	slices.SortFunc(members, func(a, b roster.Member) int { return cmp.Compare(rank(a), rank(b)) })
+}
--- a/core/gossip/node.go
+++ b/core/gossip/node.go
@@ -31,8 +31,6 @@
 	maxEvents = 20
 	// maxQueued bounds the events that wait to be sent; the oldest are dropped.
 	maxQueued = 1024
-	// groupTTL is how long the members of a group are taken as known.
-	groupTTL = 100 * time.Millisecond
 )
 
 // Handlers are told what peers report. They must not block.
@@ -41,6 +39,8 @@
 	Heard func(m roster.Member, r *Report) bool
 	Event func(peer string, e sched.Event)
 	List  func(p watch.Part)
+	// Group is told who carries a group in other data centres.
+	Group func(g Group)
 	// Beliefs is told what a peer believes of the targets of a service.
 	Beliefs func(service string, targets []sched.TargetBelief)
 }
@@ -55,6 +55,8 @@
 	Group func(service string) []roster.Member
 	// Peers returns the daemons that carry what this daemon carries.
 	Peers func() []roster.Member
+	// Groups returns what the own data centre is told of carriers in others.
+	Groups func() []Group
 }
 
 // Node sends and receives reports.
@@ -73,10 +75,6 @@
 	wake    chan struct{}
 	urgent  chan struct{}
 
-	// groups and their age belong to the sending loop.
-	groups   map[string][]roster.Member
-	groupsAt time.Time
-
 	seenMu sync.Mutex
 	seen   map[string]*seenOf
 }
@@ -97,18 +95,17 @@
 		logger:   logger,
 		wake:     make(chan struct{}, 1),
 		urgent:   make(chan struct{}, 1),
-		groups:   map[string][]roster.Member{},
 		seen:     map[string]*seenOf{},
 	}
 }
 
 // Start runs the node until ctx ends.
 func (n *Node) Start(ctx context.Context) {
-	r := &receiver{n}
+	r := &receiver{Node: n, groups: newGroups(n)}
 	go r.run()
 	b := &beats{n}
 	go b.loop(ctx)
-	s := &sender{n}
+	s := &sender{Node: n, groups: newGroups(n)}
 	go s.loop(ctx)
 }
 
@@ -208,7 +205,11 @@
 	tick := time.NewTicker(beatInterval)
 	defer tick.Stop()
 	for count := 0; ; count++ {
-		b.Beat(count%farBeats == 0)
+		far := count%farBeats == 0
+		b.Beat(far)
+		if far {
+			b.tellGroups()
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -216,3 +217,17 @@
 		}
 	}
 }
+
+// maxGroup bounds the members of one report, so that it fits in a datagram.
+const maxGroup = 12
+
+// tellGroups tells the own data centre who carries what in others, so that
+// evidence from daemons that do not carry a service reaches all that do.
+func (b *beats) tellGroups() {
+	near := b.sources.Near()
+	for _, g := range b.sources.Groups() {
+		for part := range slices.Chunk(g.Members, maxGroup) {
+			b.sendAll(&Report{VM: b.self.VM, Born: b.self.Born, Groups: []Group{{Name: g.Name, Members: part}}}, near)
+		}
+	}
+}
--- a/core/gossip/receiver.go
+++ b/core/gossip/receiver.go
@@ -4,10 +4,15 @@
 	"net"
 
 	"github.com/cockroachdb/errors"
+
+	"wisteriarelay.example/core/roster"
 )
 
 // receiver takes reports in.
-type receiver struct{ *Node }
+type receiver struct {
+	*Node
+	groups *groups
+}
 
 // run ends when the connection is closed.
 func (r *receiver) run() {
@@ -33,20 +38,39 @@
 	if report.Beat() && !r.handlers.Heard(report.Member(from), report) {
 		return
 	}
-	for i := range report.Events {
-		e := &report.Events[i]
-		if r.firstTime(report, e.Number) {
-			r.handlers.Event(report.VM, e.decoded())
-		}
-	}
+	r.takeEvents(report)
 	for _, b := range report.Beliefs {
 		r.handlers.Beliefs(b.Service, b.Targets)
 	}
+	for _, g := range report.Groups {
+		r.handlers.Group(g)
+	}
 	if report.List != nil {
 		r.handlers.List(*report.List)
 	}
 }
 
+// takeEvents takes in the events that are new and passes them on if asked to.
+func (r *receiver) takeEvents(report *Report) {
+	onward := map[roster.Member][]Event{}
+	for i := range report.Events {
+		e := &report.Events[i]
+		if !r.firstTime(report, e.Number) {
+			continue
+		}
+		r.handlers.Event(report.VM, e.decoded())
+		if !report.Forward {
+			continue
+		}
+		for _, m := range r.groups.of(e.Service).near {
+			onward[m] = append(onward[m], *e)
+		}
+	}
+	for m, events := range onward {
+		r.sendEvents(m, Report{VM: report.VM, Born: report.Born, Events: events})
+	}
+}
+
 func (r *receiver) firstTime(report *Report, number uint64) bool {
 	r.seenMu.Lock()
 	defer r.seenMu.Unlock()
--- a/core/gossip/report.go
+++ b/core/gossip/report.go
@@ -29,6 +29,10 @@
 	List       *watch.Part `cbor:"9,keyasint,omitempty"`
 	// Beliefs tell a daemon that begins to carry a service what is known of its targets.
 	Beliefs []Beliefs `cbor:"11,keyasint,omitempty"`
+	// Groups tell the own data centre who carries what in others.
+	Groups []Group `cbor:"12,keyasint,omitempty"`
+	// Forward asks the receiver to pass the events on in its data centre.
+	Forward bool `cbor:"13,keyasint,omitempty"`
 	// Config is the version of the configuration that the sender has in force.
 	Config int64 `cbor:"10,keyasint,omitempty"`
 }
@@ -39,6 +43,12 @@
 	Targets []sched.TargetBelief `cbor:"2,keyasint"`
 }
 
+// Group is the carriers of a group of services in other data centres.
+type Group struct {
+	Name    string          `cbor:"1,keyasint"`
+	Members []roster.Member `cbor:"2,keyasint"`
+}
+
 // Event is one event of a target at the sender.
 type Event struct {
 	_ struct{} `cbor:",toarray"`
--- a/core/gossip/sender.go
+++ b/core/gossip/sender.go
@@ -7,8 +7,13 @@
 	"wisteriarelay.example/core/roster"
 )
 
-// sender sends events.
-type sender struct{ *Node }
+// sender sends events: to each member of the group in the own data centre, and
+// to one in each other, which passes them on there. Traffic between data centres
+// is paid for.
+type sender struct {
+	*Node
+	groups *groups
+}
 
 func (s *sender) loop(ctx context.Context) {
 	repeat := time.NewTimer(repeatAfter)
@@ -39,14 +44,14 @@
 // flush sends the queued events and reports whether some have to be repeated.
 func (s *sender) flush() bool {
 	s.mu.Lock()
-	events := append(s.again, s.fresh...)
+	fresh, again := s.fresh, s.again
 	s.again = bad(s.fresh)
 	s.fresh = nil
 	repeat := len(s.again) > 0
 	s.mu.Unlock()
-	for m, theirs := range s.divide(events) {
-		s.send(m, theirs)
-	}
+	s.send(fresh, 0)
+	// The second gateway gets the repetition, in case the first one is lost.
+	s.send(again, 1)
 	return repeat
 }
 
@@ -61,31 +66,36 @@
 	return out
 }
 
-// divide returns the events that each peer gets.
-func (s *sender) divide(events []Event) map[roster.Member][]Event {
-	if now := time.Now(); now.Sub(s.groupsAt) > groupTTL {
-		clear(s.groups)
-		s.groupsAt = now
-	}
-	out := map[roster.Member][]Event{}
+// send sends events; gateway is the position of the gateway that is used in
+// other data centres.
+func (s *sender) send(events []Event, gateway int) {
+	near := map[roster.Member][]Event{}
+	far := map[roster.Member][]Event{}
 	for _, e := range events {
-		group, ok := s.groups[e.Service]
-		if !ok {
-			group = s.sources.Group(e.Service)
-			s.groups[e.Service] = group
+		r := s.groups.of(e.Service)
+		for _, m := range r.near {
+			near[m] = append(near[m], e)
 		}
-		for _, m := range group {
-			out[m] = append(out[m], e)
+		for _, members := range r.far {
+			m := members[gateway%len(members)]
+			far[m] = append(far[m], e)
 		}
 	}
-	return out
+	for m, theirs := range near {
+		s.sendEvents(m, Report{VM: s.self.VM, Born: s.self.Born, Events: theirs})
+	}
+	for m, theirs := range far {
+		s.sendEvents(m, Report{VM: s.self.VM, Born: s.self.Born, Events: theirs, Forward: true})
+	}
 }
 
-func (s *sender) send(m roster.Member, events []Event) {
+// sendEvents sends the events of a report in as many datagrams as they need.
+func (n *Node) sendEvents(m roster.Member, r Report) {
+	events := r.Events
 	for len(events) > 0 {
 		count := min(len(events), maxEvents)
-		report := Report{VM: s.self.VM, Born: s.self.Born, Events: events[:count]}
-		s.sendAll(&report, []roster.Member{m})
+		r.Events = events[:count]
+		n.sendAll(&r, []roster.Member{m})
 		events = events[count:]
 	}
 }
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -85,6 +85,23 @@
 	return out
 }
 
+// farGroups returns what this daemon tells its data centre of carriers in others.
+func (n *Node) farGroups() []gossip.Group {
+	now := time.Now()
+	plan := n.plan()
+	var out []gossip.Group
+	for _, name := range n.carried(n.services()) {
+		if members := n.roster.FarCarriers(now, name, plan.Carriers(name)); len(members) > 0 {
+			out = append(out, gossip.Group{Name: name, Members: members})
+		}
+	}
+	return out
+}
+
+func (n *Node) told(g gossip.Group) {
+	n.roster.Told(time.Now(), g.Name, g.Members)
+}
+
 func (n *Node) heard(m roster.Member, r *gossip.Report) bool {
 	begun, ok := n.roster.Heard(time.Now(), m, r.Ready, r.Leaving, r.Carries)
 	if !ok {
--- a/core/roster/plan.go
+++ b/core/roster/plan.go
@@ -37,9 +37,17 @@
 // of carriers in each data centre.
 func (p *Plan) Group(service string) (name string, carriers int) {
 	if p.joint {
-		return jointGroup, p.perDataCentre(p.total)
+		service = jointGroup
 	}
-	return service, p.perDataCentre(p.targets[service])
+	return service, p.Carriers(service)
+}
+
+// Carriers returns the number of carriers of the group in each data centre.
+func (p *Plan) Carriers(group string) int {
+	if p.joint {
+		return p.perDataCentre(p.total)
+	}
+	return p.perDataCentre(p.targets[group])
 }
 
 func (p *Plan) perDataCentre(targets int) int {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -39,6 +39,8 @@
 	carries map[string]time.Time
 	// askedAt is when this daemon first counted on the member without having heard it.
 	askedAt time.Time
+	// told is when a peer of the own data centre last said that the member carries a group.
+	told map[string]time.Time
 }
 
 // Roster is the fleet as one daemon sees it. It is safe for concurrent use.
@@ -100,6 +102,46 @@
 	return begun, true
 }
 
+// Told notes the carriers of a group in other data centres that a peer hears.
+// It makes nobody alive: it only says who is to get evidence.
+func (r *Roster) Told(now time.Time, group string, members []Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range members {
+		e := r.entries[m.VM]
+		if m.DataCentre == r.self.DataCentre || e != nil && m.Born < e.Born {
+			continue
+		}
+		if e == nil || m.Born > e.Born {
+			e = &entry{Member: m, carries: map[string]time.Time{}}
+			r.entries[m.VM] = e
+		}
+		if e.told == nil {
+			e.told = map[string]time.Time{}
+		}
+		e.told[group] = now
+	}
+}
+
+// FarCarriers returns the carriers of the group in other data centres that this
+// daemon heard itself, if it is the first carrier of its own data centre and so
+// the one that tells the others there.
+func (r *Roster) FarCarriers(now time.Time, group string, count int) []Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	near := r.carriers(now, group, r.self.DataCentre, count)
+	if len(near) == 0 || near[0].VM != r.self.VM {
+		return nil
+	}
+	var out []Member
+	for _, e := range r.entries {
+		if e.DataCentre != r.self.DataCentre && !e.leaving && now.Sub(e.carries[group]) < carryTTL {
+			out = append(out, e.Member)
+		}
+	}
+	return out
+}
+
 // alive reports whether the member counts as serving.
 func (r *Roster) alive(e *entry, now time.Time) bool {
 	if e.leaving {
@@ -197,7 +239,7 @@
 		}
 	}
 	for vm, e := range r.entries {
-		if said, ok := e.carries[group]; ok && now.Sub(said) < carryTTL && !e.leaving {
+		if now.Sub(e.carries[group]) < carryTTL && !e.leaving || now.Sub(e.told[group]) < carryTTL {
 			members[vm] = e.Member
 		}
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -144,3 +144,35 @@
 	g.Expect(name).NotTo(Equal(other))
 	g.Expect(count).To(Equal(4))
 }
+
+// Guards against evidence of a daemon that carries nothing which never reaches the
+// carriers of other data centres, because their heartbeats go to carriers only;
+// and against hearsay that makes a dead daemon an address for callers.
+func TestCarriersOfOtherDataCentresAreKnownByHearsay(t *testing.T) {
+	g := NewWithT(t)
+	now := begin.Add(time.Minute)
+	first := newRoster(now)
+	lead := first.Carriers(now, "orders", "a", 10)[0]
+	r := roster.New(lead)
+	r.SetSelf(true, false)
+	r.Heard(now, member("b", 1), true, false, []string{"orders"})
+	far := r.FarCarriers(now, "orders", carriers)
+	g.Expect(names(far)).To(Equal([]string{"b-1"}))
+
+	stray := roster.New(member("a", 77))
+	stray.Heard(now, lead, true, false, []string{"orders"})
+	g.Expect(names(stray.Group(now, "orders", carriers))).NotTo(ContainElement("b-1"))
+	stray.Told(now, "orders", far)
+	g.Expect(names(stray.Group(now, "orders", carriers))).To(ContainElement("b-1"))
+	later := now.Add(time.Minute)
+	stray.Told(later, "orders", far)
+	g.Expect(stray.Answer(later, "orders", "b", carriers)).To(BeEmpty())
+	g.Expect(names(stray.Group(later.Add(4*time.Second), "orders", carriers))).NotTo(ContainElement("b-1"))
+
+	second := newRoster(now)
+	second.Heard(now, lead, true, false, nil)
+	if self := second.Carriers(now, "orders", "a", 1)[0]; self.VM != member("a", 0).VM {
+		second.Heard(now, member("b", 1), true, false, []string{"orders"})
+		g.Expect(second.FarCarriers(now, "orders", carriers)).To(BeEmpty())
+	}
+}
