--- a/core/node/node.go
+++ b/core/node/node.go
@@ -36,7 +36,8 @@
 	conn    *net.UDPConn
 	ports   *ports
 
-	leaving atomic.Bool
+	startedAt time.Time
+	leaving   atomic.Bool
 	// listed says that the target list was read once.
 	listed atomic.Bool
 	// newest is the highest configuration version that a peer has in force.
@@ -69,6 +70,8 @@
 		dump:     stats.NewDump(),
 		list:     watch.NewList(),
 		askNow:   make(chan struct{}, 1),
+
+		startedAt: time.Now(),
 	}
 	n.settings.Store(settings)
 	for _, o := range opts {
--- a/core/node/settings.go
+++ b/core/node/settings.go
@@ -27,6 +27,8 @@
 	InnerAddress   string `json:"inner-address"`
 	MetricsAddress string `json:"metrics-address"`
 	StoreAddress   string `json:"store-address"`
+	// FirstStart says that the whole fleet starts for the first time.
+	FirstStart bool `json:"first-start"`
 	// ShutdownSeconds is the time from the signal to stop until the process is killed.
 	ShutdownSeconds float64     `json:"shutdown-s"`
 	RetryBudget     RetryBudget `json:"retry-budget"`
--- a/core/node/upkeep.go
+++ b/core/node/upkeep.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"wisteriarelay.example/core/retry"
 )
 
 const (
@@ -37,11 +39,7 @@
 	n.share()
 }
 
-// slackUsed is the part of the fleet's slack for extra sends that is dealt out.
-// The rest covers the moments in which daemons disagree on who carries a service.
-const slackUsed = 0.7
-
-// share deals out the fleet's slack for extra sends among the carriers of each service.
+// share deals out the fleet's budget of extra sends among the carriers of each service.
 func (n *Node) share() {
 	t := n.relay.Table()
 	if t == nil {
@@ -49,12 +47,27 @@
 	}
 	now := time.Now()
 	plan := n.plan()
+	start := n.startKind(now)
 	for _, s := range t.Services() {
-		share := 0.0
+		part := retry.PartOf(1, start)
+		part.Slack = 0
 		if group, count := plan.Group(s); n.roster.Carries(now, group, count) {
-			share = slackUsed / float64(len(n.roster.Group(now, group, count))+1)
+			part = retry.PartOf(len(n.roster.Group(now, group, count))+1, start)
 		}
-		n.relay.SetShare(s, share)
+		n.relay.SetPart(s, part)
+	}
+}
+
+// startKind returns how this run began, as far as the retry budget is concerned.
+func (n *Node) startKind(now time.Time) retry.Start {
+	s := n.settings.Load()
+	switch {
+	case s.FirstStart || now.Sub(n.startedAt) >= seconds(s.RetryBudget.SpanSeconds):
+		return retry.Settled
+	case n.roster.YoungerThanMost():
+		return retry.Alone
+	default:
+		return retry.WithFleet
 	}
 }
 
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -150,10 +150,10 @@
 	return r.service(name).pool
 }
 
-// SetShare sets the part of the fleet's slack for extra sends to a service
-// that this daemon may use.
-func (r *Relay) SetShare(name string, share float64) {
-	r.service(name).window.SetShare(share)
+// SetPart sets the part of the fleet's budget of extra sends to a service that
+// this daemon may use.
+func (r *Relay) SetPart(name string, part retry.Part) {
+	r.service(name).window.SetPart(part)
 }
 
 // Recent returns the number of requests for the service in the span of the budget.
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -24,7 +24,7 @@
 	mu       sync.Mutex
 	ratio    float64
 	slack    float64
-	share    float64
+	part     Part
 	start    time.Time
 	requests [windowBuckets]int
 	extras   [windowBuckets]int
@@ -33,7 +33,7 @@
 
 // NewWindow returns a window of the span; slack is the fleet's number of extra sends in it.
 func NewWindow(span time.Duration, ratio, slack float64, now time.Time) *Window {
-	return &Window{span: span, ratio: ratio, slack: slack, start: now}
+	return &Window{span: span, ratio: ratio, slack: slack, part: Part{Ratio: 1}, start: now}
 }
 
 // SetBounds changes the ratio and the fleet's slack.
@@ -43,11 +43,11 @@
 	w.ratio, w.slack = ratio, slack
 }
 
-// SetShare sets the part of the fleet's slack that this daemon may use, in [0, 1].
-func (w *Window) SetShare(share float64) {
+// SetPart sets the part of the fleet's budget that this daemon may use.
+func (w *Window) SetPart(p Part) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.share = share
+	w.part = p
 }
 
 // Request counts one request of a caller.
@@ -93,7 +93,7 @@
 }
 
 func (w *Window) left() bool {
-	return float64(sum(w.extras)+1) <= w.ratio*float64(w.recent())+w.share*w.slack
+	return float64(sum(w.extras)+1) <= w.part.Ratio*w.ratio*float64(w.recent())+w.part.Slack*w.slack
 }
 
 // slide empties the buckets that have left the window.
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -23,7 +23,7 @@
 	windows := make([]*retry.Window, daemons)
 	for i := range windows {
 		windows[i] = retry.NewWindow(span, ratio, slack, now)
-		windows[i].SetShare(1.0 / daemons)
+		windows[i].SetPart(retry.Part{Ratio: 1, Slack: 1.0 / daemons})
 	}
 	var requests, extras []time.Time
 	for i := range 4000 {
@@ -55,3 +55,57 @@
 	w.Request(now)
 	g.Expect(w.Take(now)).To(BeFalse())
 }
+
+// Load pattern: from one moment on every request fails, while the daemons are
+// restarted one after the other. Guards against a budget that each restart renews: the predecessors' extra
+// sends count in the same window (1403 were sent where 1373 were allowed).
+func TestRestartsDoNotRenewTheSlack(t *testing.T) {
+	g := NewWithT(t)
+	const (
+		daemons      = 27
+		span         = 10 * time.Second
+		ratio        = 0.2
+		slack        = 182.0
+		interval     = 2 * time.Millisecond
+		restartEvery = 300 * time.Millisecond
+	)
+	now := time.Unix(1000, 0)
+	begin := now
+	windows := make([]*retry.Window, daemons)
+	started := make([]time.Time, daemons)
+	for i := range windows {
+		windows[i] = retry.NewWindow(span, ratio, slack, now.Add(-span))
+		started[i] = now.Add(-span)
+	}
+	var sent, extra []int
+	restarts := 0
+	for step := 0; now.Sub(begin) < 2*span; step++ {
+		now = now.Add(interval)
+		if int(now.Sub(begin)/restartEvery) > restarts {
+			i := restarts % daemons
+			windows[i], started[i] = retry.NewWindow(span, ratio, slack, now), now
+			restarts++
+		}
+		i := step % daemons
+		start := retry.Settled
+		if now.Sub(started[i]) < span {
+			start = retry.Alone
+		}
+		windows[i].SetPart(retry.PartOf(daemons, start))
+		windows[i].Request(now)
+		sent = append(sent, 1)
+		extra = append(extra, 0)
+		if now.Sub(begin) > span/2 && windows[i].Take(now) {
+			extra[step] = 1
+		}
+		first := max(0, step+1-int(span/interval))
+		bound := ratio*float64(len(sent[first:])) + slack
+		used := 0
+		for _, n := range extra[first:] {
+			used += n
+		}
+		if step%100 == 0 && step > int(span/interval) {
+			g.Expect(float64(used)).To(BeNumerically("<=", bound))
+		}
+	}
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -278,6 +278,24 @@
 	return position
 }
 
+// ageMargin is the difference of two start times from which a daemon counts as
+// older; it covers clocks that differ.
+const ageMargin = 5 * time.Second
+
+// YoungerThanMost reports whether most daemons of which anything is known started
+// well before this one.
+func (r *Roster) YoungerThanMost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	older := 0
+	for _, e := range r.entries {
+		if r.self.Born-e.Born > ageMargin.Milliseconds() {
+			older++
+		}
+	}
+	return 2*older > len(r.entries)
+}
+
 // Answer returns the addresses that a caller in the data centre should use:
 // those of the carriers there, or in the next data centre that has any.
 func (r *Roster) Answer(now time.Time, group, dataCentre string, count int) []string {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -176,3 +176,26 @@
 		g.Expect(second.FarCarriers(now, "orders", carriers)).To(BeEmpty())
 	}
 }
+
+// Guards against a daemon that is restarted alone and spends what its predecessor
+// already spent of the fleet's retry budget; and against taking a start of the
+// whole fleet, with clocks that differ by seconds, for one.
+func TestDaemonKnowsWhetherItWasRestartedAlone(t *testing.T) {
+	g := NewWithT(t)
+	young := member("a", 0)
+	young.Born = 100_000
+	r := roster.New(young)
+	g.Expect(r.YoungerThanMost()).To(BeFalse())
+	for i := 1; i < 6; i++ {
+		m := member("a", i)
+		m.Born = young.Born - 3000
+		r.Add(m)
+	}
+	g.Expect(r.YoungerThanMost()).To(BeFalse())
+	for i := 1; i < 7; i++ {
+		m := member("b", i)
+		m.Born = young.Born - 30_000
+		r.Add(m)
+	}
+	g.Expect(r.YoungerThanMost()).To(BeTrue())
+}
