--- a/core/sched/choice.go
+++ b/core/sched/choice.go
@@ -22,6 +22,10 @@
 	// remotePenalty prefers targets of the own data centre: traffic between data
 	// centres is paid for.
 	remotePenalty = 150 * time.Millisecond
+	// connectPenalty is charged for a target to which this daemon probably holds no
+	// connection, because it has not used it within connectMemory.
+	connectPenalty = 60 * time.Millisecond
+	connectMemory  = 6 * time.Second
 	// shedPenalty is charged for a target that refused a request within shedMemory.
 	shedPenalty = 60 * time.Millisecond
 	shedMemory  = 300 * time.Millisecond
@@ -120,6 +124,9 @@
 	if m.target.DataCentre != p.dataCentre {
 		cost += remotePenalty
 	}
+	if now.Sub(m.servedAt) >= connectMemory {
+		cost += connectPenalty
+	}
 	if now.Sub(m.shedAt) < shedMemory {
 		cost += shedPenalty
 	}
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -115,6 +115,7 @@
 	}
 	if r == judge.Served {
 		m.path.Observe(pathModel, now, r)
+		m.servedAt = now
 		m.speed.add(now, took)
 		p.usual.add(now, took)
 	}
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -49,6 +49,8 @@
 	badAt   time.Time
 	usedAt  time.Time
 	addedAt time.Time
+	// servedAt is when the target last served a request of this daemon.
+	servedAt time.Time
 	// turn is this daemon's delay among those that keep the target at the floor.
 	turn time.Duration
 }
