--- a/core/judge/belief.go
+++ b/core/judge/belief.go
@@ -63,8 +63,8 @@
 var likelihoods = [resultCount]chances{
 	Nothing:   {1, 1, 1},
 	Served:    {0.98, 0.6, 0.18},
-	Failed:    {0.012, 0.25, 0.1},
-	Broken:    {0.0005, 0.3, 0.8},
+	Failed:    {0.012, 0.2, 0.25},
+	Broken:    {0.0005, 0.25, 0.6},
 	Overdue:   {0.01, 0.2, 0.2},
 	Unreached: {0.003, 0.2, 0.4},
 	Shed:      {1, 1, 1},
--- a/core/judge/judge_test.go
+++ b/core/judge/judge_test.go
@@ -96,3 +96,14 @@
 	fresh.Adopt(later, snapshot)
 	g.Expect(fresh.Sick(model, later)).To(BeNumerically("<", 0.1))
 }
+
+// Load pattern: a target answers everything with its own failure while it passes
+// health checks. Guards against taking it for one that fails a part: during a
+// burst it had the most room, and got three and a half times the mean.
+func TestTargetThatFailsAllIsSick(t *testing.T) {
+	g := NewWithT(t)
+	var b judge.Belief
+	now := observe(&b, time.Unix(0, 0), judge.Served, judge.Served, judge.Served)
+	now = observe(&b, now, judge.Failed, judge.Failed, judge.Failed, judge.Failed, judge.Failed)
+	g.Expect(b.FailRate(model, now)).To(BeNumerically(">", 0.5))
+}
--- a/core/sched/replay_test.go
+++ b/core/sched/replay_test.go
@@ -194,3 +194,33 @@
 		g.Expect(share(out, func(o outcome) bool { return o.late })).To(BeNumerically("<", allowedLoss(rate)))
 	})
 }
+
+// Load pattern: a burst fills the targets that are well, while one that answers
+// all requests with errors is free at once each time. Guards against sending it
+// the overflow of the burst instead of letting that wait.
+func TestFailingTargetDoesNotAttractABurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := newPool(3)
+		failing := targets(1)[0].Key
+		for range 10 {
+			for _, target := range targets(3)[1:] {
+				p.Learn("peer", sched.Event{Target: target.Key, Result: judge.Served, Latency: 160 * time.Millisecond})
+			}
+			p.Learn("peer", sched.Event{Target: failing, Result: judge.Failed, Latency: 10 * time.Millisecond})
+			time.Sleep(100 * time.Millisecond)
+		}
+		tally := &tally{ended: make(chan outcome, 20)}
+		for range 12 {
+			o := &order{pool: p, begin: time.Now(), work: 160 * time.Millisecond, tally: tally}
+			go o.run()
+		}
+		misses := 0
+		for range 12 {
+			if out := <-tally.ended; out.target == failing.ID {
+				misses++
+			}
+		}
+		g.Expect(misses).To(BeNumerically("<=", 1), "one request may keep the floor")
+	})
+}
