--- a/core/node/config.go
+++ b/core/node/config.go
@@ -16,6 +16,9 @@
 	configWait = 20 * time.Second
 	// configRetry is the first wait after a failed read of the configuration.
 	configRetry = 200 * time.Millisecond
+	// configPace is the shortest time between two calls that bring a configuration.
+	// A change counts within seconds, and operators may write many at once.
+	configPace = 400 * time.Millisecond
 	// maxConfigRetry bounds that wait.
 	maxConfigRetry = 2 * time.Second
 	// behindCheck is how often the version in force is compared with those of peers.
@@ -35,6 +38,9 @@
 		read, err := f.read(ctx, position)
 		if err == nil {
 			f.apply(read)
+			if position != 0 && (read.Config != nil || read.Problem != nil) {
+				pause(ctx, configPace)
+			}
 			position = read.Position
 			wait = configRetry
 			continue
