--- /dev/null
+++ b/core/relay/answer_test.go
@@ -0,0 +1,27 @@
+package relay
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/fault"
+)
+
+// Load pattern: many callers are refused at the same moment. Guards against all of
+// them coming back at one moment too.
+func TestRefusedCallersComeBackSpread(t *testing.T) {
+	g := NewWithT(t)
+	waits := map[string]bool{}
+	for range 100 {
+		text := ownAnswer(fault.QueueFull).Header.Get("Retry-After")
+		seconds, err := strconv.ParseFloat(text, 64)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(seconds).To(BeNumerically(">=", retryAfter.Seconds()))
+		g.Expect(seconds).To(BeNumerically("<=", (retryAfter + retrySpread + time.Millisecond).Seconds()))
+		waits[text] = true
+	}
+	g.Expect(len(waits)).To(BeNumerically(">", 20))
+}
--- a/core/relay/record.go
+++ b/core/relay/record.go
@@ -19,7 +19,7 @@
 		"result", res.verdict, "not-run", res.notRun, "took", res.took, "err", res.err,
 	}
 	if g := res.attempt.grant; g != nil {
-		fields = append(fields, "target", g.Target.ID, "fail-rate", g.FailRate, "load", g.Load)
+		fields = append(fields, "target", g.Target.ID, "fail-rate", g.FailRate, "load", g.Load, "reason", g.Reason)
 	}
 	_ = r.logger.Log(fields...)
 }
--- a/core/sched/choice.go
+++ b/core/sched/choice.go
@@ -40,19 +40,38 @@
 	return slices.Contains(a.Tried, k)
 }
 
-// choose returns the target for a request and the share of requests that it is
-// expected to fail, or nil if the request should wait.
-func (p *Pool) choose(a Ask, now time.Time) (*member, float64) {
+// Reason says why a target was chosen.
+type Reason string
+
+// The reasons.
+const (
+	// Cheapest is the target with the lowest expected cost.
+	Cheapest Reason = "cheapest"
+	// Introduction is a target that nobody has used yet.
+	Introduction Reason = "introduction"
+	// Floor is a target that gets work to keep the service at its floor.
+	Floor Reason = "floor"
+)
+
+// choice is a target for a request with what decided for it.
+type choice struct {
+	member *member
+	rate   float64
+	reason Reason
+}
+
+// choose returns the target for a request; its member is nil if the request should wait.
+func (p *Pool) choose(a Ask, now time.Time) choice {
 	if len(a.Tried) == 0 {
-		if m := p.duty(a, now); m != nil {
-			return m, m.failRate(p.model, now)
+		if m, why := p.duty(a, now); m != nil {
+			return choice{member: m, rate: m.failRate(p.model, now), reason: why}
 		}
 	}
 	free, full := p.best(a, now)
 	if full.member != nil && p.worthWaiting(a, now, free, full) {
-		return nil, 0
+		return choice{}
 	}
-	return free.member, free.rate
+	return choice{member: free.member, rate: free.rate, reason: Cheapest}
 }
 
 // option is a target that a request could go to.
--- a/core/sched/floor.go
+++ b/core/sched/floor.go
@@ -24,14 +24,14 @@
 
 // duty returns a target that has to get a request although another costs less:
 // one that nobody has used yet, or one that keeps the service at its floor.
-func (p *Pool) duty(a Ask, now time.Time) *member {
+func (p *Pool) duty(a Ask, now time.Time) (*member, Reason) {
 	if m := p.leastFailing(a, now, p.unintroduced); m != nil {
-		return m
+		return m, Introduction
 	}
 	if p.floorHolds(a, now) {
-		return nil
+		return nil, ""
 	}
-	return p.leastFailing(a, now, unused)
+	return p.leastFailing(a, now, unused), Floor
 }
 
 func (p *Pool) unintroduced(m *member, now time.Time) bool {
--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -38,10 +38,12 @@
 	Target Target
 	// FailRate is the share of requests that the target was expected to fail.
 	FailRate float64
-	Load     int
-	pool     *Pool
-	member   *member
-	settled  bool
+	// Load is the work in flight of the whole fleet before this request.
+	Load    int
+	Reason  Reason
+	pool    *Pool
+	member  *member
+	settled bool
 }
 
 // Acquire chooses a target, waiting for room if need be. It fails with
@@ -106,7 +108,8 @@
 }
 
 func (p *Pool) grant(a Ask, now time.Time) *Grant {
-	m, rate := p.choose(a, now)
+	c := p.choose(a, now)
+	m := c.member
 	if m == nil {
 		return nil
 	}
@@ -114,7 +117,7 @@
 	m.own++
 	m.usedAt = now
 	p.emit(Event{Service: p.service, Target: m.target.Key, InFlight: m.own})
-	return &Grant{Target: m.target, FailRate: rate, Load: load, pool: p, member: m}
+	return &Grant{Target: m.target, FailRate: c.rate, Load: load, Reason: c.reason, pool: p, member: m}
 }
 
 // Settle ends a grant with what its request said about the target.
