See a caller leave behind the last request of its connection

Cause: the reader of a caller's connection ended with a request that said "Connection: close", so nobody saw that caller leave.

Ruled out: attempts that start after the caller's context has ended; the exchange returns at once and cancels them.

Change: after the last request the reader goes on reading and drops what comes, up to 1 MiB, until the caller leaves or the last answer is being written.

Before: TestCloseIsSeenBehindTheLastRequest times out after 10 s in both cases. After: passes.

--- a/core/caller/caller_test.go
+++ b/core/caller/caller_test.go
@@ -123,6 +123,30 @@
 	}).WithTimeout(waitLimit).Should(Equal(count))
 }
 
+// Guards against work that goes on, or is sent to a second target, after the
+// caller of a connection's last request has left.
+func TestCloseIsSeenBehindTheLastRequest(t *testing.T) {
+	cases := map[string]string{
+		"last request":              "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+		"bytes behind last request": "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\nGET / HTTP/1.1\r\n",
+	}
+	for name, request := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			left := make(chan struct{})
+			_, dial := serve(t, func(ctx context.Context, _ *caller.Request) *caller.Answer {
+				<-ctx.Done()
+				close(left)
+				return caller.Text(http.StatusOK, "")
+			})
+			conn, _ := dial()
+			_, _ = fmt.Fprint(conn, request)
+			_ = conn.Close()
+			g.Eventually(left).WithTimeout(waitLimit).Should(BeClosed())
+		})
+	}
+}
+
 // Guards against a request that runs behind the last answer of a connection: its
 // caller sends it again, whatever its kind.
 func TestNothingRunsBehindTheLastAnswer(t *testing.T) {
--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -25,6 +25,9 @@
 	// writeTimeout is the longest wait for a caller to take its answer.
 	writeTimeout = 10 * time.Second
 	bufferBytes  = 4 << 10
+	// maxDropped bounds the bytes that are read behind the last request of a
+	// connection; a caller that sends more counts as gone.
+	maxDropped = 1 << 20
 	// bodyStep is the size in which memory for a body of unknown length is reserved.
 	bodyStep = 64 << 10
 )
@@ -120,6 +123,22 @@
 	for c.readOne() {
 	}
 	close(c.queue)
+	c.watch()
+}
+
+// watch drops what the caller sends behind its last request, to see when it
+// leaves while it could still be answered.
+func (c *conn) watch() {
+	if c.ctx.Err() != nil {
+		return
+	}
+	_ = c.net.SetReadDeadline(time.Time{})
+	_, err := io.Copy(io.Discard, io.LimitReader(c.reader, maxDropped))
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return // The last answer is being written.
+	}
+	c.leave()
 }
 
 // readOne reads one request and starts it; it returns false after the last one.
