Let a configuration degrade by the route

Change: services, hosts and routes are decoded one by one. A route that cannot be served is answered 503 by itself; a kind that is not known runs at most once, is logged once a version and counted; limits that are not positive get their defaults. Refused whole: what is no JSON object, has no positive version, or has routes of which none can be served.

--- a/core/fault/kind.go
+++ b/core/fault/kind.go
@@ -12,6 +12,7 @@
 	RequestTooLarge
 	UnknownService
 	UnknownRoute
+	RouteUnusable
 	MethodNotAllowed
 	NotCarried
 	NotReady
@@ -83,6 +84,7 @@
 	RequestTooLarge:    {"request-too-large", "Request body too large", http.StatusRequestEntityTooLarge, NotRun, RetryNever},
 	UnknownService:     {"unknown-service", "No such service", http.StatusNotFound, NotRun, RetryNever},
 	UnknownRoute:       {"unknown-route", "No route for this path", http.StatusNotFound, NotRun, RetryNever},
+	RouteUnusable:      {"route-unusable", "Configuration of this route cannot be used", http.StatusServiceUnavailable, NotRun, RetryLater},
 	MethodNotAllowed:   {"method-not-allowed", "Method not allowed on this route", http.StatusMethodNotAllowed, NotRun, RetryNever},
 	NotCarried:         {"not-carried", "Service is not carried by this daemon", http.StatusMisdirectedRequest, NotRun, RetryOther},
 	NotReady:           {"not-ready", "Daemon is not ready", http.StatusServiceUnavailable, NotRun, RetryOther},
--- a/core/node/config.go
+++ b/core/node/config.go
@@ -120,6 +120,11 @@
 	if read.Config == nil {
 		return
 	}
+	problems, err := read.Config.Validate()
+	if err != nil {
+		_ = f.logger.Log("msg", "configuration refused", "version", read.Config.Version, "err", err)
+		return
+	}
 	if old := f.relay.Table(); old != nil && read.Config.Version <= old.Version {
 		_ = f.logger.Log("msg", "configuration is not newer", "version", read.Config.Version, "in-force", old.Version)
 		return
@@ -127,6 +132,10 @@
 	f.relay.SetTable(route.Compile(read.Config))
 	f.relay.SetTargets(f.list.Targets())
 	f.refresh()
+	f.set.Counter("config_problems").Inc(int64(len(problems)))
+	for _, p := range problems {
+		_ = f.logger.Log("msg", "part of the configuration cannot be used", "version", read.Config.Version, "err", p)
+	}
 	_ = f.logger.Log("msg", "configuration in force", "version", read.Config.Version, "position", read.Position)
 }
 
--- a/core/relay/exchange.go
+++ b/core/relay/exchange.go
@@ -69,7 +69,7 @@
 		case <-overdue.C:
 			x.hedge()
 		case <-gone:
-			if x.route.Idempotent || len(x.sent) == 0 {
+			if x.route.Idempotent() || len(x.sent) == 0 {
 				return x.fail(fault.CallerGone, "caller left")
 			}
 			x.left = true
@@ -90,7 +90,7 @@
 		started:  time.Now(),
 		results:  x.results,
 		ask: sched.Ask{
-			Idempotent: x.route.Idempotent,
+			Idempotent: x.route.Idempotent(),
 			Last:       !x.repeatable(),
 			Priority:   x.route.Priority,
 			Deadline:   x.deadline,
@@ -105,7 +105,7 @@
 // repeatable reports whether the request could be sent once more after the
 // attempt that is about to start.
 func (x *exchange) repeatable() bool {
-	return x.route.Idempotent && x.started-x.unsent < x.route.Attempts && x.window.Left(time.Now())
+	return x.route.Idempotent() && x.started-x.unsent < x.route.Attempts && x.window.Left(time.Now())
 }
 
 // objective returns when the answer should have arrived; zero if the route states none.
@@ -120,7 +120,7 @@
 // non-idempotent request that a target may be working on is left to end.
 func (x *exchange) cancelRunning() {
 	for t := range x.running {
-		if x.route.Idempotent || !x.sent[t] || time.Now().After(x.deadline) {
+		if x.route.Idempotent() || !x.sent[t] || time.Now().After(x.deadline) {
 			t.cancel()
 		}
 	}
@@ -169,7 +169,7 @@
 	if r.attempt.grant == nil || x.left {
 		return false
 	}
-	if !x.route.Idempotent && x.mayHaveRun {
+	if !x.route.Idempotent() && x.mayHaveRun {
 		return false
 	}
 	if r.unsent {
@@ -209,7 +209,7 @@
 	for t := range x.sent {
 		t.grant.Report(judge.Overdue)
 	}
-	if x.route.Idempotent && len(x.sent) > 0 && len(x.running) == len(x.sent) && x.mayStart() {
+	if x.route.Idempotent() && len(x.sent) > 0 && len(x.running) == len(x.sent) && x.mayStart() {
 		x.start()
 	}
 }
--- a/core/relay/pools.go
+++ b/core/relay/pools.go
@@ -64,7 +64,7 @@
 
 // maxIdle returns the longest idle time of a connection that may carry the request.
 func (x *exchange) maxIdle() time.Duration {
-	if x.route.Idempotent {
+	if x.route.Idempotent() {
 		return idleTimeout
 	}
 	return orderIdleTimeout
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -119,15 +119,7 @@
 	if t := r.table.Load(); t != nil {
 		return t.Limits
 	}
-	return defaultLimits
-}
-
-// defaultLimits hold until a configuration is known.
-var defaultLimits = route.Limits{
-	HeaderBytes:   16 << 10,
-	BodyBytes:     1 << 20,
-	HeaderTimeout: 3 * time.Second,
-	IdleTimeout:   15 * time.Second,
+	return route.DefaultLimits
 }
 
 // SetTargets replaces the targets of all services.
@@ -191,8 +183,13 @@
 		return r.refuse(req, fault.NotReady)
 	}
 	match := table.Match(req.Host, req.Path())
-	if match == nil {
+	switch {
+	case match == nil && table.Partial():
+		return r.refuse(req, fault.RouteUnusable)
+	case match == nil:
 		return r.refuse(req, fault.UnknownRoute)
+	case match.Problem != nil:
+		return r.refuse(req, fault.RouteUnusable)
 	}
 	x := r.newExchange(req, table, match)
 	return x.run(ctx)
--- a/core/route/config.go
+++ b/core/route/config.go
@@ -1,11 +1,6 @@
 package route
 
-import (
-	"strings"
-	"time"
-
-	"wisteriarelay.example/core/fault"
-)
+import "time"
 
 // Version orders configurations; a higher one replaces a lower one.
 type Version int64
@@ -16,6 +11,10 @@
 	Services []Service
 	Hosts    []Host
 	Limits   Limits
+	// Problems are the parts that could not be read and are missing here.
+	Problems []error
+	// Partial says that hosts or routes are among those parts.
+	Partial bool
 }
 
 // Service is a group of targets that do the same work.
@@ -35,8 +34,9 @@
 type Route struct {
 	Name   string
 	Prefix string
-	// Idempotent requests may run more than once.
-	Idempotent bool
+	Kind   Kind
+	// KindWord is the operators' word for the kind.
+	KindWord string
 	// Timeout is the longest time until the caller has its final answer.
 	Timeout time.Duration
 	// Objective is the time within which an answer is worth most to the caller.
@@ -47,6 +47,24 @@
 	Attempts int
 	// Split divides the requests among services by weight.
 	Split []Share
+	// Problem says why the route cannot be served; its requests are refused.
+	Problem error
+}
+
+// Kind says whether the requests of a route may run more than once.
+type Kind uint8
+
+// The kinds. A request of a kind that this version does not know runs at most
+// once, because that cannot double anything.
+const (
+	UnknownKind Kind = iota
+	NotIdempotent
+	Idempotent
+)
+
+// Idempotent reports whether the requests of the route may run more than once.
+func (r *Route) Idempotent() bool {
+	return r.Kind == Idempotent
 }
 
 // Share is one part of a traffic split.
@@ -63,76 +81,11 @@
 	IdleTimeout   time.Duration
 }
 
-// Check reports the first problem of the configuration; it fails with fault.SettingsInvalid.
-func (c *Config) Check() error {
-	if c.Version <= 0 {
-		return fault.New(fault.SettingsInvalid, "version %d is not positive", c.Version)
-	}
-	services := make(map[string]bool, len(c.Services))
-	for _, s := range c.Services {
-		if s.Name == "" || services[s.Name] {
-			return fault.New(fault.SettingsInvalid, "service name %q is empty or stands twice", s.Name)
-		}
-		services[s.Name] = true
-	}
-	if err := c.Limits.check(); err != nil {
-		return err
-	}
-	hosts := make(map[string]bool, len(c.Hosts))
-	for i := range c.Hosts {
-		h := &c.Hosts[i]
-		if h.Name == "" || hosts[h.Name] {
-			return fault.New(fault.SettingsInvalid, "host name %q is empty or stands twice", h.Name)
-		}
-		hosts[h.Name] = true
-		if err := h.check(services); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (l *Limits) check() error {
-	if l.HeaderBytes <= 0 || l.BodyBytes < 0 || l.HeaderTimeout <= 0 || l.IdleTimeout <= 0 {
-		return fault.New(fault.SettingsInvalid, "limits must be positive")
-	}
-	return nil
-}
-
-func (h *Host) check(services map[string]bool) error {
-	prefixes := make(map[string]bool, len(h.Routes))
-	for i := range h.Routes {
-		r := &h.Routes[i]
-		if prefixes[r.Prefix] {
-			return fault.New(fault.SettingsInvalid, "host %q has prefix %q twice", h.Name, r.Prefix)
-		}
-		prefixes[r.Prefix] = true
-		if err := r.check(services); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (r *Route) check(services map[string]bool) error {
-	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-		return fault.New(fault.SettingsInvalid, "route %q: prefix %q must begin and end with a slash", r.Name, r.Prefix)
-	}
-	if r.Timeout <= 0 || r.Attempts <= 0 || r.Objective < 0 || r.Priority < 0 {
-		return fault.New(fault.SettingsInvalid, "route %q: timeout and attempts must be positive, objective and priority not negative", r.Name)
-	}
-	total := 0
-	for _, s := range r.Split {
-		if !services[s.Service] {
-			return fault.New(fault.SettingsInvalid, "route %q: service %q does not exist", r.Name, s.Service)
-		}
-		if s.Weight < 0 {
-			return fault.New(fault.SettingsInvalid, "route %q: weight %d is negative", r.Name, s.Weight)
-		}
-		total += s.Weight
-	}
-	if total <= 0 {
-		return fault.New(fault.SettingsInvalid, "route %q: no service has a weight", r.Name)
-	}
-	return nil
+// DefaultLimits hold until a configuration is known, and in place of a limit that
+// is not positive.
+var DefaultLimits = Limits{
+	HeaderBytes:   16 << 10,
+	BodyBytes:     1 << 20,
+	HeaderTimeout: 3 * time.Second,
+	IdleTimeout:   15 * time.Second,
 }
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -12,18 +12,23 @@
 	Limits   Limits
 	hosts    map[string][]Route
 	services map[string]Service
+	// partial says that a part of the configuration could not be read.
+	partial bool
 }
 
-// Compile returns the table of a checked configuration.
+// Compile returns the table of a validated configuration.
 func Compile(c *Config) *Table {
 	t := &Table{
 		Version:  c.Version,
 		Limits:   c.Limits,
 		hosts:    make(map[string][]Route, len(c.Hosts)),
 		services: make(map[string]Service, len(c.Services)),
+		partial:  c.Partial,
 	}
 	for _, s := range c.Services {
-		t.services[s.Name] = s
+		if s.Name != "" {
+			t.services[s.Name] = s
+		}
 	}
 	for _, h := range c.Hosts {
 		routes := slices.Clone(h.Routes)
@@ -49,6 +54,12 @@
 	return nil
 }
 
+// Partial reports whether a path without a route may have one in a part of the
+// configuration that could not be read.
+func (t *Table) Partial() bool {
+	return t.partial
+}
+
 // Service returns the service of that name.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
@@ -70,6 +81,9 @@
 func (t *Table) MainService(host string) string {
 	weights := map[string]float64{}
 	for _, r := range t.hosts[hostName(host)] {
+		if r.Problem != nil {
+			continue
+		}
 		total := 0
 		for _, s := range r.Split {
 			total += s.Weight
