--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -71,10 +71,12 @@
 		"unknown service": func(c *route.Config) { c.Hosts[0].Routes[0].Split[0].Service = "none" },
 		"prefix":          func(c *route.Config) { c.Hosts[0].Routes[0].Prefix = "/x" },
 		"same prefix":     func(c *route.Config) { c.Hosts[0].Routes = append(c.Hosts[0].Routes, c.Hosts[0].Routes[0]) },
-		"same host":       func(c *route.Config) { c.Hosts = append(c.Hosts, route.Host{Name: "shop.example", Routes: c.Hosts[0].Routes[:1]}) },
-		"timeout":         func(c *route.Config) { c.Hosts[0].Routes[0].Timeout = 0 },
-		"attempts":        func(c *route.Config) { c.Hosts[0].Routes[0].Attempts = 0 },
-		"weight":          func(c *route.Config) { c.Hosts[0].Routes[0].Split[0].Weight = -1 },
+		"same host": func(c *route.Config) {
+			c.Hosts = append(c.Hosts, route.Host{Name: "shop.example", Routes: c.Hosts[0].Routes[:1]})
+		},
+		"timeout":  func(c *route.Config) { c.Hosts[0].Routes[0].Timeout = 0 },
+		"attempts": func(c *route.Config) { c.Hosts[0].Routes[0].Attempts = 0 },
+		"weight":   func(c *route.Config) { c.Hosts[0].Routes[0].Split[0].Weight = -1 },
 	}
 	problems, err := config().Validate()
 	g := NewWithT(t)
