Count requests that go on as evidence, and weigh data centres by bytes

A spell showed only once a request had run for three times the usual time.

Change: a request that outlasts nine in ten answered ones is reported as slow, and an answer in the end takes that back. How much it says follows from the share of failures that are silent, which each pool learns: where targets reset at once it says little. An idempotent request is hedged then if the target is expected to fail. Another data centre costs by the route's mean bytes, up to a limit below the cost of a sick target. Daemons elsewhere take their turn at the floor behind those of the target's own data centre, and a target just added is owed a request only after the floor's span.

--- a/core/judge/belief.go
+++ b/core/judge/belief.go
@@ -24,12 +24,16 @@
 	Unreached
 	// Shed is a refusal before the request ran.
 	Shed
+	// Slow is a request that runs for longer than most and goes on.
+	Slow
+	// Late is a whole answer, as Served, to a request that was Slow before.
+	Late
 	resultCount
 )
 
 // String returns the kebab-case name of the result.
 func (r Result) String() string {
-	names := [resultCount]string{"nothing", "served", "failed", "broken", "overdue", "unreached", "shed"}
+	names := [resultCount]string{"nothing", "served", "failed", "broken", "overdue", "unreached", "shed", "slow", "late"}
 	if r >= resultCount {
 		return names[Nothing]
 	}
@@ -38,7 +42,12 @@
 
 // Bad reports whether the result speaks against the target.
 func (r Result) Bad() bool {
-	return r > Served
+	return r != Nothing && !r.Good()
+}
+
+// Good reports whether the result is a whole answer that was not a failure.
+func (r Result) Good() bool {
+	return r == Served || r == Late
 }
 
 // level is how badly off a target is.
@@ -65,11 +74,46 @@
 	Served:    {0.98, 0.6, 0.18},
 	Failed:    {0.012, 0.2, 0.25},
 	Broken:    {0.0005, 0.25, 0.6},
-	Overdue:   {0.01, 0.2, 0.2},
 	Unreached: {0.003, 0.2, 0.4},
 	Shed:      {1, 1, 1},
 }
 
+const (
+	// SlowShare is the share of answered requests that are slow, OverdueShare the
+	// share of those that are overdue.
+	SlowShare    = 0.1
+	OverdueShare = 0.02
+)
+
+// likelihood returns how often the result occurs at each level. A request that
+// goes on speaks against a target as far as failures of the service are silent;
+// an answer in the end takes that back.
+func (m Model) likelihood(r Result) chances {
+	var out chances
+	for i := range out {
+		switch r {
+		case Slow:
+			out[i] = m.open(SlowShare, level(i))
+		case Overdue:
+			out[i] = m.open(OverdueShare, level(i)) / m.open(SlowShare, level(i))
+		case Late:
+			out[i] = likelihoods[Served][i] / m.open(SlowShare, level(i))
+		default:
+			out[i] = likelihoods[r][i]
+		}
+	}
+	return out
+}
+
+// open returns the probability that a request is still without an answer when
+// only the given share of the answered ones takes longer.
+func (m Model) open(share float64, l level) float64 {
+	if l == well {
+		return share
+	}
+	return share + (1-share)*m.Silent*failRates[l]
+}
+
 // failRates is the share of requests that a target fails at each level.
 var failRates = chances{0.012, 0.4, 0.82}
 
@@ -80,6 +124,9 @@
 	// Impaired and Sick are the shares of time that a target is at these levels.
 	Impaired float64
 	Sick     float64
+	// Silent is the share of failed requests that get no answer until their
+	// deadline; the others are reset or answered with an error at once.
+	Silent float64
 }
 
 func (m Model) prior() chances {
@@ -157,9 +204,10 @@
 		return
 	}
 	before := b.now(m, now)
+	likelihood := m.likelihood(r)
 	total := 0.0
 	for i := range b.at {
-		b.at[i] = before[i] * likelihoods[r][i]
+		b.at[i] = before[i] * likelihood[i]
 		total += b.at[i]
 	}
 	for i := range b.at {
--- a/core/relay/exchange.go
+++ b/core/relay/exchange.go
@@ -45,6 +45,8 @@
 	// left says that the caller has gone while a target may be at work.
 	left bool
 	last *result
+	// slow says that the attempts that run were reported as slow.
+	slow bool
 }
 
 // run tries targets until one response stands or nothing more is allowed.
@@ -52,8 +54,8 @@
 	defer x.cancelRunning()
 	limit := time.NewTimer(time.Until(x.deadline) + answerSlack)
 	defer limit.Stop()
-	overdue := time.NewTimer(x.overdueAfter())
-	defer overdue.Stop()
+	patience := time.NewTimer(x.pool.SlowAfter())
+	defer patience.Stop()
 	gone := ctx.Done()
 	x.start()
 	for {
@@ -61,13 +63,16 @@
 		case t := <-x.granted:
 			x.sent[t] = true
 			x.tried = append(x.tried, t.grant.Target.Key)
-			overdue.Reset(x.overdueAfter())
+			x.slow = false
+			patience.Reset(x.pool.SlowAfter())
 		case r := <-x.results:
 			if a := x.take(r); a != nil {
 				return a
 			}
-		case <-overdue.C:
-			x.hedge()
+		case <-patience.C:
+			if next := x.impatient(); next > 0 {
+				patience.Reset(next)
+			}
 		case <-gone:
 			if x.route.Idempotent() || len(x.sent) == 0 {
 				return x.fail(fault.CallerGone, "caller left")
@@ -95,6 +100,7 @@
 			Priority:   x.route.Priority,
 			Deadline:   x.deadline,
 			Objective:  x.objective(),
+			Bytes:      x.relay.sizes.mean(x.route.Name),
 			Tried:      x.tried,
 		},
 	}
@@ -199,16 +205,32 @@
 // is overdue; fewer than one in fifty takes longer at a target that is well.
 const overdueFactor = 3
 
-func (x *exchange) overdueAfter() time.Duration {
-	return overdueFactor * x.pool.ServiceTime()
+// impatient tells the targets' pool that the attempts that run are slow, and then
+// that they are overdue. It returns the time until it is to be called again, or 0.
+func (x *exchange) impatient() time.Duration {
+	if len(x.sent) == 0 {
+		return 0
+	}
+	result := judge.Slow
+	if x.slow {
+		result = judge.Overdue
+	}
+	lost := x.slow
+	for t := range x.sent {
+		lost = t.grant.Report(result) || lost
+	}
+	if lost {
+		x.hedge()
+	}
+	if x.slow {
+		return 0
+	}
+	x.slow = true
+	return max(overdueFactor*x.pool.ServiceTime()-x.pool.SlowAfter(), time.Millisecond)
 }
 
-// hedge treats the attempts that run as overdue. An idempotent request is sent
-// to a second target as well.
+// hedge sends an idempotent request to a second target as well.
 func (x *exchange) hedge() {
-	for t := range x.sent {
-		t.grant.Report(judge.Overdue)
-	}
 	if x.route.Idempotent() && len(x.sent) > 0 && len(x.running) == len(x.sent) && x.mayStart() {
 		x.start()
 	}
@@ -259,6 +281,7 @@
 // pass returns a target's response unchanged.
 func (x *exchange) pass(r *response) *caller.Answer {
 	h := forwardable(r.header)
+	x.relay.sizes.add(x.route.Name, int64(len(x.request.Body))+max(r.length, int64(len(r.body))))
 	x.relay.logAnswer(x, r.status, "")
 	return &caller.Answer{Status: r.status, Header: h, Body: r.body, Rest: r.rest, Length: r.length}
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -43,6 +43,7 @@
 	emit       func(sched.Event)
 	table      atomic.Pointer[route.Table]
 	pools      pools
+	sizes      sizes
 
 	mu       sync.Mutex
 	services atomic.Pointer[map[string]*service]
--- a/core/sched/choice.go
+++ b/core/sched/choice.go
@@ -19,9 +19,13 @@
 	sickRate = 0.45
 	// retryPenalty is the delay that a failure costs if the request is sent again.
 	retryPenalty = 600 * time.Millisecond
-	// remotePenalty prefers targets of the own data centre: traffic between data
-	// centres is paid for.
-	remotePenalty = 150 * time.Millisecond
+	// remotePenalty and remotePerKB prefer targets of the own data centre: traffic
+	// between data centres is paid for by its bytes.
+	remotePenalty = 60 * time.Millisecond
+	remotePerKB   = 25 * time.Millisecond
+	// maxRemotePenalty is below what a sick target costs a request that can be sent
+	// again, so that large answers come from elsewhere rather than late.
+	maxRemotePenalty = 450 * time.Millisecond
 	// connectPenalty is charged for a target to which this daemon probably holds no
 	// connection, because it has not used it within connectMemory.
 	connectPenalty = 60 * time.Millisecond
@@ -141,7 +145,7 @@
 	cost += p.waitAt(m, now)
 	cost += m.speed.excess(now, p.serviceTime())
 	if m.target.DataCentre != p.dataCentre {
-		cost += remotePenalty
+		cost += a.remotePenalty()
 	}
 	if now.Sub(m.servedAt) >= connectMemory {
 		cost += connectPenalty
@@ -155,6 +159,11 @@
 	return cost
 }
 
+// remotePenalty returns what another data centre costs the request.
+func (a Ask) remotePenalty() time.Duration {
+	return min(remotePenalty+time.Duration(a.Bytes)*remotePerKB/(1<<10), maxRemotePenalty)
+}
+
 // waitAt returns the expected wait for a slot at the target. A target in use
 // is charged a little even with a slot free, so that load spreads among equals.
 func (p *Pool) waitAt(m *member, now time.Time) time.Duration {
--- a/core/sched/floor.go
+++ b/core/sched/floor.go
@@ -7,6 +7,7 @@
 	floorSpan = 1500 * time.Millisecond
 	// turnSpan bounds the random delay by which the daemons of a service take
 	// turns, so that only one of them sends a request to a target for the floor.
+	// Daemons of other data centres take theirs behind those of the target's own.
 	turnSpan = 250 * time.Millisecond
 	// defaultFloor is the part of the targets that always get work. A service must
 	// not be reduced to a few targets: what is believed of the others may be
@@ -35,11 +36,15 @@
 }
 
 func (p *Pool) unintroduced(m *member, now time.Time) bool {
-	return m.usedAt.IsZero() && now.Sub(m.addedAt) > introduceAfter && now.After(m.target.WarmAt)
+	return m.usedAt.IsZero() && now.Sub(m.addedAt) > introduceAfter+m.turn && now.After(m.target.WarmAt)
 }
 
 func unused(m *member, now time.Time) bool {
-	return now.Sub(m.usedAt) > floorSpan+m.turn && now.Sub(m.badAt) >= failureMemory
+	last := m.usedAt
+	if m.addedAt.After(last) {
+		last = m.addedAt
+	}
+	return now.Sub(last) > floorSpan+m.turn && now.Sub(m.badAt) >= failureMemory
 }
 
 // floorHolds reports whether enough of the targets got a request in the span.
--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -19,6 +19,8 @@
 	Deadline time.Time
 	// Objective is the time until which an answer is worth most; zero if there is none.
 	Objective time.Time
+	// Bytes is the expected size of request and answer.
+	Bytes int64
 	// Tried are the targets that the request was sent to before.
 	Tried []Key
 	// since is when the pool was asked, number the count of asks until then.
@@ -39,10 +41,12 @@
 	// FailRate is the share of requests that the target was expected to fail.
 	FailRate float64
 	// Load is the work in flight of the whole fleet before this request.
-	Load    int
-	Reason  Reason
-	pool    *Pool
-	member  *member
+	Load   int
+	Reason Reason
+	pool   *Pool
+	member *member
+	// told is the last early result.
+	told    judge.Result
 	settled bool
 }
 
@@ -129,6 +133,9 @@
 		return
 	}
 	g.settled = true
+	if g.told != judge.Nothing && r == judge.Served {
+		r = judge.Late
+	}
 	now := time.Now()
 	g.member.own--
 	p.learn(g.member, now, r, took)
@@ -136,11 +143,20 @@
 	p.serveQueue(now)
 }
 
-// Report tells an early result of a request that goes on.
-func (g *Grant) Report(r judge.Result) {
+// Report tells an early result of a request that goes on, judge.Slow and then
+// judge.Overdue. It returns whether the target is now expected to fail the request.
+func (g *Grant) Report(r judge.Result) (lost bool) {
 	p := g.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.learn(g.member, time.Now(), r, 0)
-	p.emit(Event{Service: p.service, Target: g.Target.Key, InFlight: g.member.own, Result: r})
+	if g.settled {
+		return false
+	}
+	now := time.Now()
+	if g.told != r && g.told != judge.Overdue {
+		g.told = r
+		p.learn(g.member, now, r, 0)
+		p.emit(Event{Service: p.service, Target: g.Target.Key, InFlight: g.member.own, Result: r})
+	}
+	return g.member.failRate(p.model, now) >= sickRate
 }
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -33,7 +33,9 @@
 	mu      sync.Mutex
 	members map[Key]*member
 	usual   latency
-	queue   queue
+	// slow is the time that one answered request in ten exceeds.
+	slow  quantile
+	queue queue
 	// asked counts the requests that asked for a target.
 	asked uint64
 }
@@ -52,7 +54,7 @@
 }
 
 // DefaultModel expects spells of about ten seconds in a third of the time.
-var DefaultModel = judge.Model{Spell: 10 * time.Second, Impaired: 0.05, Sick: 0.25}
+var DefaultModel = judge.Model{Spell: 10 * time.Second, Impaired: 0.05, Sick: 0.25, Silent: 0.5}
 
 // NewPool returns a pool without targets for a daemon in the data centre.
 func NewPool(service, dataCentre string, opts ...Option) *Pool {
@@ -63,6 +65,7 @@
 		floor:      defaultFloor,
 		emit:       func(Event) {},
 		members:    map[Key]*member{},
+		slow:       quantile{value: 2 * defaultService, share: judge.SlowShare},
 	}
 	for _, o := range opts {
 		o(p)
@@ -80,7 +83,7 @@
 	for _, t := range targets {
 		m := p.members[t.Key]
 		if m == nil {
-			m = newMember(t, now)
+			m = newMember(t, now, t.DataCentre == p.dataCentre)
 		}
 		m.target = t
 		members[t.Key] = m
@@ -113,20 +116,51 @@
 	if r == judge.Shed {
 		m.shedAt = now
 	}
-	if r == judge.Served {
-		m.path.Observe(pathModel, now, r)
+	if r.Good() {
+		m.path.Observe(pathModel, now, judge.Served)
 		m.servedAt = now
+	}
+	p.take(m, now, r, took)
+}
+
+// take takes in a result of any daemon.
+func (p *Pool) take(m *member, now time.Time, r judge.Result, took time.Duration) {
+	if r.Good() {
 		m.speed.add(now, took)
 		p.usual.add(now, took)
+		p.slow.add(took)
 	}
 	m.observe(p.model, now, r, took)
 	m.noteFailure(now, r)
+	p.noteSilence(r, took)
+}
+
+const (
+	// silenceWeight is the weight of one failure in the share of silent ones.
+	silenceWeight = 0.05
+	// leastSilence bounds that share from below, so that a first silent failure
+	// after many others still counts.
+	leastSilence = 0.15
+)
+
+// noteSilence follows which share of the failures is silent. Load pattern: in some
+// services targets in a spell keep requests open until their deadline, in others
+// they reset them at once, and then a slow request says nothing.
+func (p *Pool) noteSilence(r judge.Result, took time.Duration) {
+	if r != judge.Broken && r != judge.Failed {
+		return
+	}
+	sample := 0.0
+	if took > p.slow.value {
+		sample = 1
+	}
+	p.model.Silent = max(p.model.Silent+silenceWeight*(sample-p.model.Silent), leastSilence)
 }
 
 // observe moves the belief. What was sent before the last failure and served
 // after it says nothing of the target since: targets fail requests as they arrive.
 func (m *member) observe(model judge.Model, now time.Time, r judge.Result, took time.Duration) {
-	if r == judge.Served && now.Add(-took).Before(m.badAt) {
+	if r.Good() && now.Add(-took).Before(m.badAt) {
 		return
 	}
 	m.belief.Observe(model, now, r)
@@ -155,12 +189,7 @@
 		m.shedAt = now
 	}
 	if e.Result != judge.Unreached {
-		m.observe(p.model, now, e.Result, e.Latency)
-	}
-	m.noteFailure(now, e.Result)
-	if e.Result == judge.Served {
-		m.speed.add(now, e.Latency)
-		p.usual.add(now, e.Latency)
+		p.take(m, now, e.Result, e.Latency)
 	}
 	p.serveQueue(now)
 }
@@ -172,6 +201,13 @@
 	return p.serviceTime()
 }
 
+// SlowAfter returns the time that one answered request in ten exceeds.
+func (p *Pool) SlowAfter() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.slow.value
+}
+
 func (p *Pool) serviceTime() time.Duration {
 	if p.usual.mean == 0 {
 		return defaultService
--- a/core/sched/replay_test.go
+++ b/core/sched/replay_test.go
@@ -59,6 +59,8 @@
 	begin time.Time
 	work  time.Duration
 	tally *tally
+	// silent says that targets in a spell give no answer instead of resetting.
+	silent bool
 }
 
 // tally counts how orders ended.
@@ -94,11 +96,31 @@
 // orderObjective is the time within which an order is worth most.
 const orderObjective = 600 * time.Millisecond
 
+// orderTimeout is the time after which an order without an answer is given up.
+const orderTimeout = 2500 * time.Millisecond
+
+// await waits for the end of a request and says on the way that it is slow.
+func (o *order) await(grant *sched.Grant, length time.Duration) {
+	early := []struct {
+		after  time.Duration
+		result judge.Result
+	}{{o.pool.SlowAfter(), judge.Slow}, {3 * o.pool.ServiceTime(), judge.Overdue}}
+	begin := time.Now()
+	for _, e := range early {
+		if e.after >= length {
+			break
+		}
+		time.Sleep(time.Until(begin.Add(e.after)))
+		grant.Report(e.result)
+	}
+	time.Sleep(time.Until(begin.Add(length)))
+}
+
 func (o *order) run() {
 	asked := time.Now()
 	grant, err := o.pool.Acquire(context.Background(), sched.Ask{
 		Last:      true,
-		Deadline:  asked.Add(2500 * time.Millisecond),
+		Deadline:  asked.Add(orderTimeout),
 		Objective: asked.Add(orderObjective),
 	})
 	if err != nil {
@@ -106,11 +128,15 @@
 		return
 	}
 	out := outcome{target: grant.Target.ID, lost: resets(grant.Target.ID, time.Since(o.begin)), at: time.Since(o.begin)}
-	if out.lost {
+	switch {
+	case out.lost && o.silent:
+		o.await(grant, orderTimeout)
+		grant.Settle(judge.Broken, orderTimeout)
+	case out.lost:
 		time.Sleep(time.Millisecond)
 		grant.Settle(judge.Broken, time.Millisecond)
-	} else {
-		time.Sleep(o.work)
+	default:
+		o.await(grant, o.work)
 		grant.Settle(judge.Served, o.work)
 	}
 	out.late = time.Since(asked) > orderObjective
@@ -118,7 +144,7 @@
 }
 
 // replayCrew sends orders at a mean rate a second through random daemons.
-func replayCrew(c *crew, rate int, length time.Duration) []outcome {
+func replayCrew(c *crew, rate int, length time.Duration, silent bool) []outcome {
 	random := rand.New(rand.NewPCG(1, 2))
 	t := &tally{ended: make(chan outcome, rate*int(length/time.Second)*2)}
 	begin := time.Now()
@@ -126,10 +152,11 @@
 	for time.Since(begin) < length {
 		time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(rate)))
 		o := &order{
-			pool:  c.pools[random.IntN(len(c.pools))],
-			begin: begin,
-			work:  time.Duration((0.5 + random.Float64()) * float64(160*time.Millisecond)),
-			tally: t,
+			pool:   c.pools[random.IntN(len(c.pools))],
+			begin:  begin,
+			work:   time.Duration((0.5 + random.Float64()) * float64(160*time.Millisecond)),
+			tally:  t,
+			silent: silent,
 		}
 		sent++
 		go o.run()
@@ -176,11 +203,38 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		const rate = 36
-		out := replayCrew(newCrew(6, 9), rate, 120*time.Second)
+		out := replayCrew(newCrew(6, 9), rate, 120*time.Second, false)
 		g.Expect(share(out, func(o outcome) bool { return o.lost })).To(BeNumerically("<", allowedLoss(rate)))
 	})
 }
 
+// Load pattern: six daemons share nine targets of six slots that leave most requests
+// without an answer for spells of nine seconds. Guards against orders that go to such
+// a target until the first of them has run for several times as long as usual.
+func TestCrewLearnsOfSilentSpells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const rate = 180
+		c := newCrew(6, 9)
+		for _, p := range c.pools {
+			p.SetTargets(roomy(targets(9)))
+		}
+		out := replayCrew(c, rate, 120*time.Second, true)
+		// Half a second is enough for two orders in a row to be slow.
+		const onTheWay = rate / 9 / 2
+		allowed := (spellsPerSecond*onTheWay + floorLosses) / rate
+		g.Expect(share(out, func(o outcome) bool { return o.lost })).To(BeNumerically("<", allowed))
+	})
+}
+
+// roomy returns the targets with more slots.
+func roomy(targets []sched.Target) []sched.Target {
+	for i := range targets {
+		targets[i].Slots = 6
+	}
+	return targets
+}
+
 // Load pattern: orders take most of the capacity of the targets that are well,
 // while those in a spell stand idle because they reset at once. Guards against
 // sending orders there instead of waiting for a slot, and against waiting so long
@@ -189,7 +243,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		const rate = 60
-		out := replayCrew(newCrew(6, 9), rate, 120*time.Second)
+		out := replayCrew(newCrew(6, 9), rate, 120*time.Second, false)
 		g.Expect(share(out, func(o outcome) bool { return o.lost })).To(BeNumerically("<", allowedLoss(rate)))
 		g.Expect(share(out, func(o outcome) bool { return o.late })).To(BeNumerically("<", allowedLoss(rate)))
 	})
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -55,8 +55,12 @@
 	turn time.Duration
 }
 
-func newMember(t Target, now time.Time) *member {
-	return &member{target: t, peers: map[string]peerLoad{}, addedAt: now, turn: rand.N(turnSpan)}
+func newMember(t Target, now time.Time, near bool) *member {
+	m := &member{target: t, peers: map[string]peerLoad{}, addedAt: now, turn: rand.N(turnSpan)}
+	if !near {
+		m.turn += turnSpan
+	}
+	return m
 }
 
 // load returns the work in flight of the whole fleet.
@@ -91,6 +95,23 @@
 	l.asOf = now
 }
 
+// quantile follows the time that only a small share of requests exceeds.
+type quantile struct {
+	value time.Duration
+	share float64
+}
+
+// quantileStep is the relative step by which one sample moves a quantile.
+const quantileStep = 0.1
+
+func (q *quantile) add(d time.Duration) {
+	if d > q.value {
+		q.value += time.Duration(quantileStep * (1 - q.share) * float64(q.value))
+		return
+	}
+	q.value -= time.Duration(quantileStep * q.share * float64(q.value))
+}
+
 // excess returns how much slower than usual the target was, less as time passes.
 func (l *latency) excess(now time.Time, usual time.Duration) time.Duration {
 	slower := l.mean - usual
