Bound the bytes that a target may send outside its own answer

Closing the body of such an answer read it to its end as well.

Change: the heads before the own answer share one limit of 64 KiB, bodies of answers to other requests 1 MiB and four answers; what goes past closes the connection and counts against the target.

Before: four of the seven cases of TestEndlessBytesCostLittle (interim answers, answers to others, body and chunks of another's answer) run until the test is ended. After: all pass.

--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -29,13 +29,14 @@
 	// keepAlive is the idle time after which the target closes the connection,
 	// as it stated; 0 if it did not.
 	keepAlive time.Duration
-	// headLeft counts down the bytes that a response head may still take; a
-	// negative value means that no limit applies.
+	// headLeft counts down the bytes that response heads may still take while
+	// limited is set.
 	headLeft int64
+	limited  bool
 }
 
 func newConn(n net.Conn) *conn {
-	c := &conn{net: n, headLeft: -1}
+	c := &conn{net: n}
 	c.reader = bufio.NewReaderSize(readFrom{c}, bufferBytes)
 	c.writer = bufio.NewWriterSize(writeTo{c}, bufferBytes)
 	return c
@@ -46,16 +47,14 @@
 
 // Read fails once a response head has used up its limit.
 func (r readFrom) Read(p []byte) (int, error) {
-	if r.c.headLeft == 0 {
-		return 0, errHeadTooLarge
-	}
-	if r.c.headLeft > 0 && int64(len(p)) > r.c.headLeft {
-		p = p[:r.c.headLeft]
+	if !r.c.limited {
+		return r.c.net.Read(p)
 	}
-	n, err := r.c.net.Read(p)
-	if r.c.headLeft > 0 {
-		r.c.headLeft -= int64(n)
+	if r.c.headLeft <= 0 {
+		return 0, errHeadTooLarge
 	}
+	n, err := r.c.net.Read(p[:min(int64(len(p)), r.c.headLeft)])
+	r.c.headLeft -= int64(n)
 	return n, err
 }
 
--- a/core/link/message.go
+++ b/core/link/message.go
@@ -90,40 +90,62 @@
 	return x.readOwn(m)
 }
 
+const (
+	// maxForeignBytes bounds the bodies of responses that belong to other requests
+	// and come before the own one, maxForeign their number.
+	maxForeignBytes = 1 << 20
+	maxForeign      = 4
+)
+
+var (
+	errForeignTooLarge = errors.New("responses to other requests have no end or are larger than 1 MiB")
+	errForeignTooMany  = errors.New("too many responses to other requests")
+)
+
 // readOwn reads responses until one belongs to the message. A target that sent
-// an extra response is out of step, so its connection is not kept.
+// an extra response is out of step, so its connection is not kept. The heads of
+// all of them together are bounded like one: a target may send without end.
 func (x *exchange) readOwn(m *Message) (*http.Response, error) {
-	inStep := true
-	for {
+	left := int64(maxForeignBytes)
+	x.conn.headLeft = maxHeadBytes
+	for foreign := 0; foreign <= maxForeign; foreign++ {
 		resp, err := x.readResponse(&http.Request{Method: m.Method})
 		if err != nil {
 			return nil, err
 		}
 		if m.Owns != nil && !m.Owns(resp) {
-			inStep = false
-			if err := x.skip(resp); err != nil {
+			if left, err = x.skip(resp, left); err != nil {
 				return nil, err
 			}
 			continue
 		}
-		keep := inStep && !resp.Close && endIsKnown(m.Method, resp)
+		keep := foreign == 0 && !resp.Close && endIsKnown(m.Method, resp)
 		x.conn.noteKeepAlive(resp.Header)
 		resp.Body = &body{exchange: x, inner: resp.Body, keep: keep}
 		return resp, nil
 	}
+	return nil, newProtocolFailure(errForeignTooMany)
 }
 
-// skip reads a response that belongs to another request to its end.
-func (x *exchange) skip(resp *http.Response) error {
-	_, err := io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
-	if err != nil {
-		return newFailure(x.ctx, StageBody, err)
-	}
+// skip reads a response that belongs to another request to its end, at most the
+// given number of bytes, and returns how many are left of them. The body is not
+// closed, because that would read it to its end.
+func (x *exchange) skip(resp *http.Response, left int64) (int64, error) {
 	if resp.Close || !endIsKnown(resp.Request.Method, resp) {
-		return newProtocolFailure(errors.New("connection ended after a response to another request"))
+		return 0, newProtocolFailure(errors.New("connection ended after a response to another request"))
+	}
+	if resp.ContentLength > left {
+		return 0, newProtocolFailure(errForeignTooLarge)
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, left+1))
+	switch {
+	case err != nil:
+		return 0, newFailure(x.ctx, StageBody, err)
+	case n > left:
+		return 0, newProtocolFailure(errForeignTooLarge)
+	default:
+		return left - n, nil
 	}
-	return nil
 }
 
 // endIsKnown reports whether the end of the response does not depend on the
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -234,6 +234,7 @@
 }
 
 func (x *exchange) readHead(req *http.Request) (*http.Response, error) {
+	x.conn.headLeft = maxHeadBytes
 	resp, err := x.readResponse(req)
 	if err != nil {
 		return nil, err
@@ -241,12 +242,13 @@
 	return x.checkFraming(req, resp)
 }
 
-// readResponse reads the head of the next final response.
+// readResponse reads the head of the next final response. Interim responses use
+// up the limit on heads too.
 func (x *exchange) readResponse(req *http.Request) (*http.Response, error) {
 	for {
-		x.conn.headLeft = maxHeadBytes
+		x.conn.limited = true
 		resp, err := http.ReadResponse(x.conn.reader, req)
-		x.conn.headLeft = -1
+		x.conn.limited = false
 		if err != nil {
 			return nil, x.headFailure(err)
 		}
