Let strong daemons carry, as many as the weakest of them needs

The carriers were chosen without regard to what a VM can carry, a quarter of the callers of a data centre went to each of them, and downloads of 90 KB waited for the link. The plan also jumped: past 48 carriers each service had its own group, so that callers, who come by host, met daemons that did not carry the other services of the host.

Change: a daemon states its capacity, the smaller of its processor share and what its link can take. The carriers of a data centre are the strongest, and as many as the weakest of them needs to carry an equal share of the demand, which follows from the slots of the targets. Services that hosts join are carried together; a large fleet splits the rest into groups by rendezvous hashing.

--- a/core/gossip/report.go
+++ b/core/gossip/report.go
@@ -35,6 +35,8 @@
 	Forward bool `cbor:"13,keyasint,omitempty"`
 	// Config is the version of the configuration that the sender has in force.
 	Config int64 `cbor:"10,keyasint,omitempty"`
+	// Cores is the capacity of the sender, as in roster.Member.
+	Cores float64 `cbor:"14,keyasint,omitempty"`
 }
 
 // Beliefs are what the sender believes of the targets of one service.
@@ -87,7 +89,7 @@
 
 // Member returns the sender; inner is the address that the report came from.
 func (r *Report) Member(inner string) roster.Member {
-	return roster.Member{VM: r.VM, DataCentre: r.DataCentre, Inner: inner, Callers: r.Callers, Born: r.Born}
+	return roster.Member{VM: r.VM, DataCentre: r.DataCentre, Inner: inner, Callers: r.Callers, Born: r.Born, Cores: r.Cores}
 }
 
 // Check fails with fault.MessageInvalid if the report names no sender.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -83,6 +83,7 @@
 		Inner:      settings.InnerAddress,
 		Callers:    settings.CallerAddress,
 		Born:       time.Now().UnixMilli(),
+		Cores:      settings.Capacity(),
 	}
 	n.app = fx.New(
 		fx.NopLogger,
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -23,6 +23,7 @@
 		Callers:    n.self.Callers,
 		Ready:      n.Ready(),
 		Leaving:    n.leaving.Load(),
+		Cores:      n.self.Cores,
 	}
 	if t := n.relay.Table(); t != nil {
 		r.Config = int64(t.Version)
@@ -37,11 +38,11 @@
 	plan := n.plan()
 	var out []string
 	for _, s := range services {
-		group, count := plan.Group(s)
+		group, cores := plan.Group(s)
 		if slices.Contains(out, group) {
 			continue
 		}
-		if n.roster.Carries(now, group, count) || n.relay.Recent(s) >= strayRequests {
+		if n.roster.Carries(now, group, cores) || n.relay.Recent(s) >= strayRequests {
 			out = append(out, group)
 		}
 	}
@@ -50,11 +51,14 @@
 
 // plan returns which daemons carry which services.
 func (n *Node) plan() *roster.Plan {
-	targets := map[string]int{}
+	demand := roster.Demand{Slots: map[string]int{}, DataCentres: len(n.roster.DataCentres())}
+	if t := n.relay.Table(); t != nil {
+		demand.Joined = t.ServicesByHost()
+	}
 	for _, s := range n.services() {
-		targets[s] = n.relay.Pool(s).Size()
+		demand.Slots[s] = n.relay.Pool(s).Slots()
 	}
-	return roster.NewPlan(targets, len(n.roster.DataCentres()))
+	return roster.NewPlan(demand)
 }
 
 func (n *Node) services() []string {
@@ -66,8 +70,8 @@
 
 // group returns the other daemons that carry the service.
 func (n *Node) group(service string) []roster.Member {
-	group, count := n.plan().Group(service)
-	return n.roster.Group(time.Now(), group, count)
+	group, cores := n.plan().Group(service)
+	return n.roster.Group(time.Now(), group, cores)
 }
 
 // carryingPeers returns the daemons that carry a group which this daemon carries.
@@ -76,9 +80,9 @@
 	carried := n.carried(n.services())
 	var out []roster.Member
 	for _, s := range n.services() {
-		group, count := plan.Group(s)
+		group, cores := plan.Group(s)
 		if at := slices.Index(carried, group); at >= 0 {
-			out = append(out, n.roster.Group(time.Now(), group, count)...)
+			out = append(out, n.roster.Group(time.Now(), group, cores)...)
 			carried = slices.Delete(carried, at, at+1)
 		}
 	}
@@ -91,7 +95,7 @@
 	plan := n.plan()
 	var out []gossip.Group
 	for _, name := range n.carried(n.services()) {
-		if members := n.roster.FarCarriers(now, name, plan.Carriers(name)); len(members) > 0 {
+		if members := n.roster.FarCarriers(now, name, plan.Cores(name)); len(members) > 0 {
 			out = append(out, gossip.Group{Name: name, Members: members})
 		}
 	}
@@ -175,8 +179,8 @@
 	if t == nil {
 		return nil, 0
 	}
-	group, count := n.plan().Group(t.MainService(host))
-	return n.roster.Answer(time.Now(), group, dataCentre, count), addressTTL
+	group, cores := n.plan().Group(t.MainService(host))
+	return n.roster.Answer(time.Now(), group, dataCentre, cores), addressTTL
 }
 
 // addressTTL is how long a caller may keep an answer. Callers leave a dead
--- a/core/node/settings.go
+++ b/core/node/settings.go
@@ -33,6 +33,12 @@
 	ShutdownSeconds float64     `json:"shutdown-s"`
 	RetryBudget     RetryBudget `json:"retry-budget"`
 	MemoryMB        int64       `json:"memory-mb"`
+	// CPUShare is the share of a core that the daemon may use, CPUSpeed the speed
+	// of that core as a multiple of the usual one, and LinkMbit the bandwidth of
+	// the VM's link in Mbit/s; 0 stands for unknown.
+	CPUShare float64 `json:"cpu-share"`
+	CPUSpeed float64 `json:"cpu-speed"`
+	LinkMbit float64 `json:"link-mbit"`
 	// LogLinesPerSecond bounds the log; 0 stands for the default.
 	LogLinesPerSecond int `json:"log-lines-per-s"`
 }
@@ -49,6 +55,22 @@
 	return seconds(s.ShutdownSeconds)
 }
 
+// linkPerCore is the bandwidth in Mbit/s that one core of requests takes.
+const linkPerCore = 100
+
+// Capacity returns the cores for requests, as far as the link can keep up; 0 if
+// it is unknown.
+func (s *Settings) Capacity() float64 {
+	cores := s.CPUShare
+	if s.CPUSpeed > 0 {
+		cores *= s.CPUSpeed
+	}
+	if s.LinkMbit > 0 {
+		cores = min(cores, s.LinkMbit/linkPerCore)
+	}
+	return cores
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
@@ -98,6 +120,9 @@
 	if s.CallerAddress == "" || s.InnerAddress == "" {
 		return fault.New(fault.ConfigInvalid, "keys %q and %q are required", "caller-address", "inner-address")
 	}
+	if s.CPUShare < 0 || s.CPUSpeed < 0 || s.LinkMbit < 0 || s.MemoryMB < 0 {
+		return fault.New(fault.ConfigInvalid, "keys %q, %q, %q and %q must not be negative", "cpu-share", "cpu-speed", "link-mbit", "memory-mb")
+	}
 	if s.ShutdownSeconds <= 0 || s.RetryBudget.Ratio < 0 || s.RetryBudget.SpanSeconds <= 0 || s.RetryBudget.Slack < 0 {
 		return fault.New(fault.ConfigInvalid, "keys %q and %q must be positive", "shutdown-s", "retry-budget")
 	}
--- a/core/node/upkeep.go
+++ b/core/node/upkeep.go
@@ -51,8 +51,8 @@
 	for _, s := range t.Services() {
 		part := retry.PartOf(1, start)
 		part.Slack = 0
-		if group, count := plan.Group(s); n.roster.Carries(now, group, count) {
-			part = retry.PartOf(len(n.roster.Group(now, group, count))+1, start)
+		if group, cores := plan.Group(s); n.roster.Carries(now, group, cores) {
+			part = retry.PartOf(len(n.roster.Group(now, group, cores))+1, start)
 		}
 		n.relay.SetPart(s, part)
 	}
--- a/core/roster/plan.go
+++ b/core/roster/plan.go
@@ -1,56 +1,117 @@
 package roster
 
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 const (
-	// targetsPerCarrier is the number of targets for which one carrier is enough.
+	// slotsPerCore is the number of target slots whose requests one core carries.
 	// Fewer carriers learn faster which targets are sick; more share the load.
-	targetsPerCarrier = 12
-	// minCarriers lets callers go on at once when one daemon of their data centre fails.
-	minCarriers = 2
-	// maxJoint bounds the carriers of a group that carries all services: each
-	// result is told to the whole group.
-	maxJoint = 48
-	// jointGroup is the name of the group that carries all services.
-	jointGroup = "all"
+	slotsPerCore = 250
+	// groupCores is the demand from which the services are split into more groups:
+	// each result is told to the whole group.
+	groupCores = 16
 )
 
-// Plan assigns services to groups of daemons. Callers are sent to daemons by
-// host, and a host may have routes to several services. So the services are
-// carried by one group as long as it stays small, and each by its own otherwise.
+// Demand is what the services of a fleet ask of its daemons.
+type Demand struct {
+	// Slots is the number of target slots of each service.
+	Slots map[string]int
+	// Joined lists services that one host has routes to. Callers are sent to
+	// daemons by host, so such services are carried together.
+	Joined [][]string
+	// DataCentres is the number of data centres with daemons.
+	DataCentres int
+}
+
+// Plan assigns services to groups, each of which is carried by some daemons of
+// every data centre. One more service or target moves few services.
 type Plan struct {
-	dataCentres int
-	targets     map[string]int
-	joint       bool
-	total       int
+	groups map[string]string
+	cores  map[string]float64
 }
 
-// NewPlan returns the plan for services with these numbers of targets.
-func NewPlan(targets map[string]int, dataCentres int) *Plan {
-	p := &Plan{dataCentres: max(dataCentres, 1), targets: targets}
-	for _, n := range targets {
-		p.total += n
+// NewPlan returns the plan for the demand.
+func NewPlan(d Demand) *Plan {
+	p := &Plan{groups: map[string]string{}, cores: map[string]float64{}}
+	total := 0
+	for _, n := range d.Slots {
+		total += n
+	}
+	count := int(math.Ceil(float64(total) / (slotsPerCore * groupCores)))
+	for service, lead := range leads(d) {
+		group := groupOf(lead, max(count, 1))
+		p.groups[service] = group
+		p.cores[group] += float64(d.Slots[service]) / slotsPerCore / float64(max(d.DataCentres, 1))
 	}
-	p.joint = p.perDataCentre(p.total)*p.dataCentres <= maxJoint
 	return p
 }
 
-// Group returns the name of the group that carries the service, and its number
-// of carriers in each data centre.
-func (p *Plan) Group(service string) (name string, carriers int) {
-	if p.joint {
-		service = jointGroup
+// Group returns the name of the group that carries the service, and the cores
+// that it takes in each data centre.
+func (p *Plan) Group(service string) (name string, cores float64) {
+	name, ok := p.groups[service]
+	if !ok {
+		name = groupOf(service, 1)
 	}
-	return service, p.Carriers(service)
+	return name, p.cores[name]
+}
+
+// Cores returns the cores that the group takes in each data centre.
+func (p *Plan) Cores(group string) float64 {
+	return p.cores[group]
 }
 
-// Carriers returns the number of carriers of the group in each data centre.
-func (p *Plan) Carriers(group string) int {
-	if p.joint {
-		return p.perDataCentre(p.total)
+// leads maps each service to the first by name of those that hosts join it with.
+func leads(d Demand) map[string]string {
+	lead := make(map[string]string, len(d.Slots))
+	for s := range d.Slots {
+		lead[s] = s
 	}
-	return p.perDataCentre(p.targets[group])
+	for changed := true; changed; {
+		changed = false
+		for _, joined := range d.Joined {
+			changed = joinLeads(lead, joined) || changed
+		}
+	}
+	return lead
 }
 
-func (p *Plan) perDataCentre(targets int) int {
-	all := (targets + targetsPerCarrier - 1) / targetsPerCarrier
-	return max((all+p.dataCentres-1)/p.dataCentres, minCarriers)
+// joinLeads gives the services their first lead and reports whether one changed.
+func joinLeads(lead map[string]string, joined []string) bool {
+	var all []string
+	for _, s := range joined {
+		if l, ok := lead[s]; ok {
+			all = append(all, l)
+		}
+	}
+	if len(all) == 0 {
+		return false
+	}
+	first := slices.Min(all)
+	changed := false
+	for _, s := range joined {
+		if l, ok := lead[s]; ok && l != first {
+			lead[s] = first
+			changed = true
+		}
+	}
+	return changed
+}
+
+// groupOf chooses one of the groups by rendezvous hashing: one group more takes
+// only its own share of the services from the others.
+func groupOf(service string, count int) string {
+	best, bestRank := "", uint64(0)
+	for i := range count {
+		name := fmt.Sprintf("group-%d", i)
+		if rank := xxhash.Sum64String(name + " " + service); best == "" || rank > bestRank {
+			best, bestRank = name, rank
+		}
+	}
+	return best
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -1,12 +1,9 @@
 package roster
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -28,6 +25,8 @@
 	Callers string `cbor:"4,keyasint"`
 	// Born is the Unix time in milliseconds at which the daemon started.
 	Born int64 `cbor:"5,keyasint"`
+	// Cores is the processor share that the daemon has for requests; 0 if it states none.
+	Cores float64 `cbor:"6,keyasint,omitempty"`
 }
 
 // entry is a member with what was heard of it.
@@ -123,25 +122,6 @@
 	}
 }
 
-// FarCarriers returns the carriers of the group in other data centres that this
-// daemon heard itself, if it is the first carrier of its own data centre and so
-// the one that tells the others there.
-func (r *Roster) FarCarriers(now time.Time, group string, count int) []Member {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	near := r.carriers(now, group, r.self.DataCentre, count)
-	if len(near) == 0 || near[0].VM != r.self.VM {
-		return nil
-	}
-	var out []Member
-	for _, e := range r.entries {
-		if e.DataCentre != r.self.DataCentre && !e.leaving && now.Sub(e.carries[group]) < carryTTL {
-			out = append(out, e.Member)
-		}
-	}
-	return out
-}
-
 // alive reports whether the member counts as serving.
 func (r *Roster) alive(e *entry, now time.Time) bool {
 	if e.leaving {
@@ -183,74 +163,6 @@
 	return append([]string{r.self.DataCentre}, slices.Compact(others)...)
 }
 
-// Carriers returns the daemons of a data centre that carry the group, best first.
-func (r *Roster) Carriers(now time.Time, group, dataCentre string, count int) []Member {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.carriers(now, group, dataCentre, count)
-}
-
-func (r *Roster) carriers(now time.Time, group, dataCentre string, count int) []Member {
-	var out []Member
-	if dataCentre == r.self.DataCentre && r.ready && !r.leaving {
-		out = append(out, r.self)
-	}
-	for _, e := range r.entries {
-		if e.DataCentre == dataCentre && r.alive(e, now) {
-			out = append(out, e.Member)
-		}
-	}
-	slices.SortFunc(out, func(a, b Member) int {
-		return cmp.Compare(rank(group, b.VM), rank(group, a.VM))
-	})
-	return out[:min(count, len(out))]
-}
-
-// rank orders the daemons for a group by rendezvous hashing: the loss of a
-// daemon moves only its own groups.
-func rank(group, vm string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(group)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(vm)
-	return d.Sum64()
-}
-
-// Carries reports whether this daemon is among the carriers of the group.
-func (r *Roster) Carries(now time.Time, group string, count int) bool {
-	for _, m := range r.Carriers(now, group, r.self.DataCentre, count) {
-		if m.VM == r.self.VM {
-			return true
-		}
-	}
-	return false
-}
-
-// Group returns the other daemons that carry the group, in all data centres:
-// those that said so lately, and those that should by rank.
-func (r *Roster) Group(now time.Time, group string, count int) []Member {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	members := map[string]Member{}
-	for _, dc := range r.dataCentres() {
-		for _, m := range r.carriers(now, group, dc, count) {
-			members[m.VM] = m
-		}
-	}
-	for vm, e := range r.entries {
-		if now.Sub(e.carries[group]) < carryTTL && !e.leaving || now.Sub(e.told[group]) < carryTTL {
-			members[vm] = e.Member
-		}
-	}
-	delete(members, r.self.VM)
-	out := make([]Member, 0, len(members))
-	for _, m := range members {
-		out = append(out, m)
-	}
-	return out
-}
-
 // Near returns the other members of the own data centre, heard or not.
 func (r *Roster) Near() []Member {
 	r.mu.Lock()
@@ -295,23 +207,3 @@
 	}
 	return 2*older > len(r.entries)
 }
-
-// Answer returns the addresses that a caller in the data centre should use:
-// those of the carriers there, or in the next data centre that has any.
-func (r *Roster) Answer(now time.Time, group, dataCentre string, count int) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	order := append([]string{dataCentre}, r.dataCentres()...)
-	for _, dc := range order {
-		members := r.carriers(now, group, dc, count)
-		if len(members) == 0 {
-			continue
-		}
-		addresses := make([]string, 0, len(members))
-		for _, m := range members {
-			addresses = append(addresses, m.Callers)
-		}
-		return addresses
-	}
-	return nil
-}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -12,6 +12,7 @@
 	Limits   Limits
 	hosts    map[string][]Route
 	services map[string]Service
+	byHost   [][]string
 	// partial says that a part of the configuration could not be read.
 	partial bool
 }
@@ -34,6 +35,7 @@
 		routes := slices.Clone(h.Routes)
 		slices.SortFunc(routes, longestFirst)
 		t.hosts[strings.ToLower(h.Name)] = routes
+		t.byHost = append(t.byHost, servicesOf(routes))
 	}
 	return t
 }
@@ -76,6 +78,23 @@
 	return names
 }
 
+// ServicesByHost returns the services that the routes of each host lead to.
+func (t *Table) ServicesByHost() [][]string {
+	return t.byHost
+}
+
+// servicesOf returns the services that the routes lead to, in order.
+func servicesOf(routes []Route) []string {
+	var out []string
+	for _, r := range routes {
+		for _, s := range r.Split {
+			out = append(out, s.Service)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // MainService returns the service that most routes of a host send most of
 // their requests to, or an empty name.
 func (t *Table) MainService(host string) string {
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -99,6 +99,17 @@
 	return len(p.members)
 }
 
+// Slots returns the number of requests that all targets work on at once.
+func (p *Pool) Slots() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	slots := 0
+	for _, m := range p.members {
+		slots += m.target.Slots
+	}
+	return slots
+}
+
 // Remove takes a target out at once, for example because another one answered
 // at its address.
 func (p *Pool) Remove(k Key) {
