Hold answers within the daemon's memory, and pass others on as they come

Cause: each answer up to 1 MiB was held whole until its caller had taken it, without regard to their number: 1,000 slow callers of downloads are more than a VM of 184 MB has. A stream was settled as served before its body was read, the transfer of a large body counted as the speed of its target and was hedged, and the response of an attempt that came after the final answer was never freed.

Change: an eighth of the VM's memory may hold answers, as much bodies of requests. Past it an answer is passed on as it comes, at its caller's speed; a break then reaches the caller as a break, and counts against the target. The time of a target ends with the head of its answer, and nothing is hedged after that.

--- a/core/caller/answers.go
+++ b/core/caller/answers.go
@@ -34,6 +34,9 @@
 }
 
 func (w *answers) next(x *exchange, a *Answer) {
+	if a.Done != nil {
+		defer a.Done()
+	}
 	if a.Rest != nil {
 		defer a.Rest.Close()
 	}
--- a/core/caller/message.go
+++ b/core/caller/message.go
@@ -35,6 +35,9 @@
 	Rest io.ReadCloser
 	// Length is the length of the whole body in bytes; below 0 if it is not known.
 	Length int64
+	// Done, if set, frees what the answer holds; it is called once, when the answer
+	// has been written or dropped.
+	Done func()
 }
 
 // Text returns an answer with a short plain text as its body.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -97,21 +97,33 @@
 }
 
 func (n *Node) newRelay() *relay.Relay {
-	return relay.New(n.self.DataCentre, n.platform.Headers,
+	opts := []relay.Option{
 		relay.WithLogger(n.logger),
 		relay.WithStats(n.set),
 		relay.WithBudget(budgetOf(n.settings.Load())),
 		relay.WithEmit(func(e sched.Event) { n.peers.Tell(e) }),
-	)
+	}
+	if m := n.settings.Load().MemoryMB; m > 0 {
+		opts = append(opts, relay.WithAnswerMemory(m<<20/messageShare))
+	}
+	return relay.New(n.self.DataCentre, n.platform.Headers, opts...)
 }
 
+// messageShare divides the VM's memory: one part may hold bodies of requests, and
+// as much answers.
+const messageShare = 8
+
 func budgetOf(s *Settings) relay.Budget {
 	b := s.RetryBudget
 	return relay.Budget{Span: seconds(b.SpanSeconds), Ratio: b.Ratio, Slack: b.Slack}
 }
 
 func (n *Node) newCallers(r *relay.Relay) *caller.Server {
-	return caller.NewServer(r.Handle, r.Limits, caller.WithLogger(n.logger))
+	opts := []caller.Option{caller.WithLogger(n.logger)}
+	if m := n.settings.Load().MemoryMB; m > 0 {
+		opts = append(opts, caller.WithBodyMemory(m<<20/messageShare))
+	}
+	return caller.NewServer(r.Handle, r.Limits, opts...)
 }
 
 func (n *Node) newConn() (*net.UDPConn, error) {
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -1,11 +1,11 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,10 +16,6 @@
 	"wisteriarelay.example/core/sched"
 )
 
-// wholeLimit is the size up to which a response is read whole before the
-// caller sees its first byte, so that a cut one can be replaced.
-const wholeLimit = 1 << 20
-
 // attempt is one request to one target.
 type attempt struct {
 	exchange *exchange
@@ -30,6 +26,9 @@
 	grant    *sched.Grant
 	started  time.Time
 	sentAt   time.Time
+	// headAt is when the head of the response came, in nanoseconds since sentAt;
+	// 0 before.
+	headAt atomic.Int64
 }
 
 // result is what an attempt yielded.
@@ -47,33 +46,38 @@
 	took     time.Duration
 }
 
-// response is a whole response of a target, or the start of a long one.
-type response struct {
-	status int
-	header http.Header
-	body   []byte
-	rest   io.ReadCloser
-	length int64
-}
-
 // run acquires a target, sends the request and reports the result.
 func (t *attempt) run() {
 	grant, err := t.exchange.pool.Acquire(t.ctx, t.ask)
 	if err != nil {
-		t.results <- &result{attempt: t, notRun: true, kind: fault.From(err).Kind, err: err}
+		t.exchange.deliver(&result{attempt: t, notRun: true, kind: fault.From(err).Kind, err: err})
 		return
 	}
 	t.grant = grant
-	t.exchange.granted <- t
 	t.sentAt = time.Now()
+	t.exchange.granted <- t
 	t.exchange.relay.noteWait(t)
 	r := t.send()
 	r.took = time.Since(t.sentAt)
 	if r.response == nil || r.response.rest == nil {
-		t.cancel()
+		t.end(r.verdict)
+	}
+	t.exchange.deliver(r)
+}
+
+// end frees the attempt's target when nothing more is read from it.
+func (t *attempt) end(verdict judge.Result) {
+	t.cancel()
+	t.grant.Settle(verdict, t.latency())
+}
+
+// latency returns the time until the head of the response, or until now if none
+// came: the transfer of a large body says nothing about the speed of the target.
+func (t *attempt) latency() time.Duration {
+	if head := t.headAt.Load(); head > 0 {
+		return time.Duration(head)
 	}
-	grant.Settle(r.verdict, r.took)
-	t.results <- r
+	return time.Since(t.sentAt)
 }
 
 func (t *attempt) send() *result {
@@ -83,6 +87,7 @@
 	if err != nil {
 		return t.failure(err)
 	}
+	t.headAt.Store(max(int64(time.Since(t.sentAt)), 1))
 	return t.classify(resp)
 }
 
@@ -131,6 +136,10 @@
 	return r
 }
 
+// refusalLimit bounds the body of a refusal in bytes; the connection of a target
+// that sends more is closed.
+const refusalLimit = 64 << 10
+
 // classify checks a response and reads it.
 func (t *attempt) classify(resp *link.Response) *result {
 	names := &t.exchange.relay.headers
@@ -141,7 +150,7 @@
 	}
 	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(names.NotRun) != "" {
 		// The body is read so that the connection can be kept.
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, wholeLimit))
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, refusalLimit))
 		_ = resp.Body.Close()
 		return t.refused(errors.Newf("target refused with status %d", resp.StatusCode), judge.Shed)
 	}
@@ -156,39 +165,6 @@
 	return &result{attempt: t, verdict: verdict, notRun: true, kind: fault.TargetShed, err: err}
 }
 
-// read reads the response whole, or the first part of a long one.
-func (t *attempt) read(resp *link.Response) (*response, error) {
-	var b bytes.Buffer
-	if resp.ContentLength > 0 {
-		b.Grow(int(min(resp.ContentLength, wholeLimit)) + bytes.MinRead)
-	}
-	n, err := b.ReadFrom(io.LimitReader(resp.Body, wholeLimit))
-	if err != nil {
-		_ = resp.Body.Close()
-		return nil, err
-	}
-	out := &response{status: resp.StatusCode, header: resp.Header, body: b.Bytes(), length: n}
-	if n < wholeLimit {
-		_ = resp.Body.Close()
-		return out, nil
-	}
-	out.length = resp.ContentLength
-	out.rest = &cancelling{ReadCloser: resp.Body, cancel: t.cancel}
-	return out, nil
-}
-
-// cancelling frees the attempt's context when the body is closed.
-type cancelling struct {
-	io.ReadCloser
-	cancel context.CancelFunc
-}
-
-// Close closes the body.
-func (c *cancelling) Close() error {
-	defer c.cancel()
-	return c.ReadCloser.Close()
-}
-
 // judge decides what a whole response says about its target.
 func (t *attempt) judge(resp *response) *result {
 	names := &t.exchange.relay.headers
@@ -211,13 +187,11 @@
 }
 
 func (t *attempt) unusable(resp *response, why string) *result {
-	if resp.rest != nil {
-		_ = resp.rest.Close()
-	}
 	verdict := judge.Broken
 	if promisesNotRun(resp.status) {
 		verdict = judge.Failed
 	}
+	resp.discard(verdict)
 	return &result{attempt: t, verdict: verdict, kind: fault.TargetProtocol, err: errors.Newf("status %d: %s", resp.status, why)}
 }
 
--- a/core/relay/exchange.go
+++ b/core/relay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"wisteriarelay.example/core/caller"
@@ -32,6 +33,9 @@
 
 	results chan *result
 	granted chan *attempt
+	// over says that no further result is awaited.
+	mu   sync.Mutex
+	over bool
 	// running are the attempts without a result; sent those that have a target.
 	running map[*attempt]bool
 	sent    map[*attempt]bool
@@ -51,7 +55,7 @@
 
 // run tries targets until one response stands or nothing more is allowed.
 func (x *exchange) run(ctx context.Context) *caller.Answer {
-	defer x.cancelRunning()
+	defer x.finish()
 	limit := time.NewTimer(time.Until(x.deadline) + answerSlack)
 	defer limit.Stop()
 	patience := time.NewTimer(x.pool.SlowAfter())
@@ -75,6 +79,7 @@
 			}
 		case <-gone:
 			if x.route.Idempotent() || len(x.sent) == 0 {
+				x.drop()
 				return x.fail(fault.CallerGone, "caller left")
 			}
 			x.left = true
@@ -122,6 +127,33 @@
 	return x.request.Received.Add(x.route.Objective)
 }
 
+// deliver hands over the result of an attempt. A response that comes after the
+// final answer is dropped.
+func (x *exchange) deliver(r *result) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.over {
+		x.results <- r
+		return
+	}
+	if r.response != nil {
+		r.response.discard(judge.Served)
+	}
+}
+
+// finish ends what runs beside the final answer.
+func (x *exchange) finish() {
+	x.cancelRunning()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.over = true
+	for len(x.results) > 0 {
+		if r := <-x.results; r.response != nil {
+			r.response.discard(judge.Served)
+		}
+	}
+}
+
 // cancelRunning ends the attempts whose results are not awaited any more. A
 // non-idempotent request that a target may be working on is left to end.
 func (x *exchange) cancelRunning() {
@@ -142,9 +174,11 @@
 	x.mayHaveRun = x.mayHaveRun || !r.notRun
 	x.relay.note(x, r)
 	if r.response != nil && r.verdict == judge.Served {
+		x.drop()
 		return x.pass(r.response)
 	}
 	if x.tellsMore(r) {
+		x.drop()
 		x.last = r
 	}
 	if x.mayRetry(r) {
@@ -157,6 +191,14 @@
 	return x.conclude()
 }
 
+// drop frees the response that would have been passed on for want of a better one.
+func (x *exchange) drop() {
+	if x.last != nil && x.last.response != nil {
+		x.last.response.discard(judge.Nothing)
+		x.last = nil
+	}
+}
+
 // tellsMore reports whether the result is a better answer than the last one: a
 // response of a target comes before a failure, and that before the lack of a target.
 func (x *exchange) tellsMore(r *result) bool {
@@ -215,9 +257,11 @@
 	if x.slow {
 		result = judge.Overdue
 	}
-	lost := x.slow
+	lost := x.slow && !x.answering()
 	for t := range x.sent {
-		lost = t.grant.Report(result) || lost
+		if t.headAt.Load() == 0 {
+			lost = t.grant.Report(result) || lost
+		}
 	}
 	if lost {
 		x.hedge()
@@ -229,6 +273,16 @@
 	return max(overdueFactor*x.pool.ServiceTime()-x.pool.SlowAfter(), time.Millisecond)
 }
 
+// answering reports whether the response of an attempt is being read.
+func (x *exchange) answering() bool {
+	for t := range x.sent {
+		if t.headAt.Load() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // hedge sends an idempotent request to a second target as well.
 func (x *exchange) hedge() {
 	if x.route.Idempotent() && len(x.sent) > 0 && len(x.running) == len(x.sent) && x.mayStart() {
@@ -269,9 +323,11 @@
 		delete(x.running, r.attempt)
 		x.mayHaveRun = x.mayHaveRun || !r.notRun
 		if r.response != nil {
+			x.drop()
 			return x.pass(r.response)
 		}
 	}
+	x.drop()
 	if x.mayHaveRun {
 		return x.fail(fault.TargetTimeout, "no answer until the deadline")
 	}
@@ -283,7 +339,12 @@
 	h := forwardable(r.header)
 	x.relay.sizes.add(x.route.Name, int64(len(x.request.Body))+max(r.length, int64(len(r.body))))
 	x.relay.logAnswer(x, r.status, "")
-	return &caller.Answer{Status: r.status, Header: h, Body: r.body, Rest: r.rest, Length: r.length}
+	a := &caller.Answer{Status: r.status, Header: h, Body: r.body, Length: r.length}
+	if r.rest != nil {
+		a.Rest = r.rest
+	}
+	a.Done = func() { r.memory.give(r.held) }
+	return a
 }
 
 // fail returns an answer of the relay's own.
--- a/core/relay/pools.go
+++ b/core/relay/pools.go
@@ -25,6 +25,7 @@
 type pools struct {
 	mu   sync.Mutex
 	each map[string]*link.Pool
+	opts []link.Option
 }
 
 // poolKey tells apart the incarnations of a target and the targets of an address.
@@ -42,10 +43,11 @@
 	if p.each == nil {
 		p.each = map[string]*link.Pool{}
 	}
-	pool := link.NewPool(t.Address,
+	pool := link.NewPool(t.Address, append([]link.Option{
 		link.WithDialTimeout(dialTimeout),
 		link.WithMaxIdle(maxIdleConns),
-		link.WithIdleTimeout(idleTimeout))
+		link.WithIdleTimeout(idleTimeout),
+	}, p.opts...)...)
 	p.each[key] = pool
 	return pool
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"wisteriarelay.example/core/caller"
 	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/link"
 	"wisteriarelay.example/core/retry"
 	"wisteriarelay.example/core/route"
 	"wisteriarelay.example/core/sched"
@@ -44,6 +45,7 @@
 	table      atomic.Pointer[route.Table]
 	pools      pools
 	sizes      sizes
+	memory     memory
 
 	mu       sync.Mutex
 	services atomic.Pointer[map[string]*service]
@@ -72,6 +74,17 @@
 	return func(r *Relay) { r.emit = emit }
 }
 
+// WithLinkOptions adds options to the pools of connections to targets.
+func WithLinkOptions(opts ...link.Option) Option {
+	return func(r *Relay) { r.pools.opts = opts }
+}
+
+// WithAnswerMemory bounds the bytes of answers that are held until their callers
+// have taken them.
+func WithAnswerMemory(bytes int64) Option {
+	return func(r *Relay) { r.memory.left.Store(bytes) }
+}
+
 // defaultBudget is used where the settings state none.
 var defaultBudget = Budget{Span: 10 * time.Second, Ratio: 0.2, Slack: 20}
 
@@ -86,6 +99,7 @@
 		emit:       func(sched.Event) {},
 	}
 	r.services.Store(&map[string]*service{})
+	r.memory.left.Store(defaultAnswerMemory)
 	for _, o := range opts {
 		o(r)
 	}
