Keep an idle connection a second longer than callers may stay idle

Ruled out: a write error and a drain; the daemon answered others throughout.

Test: TestRequestThatCrossesTheIdleLimitIsAnswered fails without the grace.

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -25,6 +25,9 @@
 	// writeTimeout is the longest wait for a caller to take its answer.
 	writeTimeout = 10 * time.Second
 	bufferBytes  = 4 << 10
+	// idleGrace is how much longer than the limit an idle connection is kept: a
+	// request that was sent within the limit may still be on its way.
+	idleGrace = time.Second
 	// maxDropped bounds the bytes that are read behind the last request of a
 	// connection; a caller that sends more counts as gone.
 	maxDropped = 1 << 20
@@ -164,7 +167,7 @@
 // only while no request of the connection is without its answer.
 func (c *conn) awaitRequest(idle time.Duration) bool {
 	for {
-		_ = c.net.SetReadDeadline(time.Now().Add(idle))
+		_ = c.net.SetReadDeadline(time.Now().Add(idle + idleGrace))
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			return true
