Let two daemons of a data centre wait for configurations and pass them on

Each daemon held a waiting call for the configuration, so that each change, each cut of the feed and each outage cost two calls a daemon; after an outage each daemon read the configuration as well.

Change: the first two daemons of a data centre, and any that has just read the target list itself because those are cut from the store, wait for configurations.

--- a/core/gossip/node.go
+++ b/core/gossip/node.go
@@ -41,6 +41,8 @@
 	List  func(p watch.Part)
 	// Group is told who carries a group in other data centres.
 	Group func(g Group)
+	// Config is told a configuration that a peer has read.
+	Config func(d Document)
 	// Beliefs is told what a peer believes of the targets of a service.
 	Beliefs func(service string, targets []sched.TargetBelief)
 }
--- a/core/gossip/receiver.go
+++ b/core/gossip/receiver.go
@@ -12,6 +12,7 @@
 type receiver struct {
 	*Node
 	groups *groups
+	config joiner
 }
 
 // run ends when the connection is closed.
@@ -48,6 +49,20 @@
 	if report.List != nil {
 		r.handlers.List(*report.List)
 	}
+	if report.Piece != nil {
+		r.takePiece(report)
+	}
+}
+
+func (r *receiver) takePiece(report *Report) {
+	d, err := r.config.add(report.Piece)
+	if err != nil {
+		_ = r.logger.Log("msg", "piece of a configuration dropped", "peer", report.VM, "err", err)
+		return
+	}
+	if d != nil {
+		r.handlers.Config(*d)
+	}
 }
 
 // takeEvents takes in the events that are new and passes them on if asked to.
--- a/core/node/config.go
+++ b/core/node/config.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/gossip"
 	"wisteriarelay.example/core/route"
 )
 
@@ -35,9 +36,15 @@
 	position := int64(0)
 	wait := configRetry
 	for ctx.Err() == nil {
+		if f.relay.Table() != nil && !f.readsForOthers() {
+			position = 0
+			if !f.awaitReason(ctx) {
+				continue
+			}
+		}
 		read, err := f.read(ctx, position)
 		if err == nil {
-			f.apply(read)
+			f.take(read)
 			if position != 0 && (read.Config != nil || read.Problem != nil) {
 				pause(ctx, configPace)
 			}
@@ -56,6 +63,71 @@
 	}
 }
 
+// take puts a configuration that was read from the store in force, and passes it
+// on if this daemon reads for its data centre.
+func (f *configFollower) take(read ConfigRead) {
+	newer := f.apply(read)
+	if newer && f.readsForOthers() {
+		f.peers.TellConfig(gossip.Document{Version: int64(read.Config.Version), Data: read.Raw}, f.roster.Near())
+	}
+}
+
+// awaitReason waits until the daemon has to read the configuration itself: a peer
+// has a newer one and did not pass it on, or there is a reason to doubt what is in
+// force. It returns false once the daemon reads for its data centre.
+func (f *configFollower) awaitReason(ctx context.Context) bool {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	w := &configWatch{f.Node}
+	go w.loop(ctx, cancel)
+	tick := time.NewTicker(behindCheck)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.Is(context.Cause(ctx), errAskAgain)
+		case <-tick.C:
+			if f.readsForOthers() {
+				return false
+			}
+		}
+	}
+}
+
+const (
+	// configReaders is the number of daemons of a data centre that wait for
+	// configurations at the store for the others.
+	configReaders = 2
+	// readerSettle is the time after a start in which peers are not known yet, and
+	// every daemon would take itself for a reader.
+	readerSettle = time.Second
+	// readerMemory is how long a daemon that has read the target list itself counts
+	// among them: those that should read may be cut from the store.
+	readerMemory = 2 * time.Second
+)
+
+// readsForOthers reports whether this daemon waits for configurations at the store.
+// Load pattern: hundreds of daemons, each of which would call the store at each
+// change.
+func (n *Node) readsForOthers() bool {
+	now := time.Now()
+	if now.Sub(n.startedAt) < readerSettle {
+		return false
+	}
+	lately := n.listReadAt.Load()
+	return n.roster.Rank(now) < configReaders || lately != nil && now.Sub(*lately) < readerMemory
+}
+
+// configHeard takes in a configuration that a peer has read.
+func (n *Node) configHeard(d gossip.Document) {
+	if t := n.relay.Table(); t != nil && d.Version <= int64(t.Version) {
+		return
+	}
+	config, err := n.platform.DecodeConfig(d.Data)
+	f := &configFollower{n}
+	f.apply(ConfigRead{Config: config, Problem: err})
+}
+
 // errAskAgain ends a waiting call whose connection may have gone silent.
 var errAskAgain = errors.New("the configuration has to be read at once")
 
@@ -111,23 +183,26 @@
 	}
 }
 
-// apply puts a configuration in force unless it is older than the one in force.
-func (f *configFollower) apply(read ConfigRead) {
+// apply puts a configuration in force unless it is older than the one in force,
+// and reports whether it did.
+func (f *configFollower) apply(read ConfigRead) bool {
+	f.configMu.Lock()
+	defer f.configMu.Unlock()
 	if read.Problem != nil {
 		_ = f.logger.Log("msg", "configuration refused", "err", read.Problem, "position", read.Position)
-		return
+		return false
 	}
 	if read.Config == nil {
-		return
+		return false
 	}
 	problems, err := read.Config.Validate()
 	if err != nil {
 		_ = f.logger.Log("msg", "configuration refused", "version", read.Config.Version, "err", err)
-		return
+		return false
 	}
 	if old := f.relay.Table(); old != nil && read.Config.Version <= old.Version {
 		_ = f.logger.Log("msg", "configuration is not newer", "version", read.Config.Version, "in-force", old.Version)
-		return
+		return false
 	}
 	f.relay.SetTable(route.Compile(read.Config))
 	f.relay.SetTargets(f.list.Targets())
@@ -136,7 +211,8 @@
 	for _, p := range problems {
 		_ = f.logger.Log("msg", "part of the configuration cannot be used", "version", read.Config.Version, "err", p)
 	}
-	_ = f.logger.Log("msg", "configuration in force", "version", read.Config.Version, "position", read.Position)
+	_ = f.logger.Log("msg", "configuration in force", "version", read.Config.Version, "position", read.Position, "from-peer", read.Raw == nil)
+	return true
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/core/node/list.go
+++ b/core/node/list.go
@@ -42,6 +42,8 @@
 	}
 	f.whole = false
 	f.schedule.Succeeded()
+	now := time.Now()
+	f.listReadAt.Store(&now)
 	for _, p := range problems {
 		_ = f.logger.Log("msg", "target entry ignored", "err", p)
 	}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,8 +39,12 @@
 
 	startedAt time.Time
 	leaving   atomic.Bool
+	// listReadAt is when the daemon last read the target list from the store itself.
+	listReadAt atomic.Pointer[time.Time]
 	// listed says that the target list was read once.
 	listed atomic.Bool
+	// configMu lets one configuration at a time come into force.
+	configMu sync.Mutex
 	// newest is the highest configuration version that a peer has in force.
 	newest atomic.Int64
 	// askNow ends a call that waits for a configuration.
@@ -136,7 +141,7 @@
 
 func (n *Node) newPeers(conn *net.UDPConn) *gossip.Node {
 	sources := gossip.Sources{State: n.report, Near: func() []roster.Member { return n.roster.Near() }, Group: n.group, Peers: n.carryingPeers, Groups: n.farGroups}
-	handlers := gossip.Handlers{Heard: n.heard, Event: n.event, List: n.listHeard, Group: n.told, Beliefs: n.beliefs}
+	handlers := gossip.Handlers{Heard: n.heard, Event: n.event, List: n.listHeard, Group: n.told, Config: n.configHeard, Beliefs: n.beliefs}
 	return gossip.NewNode(n.self, conn, sources, handlers, n.logger)
 }
 
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -155,7 +155,9 @@
 	}
 	if out.Returned {
 		_ = n.logger.Log("msg", "store can be read again", "list-version", d.Version)
-		n.askConfig()
+		if n.readsForOthers() {
+			n.askConfig()
+		}
 	}
 	first := !n.listed.Load()
 	if first || len(out.Changes) > 0 {
--- a/core/node/platform.go
+++ b/core/node/platform.go
@@ -15,6 +15,8 @@
 type ConfigRead struct {
 	// Config is nil if there is no new configuration, or none that can be used.
 	Config *route.Config
+	// Raw is the configuration as it lies in the store, for peers.
+	Raw []byte
 	// Problem says why a configuration cannot be used.
 	Problem error
 	// Position is the version of the store up to which the read reaches.
@@ -28,6 +30,8 @@
 	Headers     relay.Headers
 	ReadConfig  func(ctx context.Context) (ConfigRead, error)
 	AwaitConfig func(ctx context.Context, after int64, wait time.Duration) (ConfigRead, error)
+	// DecodeConfig decodes a configuration that a peer has read.
+	DecodeConfig func(raw []byte) (*route.Config, error)
 	// ReadTargets reads the whole target list, PollTargets its changes. Both
 	// return the problems of single entries as well.
 	ReadTargets func(ctx context.Context) (watch.Delta, []error, error)
--- a/core/sched/floor.go
+++ b/core/sched/floor.go
@@ -4,7 +4,7 @@
 
 const (
 	// floorSpan is the time in which each target of the floor gets a request.
-	floorSpan = 1500 * time.Millisecond
+	floorSpan = 1300 * time.Millisecond
 	// turnSpan bounds the random delay by which the daemons of a service take
 	// turns, so that only one of them sends a request to a target for the floor.
 	// Daemons of other data centres take theirs behind those of the target's own.
