Hear only carriers, readers and those that come next in each heartbeat

Cause: each daemon sent a heartbeat to all of its data centre every 0.2 s, so that they grew with its square: 290 datagrams a second each way for each of 59 daemons, 690 at the planned 138, at 0.16 of a core.

Change: carriers, readers of the store and four daemons behind each beat to everybody every 0.2 s; the others beat every second to those only. A daemon that hears none of them counts itself among them and makes itself known, so that no agreement is needed. The store is read by the first in the order of carrying.

--- a/core/gossip/node.go
+++ b/core/gossip/node.go
@@ -16,8 +16,12 @@
 )
 
 const (
-	// beatInterval is the time between two heartbeats to the own data centre.
+	// beatInterval is the time between two heartbeats of a watched daemon to its
+	// data centre.
 	beatInterval = 200 * time.Millisecond
+	// quietBeats is the number of heartbeats of which a daemon that is not watched
+	// sends one, to those that are.
+	quietBeats = 5
 	// farBeats is the number of heartbeats after which the carriers in other data
 	// centres get one too; traffic between data centres is paid for.
 	farBeats = 5
@@ -51,8 +55,11 @@
 type Sources struct {
 	// State returns the daemon's own part of a report.
 	State func() Report
-	// Near returns the daemons that get each heartbeat.
+	// Near returns the daemons of the own data centre.
 	Near func() []roster.Member
+	// Watched returns those that all of them have to hear often, and whether this
+	// daemon is one of them.
+	Watched func() (members []roster.Member, self bool)
 	// Group returns the daemons that get the events of a service.
 	Group func(service string) []roster.Member
 	// Peers returns the daemons that carry what this daemon carries.
@@ -164,18 +171,21 @@
 	}
 }
 
-// Beat sends a heartbeat at once, for example when the daemon starts or leaves.
-func (n *Node) Beat(far bool) {
+// Beat sends a heartbeat to everybody at once, for example when the daemon starts
+// or leaves.
+func (n *Node) Beat() {
 	report := n.sources.State()
 	n.sendAll(&report, n.sources.Near())
-	if !far {
-		return
-	}
+	n.beatFar(&report)
+}
+
+// beatFar sends a heartbeat to the carriers in other data centres.
+func (n *Node) beatFar(report *Report) {
 	told := map[string]bool{}
 	for _, m := range n.sources.Peers() {
 		if m.DataCentre != report.DataCentre && !told[m.VM] {
 			told[m.VM] = true
-			n.sendAll(&report, []roster.Member{m})
+			n.sendAll(report, []roster.Member{m})
 		}
 	}
 }
@@ -207,9 +217,8 @@
 	tick := time.NewTicker(beatInterval)
 	defer tick.Stop()
 	for count := 0; ; count++ {
-		far := count%farBeats == 0
-		b.Beat(far)
-		if far {
+		b.beat(count)
+		if count%farBeats == 0 {
 			b.tellGroups()
 		}
 		select {
@@ -220,6 +229,24 @@
 	}
 }
 
+// beat sends the heartbeats that are due.
+func (b *beats) beat(count int) {
+	watched, self := b.sources.Watched()
+	if !self && count%quietBeats != 0 {
+		return
+	}
+	report := b.sources.State()
+	if self {
+		b.sendAll(&report, b.sources.Near())
+	} else {
+		report.Quiet = true
+		b.sendAll(&report, watched)
+	}
+	if count%farBeats == 0 {
+		b.beatFar(&report)
+	}
+}
+
 // maxGroup bounds the members of one report, so that it fits in a datagram.
 const maxGroup = 12
 
--- a/core/gossip/report.go
+++ b/core/gossip/report.go
@@ -35,6 +35,8 @@
 	Forward bool `cbor:"13,keyasint,omitempty"`
 	// Config is the version of the configuration that the sender has in force.
 	Config int64 `cbor:"10,keyasint,omitempty"`
+	// Quiet says that the sender beats less often, because it is not watched.
+	Quiet bool `cbor:"16,keyasint,omitempty"`
 	// Piece is a part of the operators' configuration.
 	Piece *Piece `cbor:"15,keyasint,omitempty"`
 	// Cores is the capacity of the sender, as in roster.Member.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -140,7 +140,7 @@
 }
 
 func (n *Node) newPeers(conn *net.UDPConn) *gossip.Node {
-	sources := gossip.Sources{State: n.report, Near: func() []roster.Member { return n.roster.Near() }, Group: n.group, Peers: n.carryingPeers, Groups: n.farGroups}
+	sources := gossip.Sources{State: n.report, Near: func() []roster.Member { return n.roster.Near() }, Watched: n.watched, Group: n.group, Peers: n.carryingPeers, Groups: n.farGroups}
 	handlers := gossip.Handlers{Heard: n.heard, Event: n.event, List: n.listHeard, Group: n.told, Config: n.configHeard, Beliefs: n.beliefs}
 	return gossip.NewNode(n.self, conn, sources, handlers, n.logger)
 }
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -61,6 +61,25 @@
 	return roster.NewPlan(demand)
 }
 
+// watched returns the daemons that the own data centre has to hear often, without
+// this one, and whether this one is among them.
+func (n *Node) watched() (members []roster.Member, self bool) {
+	plan := n.plan()
+	groups := map[string]float64{}
+	for _, s := range n.services() {
+		name, cores := plan.Group(s)
+		groups[name] = cores
+	}
+	for _, m := range n.roster.Watched(time.Now(), groups) {
+		if m.VM == n.self.VM {
+			self = true
+			continue
+		}
+		members = append(members, m)
+	}
+	return members, self || n.leaving.Load() || !n.Ready()
+}
+
 func (n *Node) services() []string {
 	if t := n.relay.Table(); t != nil {
 		return t.Services()
@@ -107,7 +126,8 @@
 }
 
 func (n *Node) heard(m roster.Member, r *gossip.Report) bool {
-	begun, ok := n.roster.Heard(time.Now(), m, r.Ready, r.Leaving, r.Carries)
+	standing := roster.Standing{Ready: r.Ready, Leaving: r.Leaving, Quiet: r.Quiet}
+	begun, ok := n.roster.Heard(time.Now(), m, standing, r.Carries)
 	if !ok {
 		return false
 	}
--- a/core/node/readers_test.go
+++ b/core/node/readers_test.go
@@ -51,14 +51,22 @@
 	return &route.Config{Version: v}, err
 }
 
-// newFollower returns a daemon named VM whose data centre has other members.
-func newFollower(g *WithT, vm string, o *operators) *Node {
-	settings := &Settings{VM: vm, DataCentre: "a", InnerAddress: "127.0.0.1:0", ShutdownSeconds: 1, RetryBudget: RetryBudget{SpanSeconds: 1}}
+// newFollower returns a daemon with its share of a core. Its target list counts as
+// read, so that a configuration makes it ready.
+func newFollower(g *WithT, share float64, o *operators) *Node {
+	settings := &Settings{VM: "vm", CPUShare: share, DataCentre: "a", InnerAddress: "127.0.0.1:0", ShutdownSeconds: 1, RetryBudget: RetryBudget{SpanSeconds: 1}}
 	n, err := New(settings, &Platform{ReadConfig: o.read, AwaitConfig: o.await, DecodeConfig: decodeVersion})
 	g.Expect(err).NotTo(HaveOccurred())
+	n.listed.Store(true)
 	return n
 }
 
+// The shares of a core that put a daemon before and behind the others.
+const (
+	strong = 0.8
+	weak   = 0.1
+)
+
 // hearing lets a daemon hear the others of its data centre.
 type hearing struct {
 	node *Node
@@ -79,12 +87,12 @@
 // Load pattern: hundreds of daemons while operators change the configuration.
 // Guards against a call to the store for each change and daemon.
 func TestOnlyReadersWaitForConfigurations(t *testing.T) {
-	for vm, reads := range map[string]bool{"vm-0a": true, "vm-9": false} {
-		t.Run(vm, func(t *testing.T) {
+	for share, reads := range map[float64]bool{strong: true, weak: false} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				o := &operators{begin: time.Now()}
-				n := newFollower(g, vm, o)
+				n := newFollower(g, share, o)
 				defer n.conn.Close()
 				ctx, cancel := context.WithCancel(t.Context())
 				h := &hearing{node: n, config: func() int64 { return 0 }}
@@ -118,7 +126,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		o := &operators{begin: time.Now()}
-		n := newFollower(g, "vm-9", o)
+		n := newFollower(g, weak, o)
 		defer n.conn.Close()
 		ctx, cancel := context.WithCancel(t.Context())
 		h := &hearing{node: n, config: o.newest}
@@ -138,7 +146,7 @@
 // cannot be read, and replaces it.
 func TestWorseConfigurationOfAPeerChangesNothing(t *testing.T) {
 	g := NewWithT(t)
-	n := newFollower(g, "vm-9", &operators{begin: time.Now()})
+	n := newFollower(g, weak, &operators{begin: time.Now()})
 	defer n.conn.Close()
 	n.configHeard(gossip.Document{Version: 5, Data: []byte("5")})
 	n.configHeard(gossip.Document{Version: 4, Data: []byte("4")})
--- a/core/node/shutdown.go
+++ b/core/node/shutdown.go
@@ -11,7 +11,7 @@
 	n.leaving.Store(true)
 	n.roster.SetSelf(false, true)
 	_ = n.logger.Log("msg", "leaving", "busy", n.callers.Busy(), "connections", n.callers.Connections())
-	n.peers.Beat(true)
+	n.peers.Beat()
 	n.callers.Drain()
 	d := &departure{node: n, began: began}
 	d.wait(ctx)
--- a/core/node/upkeep.go
+++ b/core/node/upkeep.go
@@ -95,7 +95,7 @@
 	for _, m := range members {
 		r.roster.Add(m)
 	}
-	r.peers.Beat(true)
+	r.peers.Beat()
 	return true
 }
 
--- a/core/roster/carriers.go
+++ b/core/roster/carriers.go
@@ -27,6 +27,23 @@
 }
 
 func (r *Roster) carriers(now time.Time, group, dataCentre string, cores float64) []Member {
+	all := r.ordered(now, group, dataCentre)
+	return all[:carrierCount(all, cores)]
+}
+
+// carrierCount returns how many of the ordered members carry a group.
+func carrierCount(ordered []Member, cores float64) int {
+	for i, m := range ordered {
+		if n := i + 1; n >= minCarriers && float64(n)*m.capacity() >= cores {
+			return n
+		}
+	}
+	return len(ordered)
+}
+
+// ordered returns the living members of a data centre in the order in which they
+// carry the group.
+func (r *Roster) ordered(now time.Time, group, dataCentre string) []Member {
 	all := r.living(now, dataCentre)
 	slices.SortFunc(all, func(a, b Member) int {
 		if byCores := cmp.Compare(b.capacity(), a.capacity()); byCores != 0 {
@@ -34,11 +51,6 @@
 		}
 		return cmp.Compare(rank(group, b.VM), rank(group, a.VM))
 	})
-	for i, m := range all {
-		if n := i + 1; n >= minCarriers && float64(n)*m.capacity() >= cores {
-			return all[:n]
-		}
-	}
 	return all
 }
 
--- a/core/roster/plan_test.go
+++ b/core/roster/plan_test.go
@@ -21,7 +21,7 @@
 	r := roster.New(member("b", 0))
 	for _, m := range members {
 		r.Add(m)
-		r.Heard(begin, m, true, false, nil)
+		r.Heard(begin, m, roster.Standing{Ready: true}, nil)
 	}
 	return r
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -10,6 +10,8 @@
 	// nearTTL is how long a daemon of the own data centre counts as alive after
 	// it was heard; several heartbeats may be lost in it.
 	nearTTL = 900 * time.Millisecond
+	// quietTTL is the same for daemons that are not watched and beat less often.
+	quietTTL = 4500 * time.Millisecond
 	// farTTL is the same for daemons of other data centres, which are heard less often.
 	farTTL = 3500 * time.Millisecond
 	// carryTTL is how long a daemon counts as a carrier after it said so.
@@ -29,12 +31,22 @@
 	Cores float64 `cbor:"6,keyasint,omitempty"`
 }
 
+// Standing is what a daemon says of itself beside its place.
+type Standing struct {
+	Ready   bool
+	Leaving bool
+	// Quiet says that it beats less often, because it is not watched.
+	Quiet bool
+}
+
 // entry is a member with what was heard of it.
 type entry struct {
 	Member
 	heard   time.Time
 	ready   bool
 	leaving bool
+	// quiet says that the member beats less often.
+	quiet   bool
 	carries map[string]time.Time
 	// askedAt is when this daemon first counted on the member without having heard it.
 	askedAt time.Time
@@ -78,7 +90,7 @@
 
 // Heard notes a message of a member and returns the groups that it has begun
 // to carry. ok is false if the message comes from an earlier run of the daemon.
-func (r *Roster) Heard(now time.Time, m Member, ready, leaving bool, carries []string) (begun []string, ok bool) {
+func (r *Roster) Heard(now time.Time, m Member, s Standing, carries []string) (begun []string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[m.VM]
@@ -91,7 +103,7 @@
 	}
 	e.Member = m
 	e.heard = now
-	e.ready, e.leaving = ready, leaving
+	e.ready, e.leaving, e.quiet = s.Ready, s.Leaving, s.Quiet
 	for _, s := range carries {
 		if now.Sub(e.carries[s]) >= carryTTL {
 			begun = append(begun, s)
@@ -128,11 +140,19 @@
 		return false
 	}
 	if e.DataCentre == r.self.DataCentre {
-		return e.ready && now.Sub(e.heard) < nearTTL
+		return e.ready && now.Sub(e.heard) < e.ttl()
 	}
 	return r.farAlive(e, now)
 }
 
+// ttl returns how long a member of the own data centre counts as alive.
+func (e *entry) ttl() time.Duration {
+	if e.quiet {
+		return quietTTL
+	}
+	return nearTTL
+}
+
 // farAlive gives a daemon of another data centre that was never heard the
 // benefit of the doubt for a while.
 func (r *Roster) farAlive(e *entry, now time.Time) bool {
@@ -176,20 +196,6 @@
 	return out
 }
 
-// Rank returns the position of this daemon among those alive in its data
-// centre; the first reads the store for the others.
-func (r *Roster) Rank(now time.Time) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	position := 0
-	for _, e := range r.entries {
-		if e.DataCentre == r.self.DataCentre && r.alive(e, now) && e.VM < r.self.VM {
-			position++
-		}
-	}
-	return position
-}
-
 // ageMargin is the difference of two start times from which a daemon counts as
 // older; it covers clocks that differ.
 const ageMargin = 5 * time.Second
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -27,7 +27,7 @@
 	r := roster.New(member("a", 0))
 	r.SetSelf(true, false)
 	for i := 1; i < 10; i++ {
-		r.Heard(now, member("a", i), true, false, nil)
+		r.Heard(now, member("a", i), roster.Standing{Ready: true}, nil)
 	}
 	return r
 }
@@ -47,7 +47,7 @@
 	other := roster.New(member("a", 5))
 	other.SetSelf(true, false)
 	for i := range 10 {
-		other.Heard(begin, member("a", i), true, false, nil)
+		other.Heard(begin, member("a", i), roster.Standing{Ready: true}, nil)
 	}
 	g.Expect(names(mine.Carriers(begin, "orders", "a", carriers))).To(Equal(names(other.Carriers(begin, "orders", "a", carriers))))
 }
@@ -62,7 +62,7 @@
 	now := begin.Add(time.Second)
 	for i := 1; i < 10; i++ {
 		if m := member("a", i); m.VM != dead {
-			r.Heard(now, m, true, false, nil)
+			r.Heard(now, m, roster.Standing{Ready: true}, nil)
 		}
 	}
 	after := names(r.Carriers(now, "orders", "a", carriers))
@@ -78,7 +78,7 @@
 	if first.VM == "a-0" {
 		r.SetSelf(true, true)
 	} else {
-		r.Heard(begin, first, true, true, nil)
+		r.Heard(begin, first, roster.Standing{Ready: true, Leaving: true}, nil)
 	}
 	g.Expect(r.Answer(begin, "orders", "a", carriers)).NotTo(ContainElement(first.Callers))
 }
@@ -98,10 +98,10 @@
 	r := newRoster(begin)
 	restarted := member("a", 3)
 	restarted.Born = 2
-	begun, ok := r.Heard(begin, restarted, true, false, []string{"orders"})
+	begun, ok := r.Heard(begin, restarted, roster.Standing{Ready: true}, []string{"orders"})
 	g.Expect(ok).To(BeTrue())
 	g.Expect(begun).To(Equal([]string{"orders"}))
-	_, ok = r.Heard(begin, member("a", 3), true, false, nil)
+	_, ok = r.Heard(begin, member("a", 3), roster.Standing{Ready: true}, nil)
 	g.Expect(ok).To(BeFalse())
 }
 
@@ -136,12 +136,12 @@
 	lead := first.Carriers(now, "orders", "a", 100)[0]
 	r := roster.New(lead)
 	r.SetSelf(true, false)
-	r.Heard(now, member("b", 1), true, false, []string{"orders"})
+	r.Heard(now, member("b", 1), roster.Standing{Ready: true}, []string{"orders"})
 	far := r.FarCarriers(now, "orders", carriers)
 	g.Expect(names(far)).To(Equal([]string{"b-1"}))
 
 	stray := roster.New(member("a", 77))
-	stray.Heard(now, lead, true, false, []string{"orders"})
+	stray.Heard(now, lead, roster.Standing{Ready: true}, []string{"orders"})
 	g.Expect(names(stray.Group(now, "orders", carriers))).NotTo(ContainElement("b-1"))
 	stray.Told(now, "orders", far)
 	g.Expect(names(stray.Group(now, "orders", carriers))).To(ContainElement("b-1"))
@@ -152,8 +152,8 @@
 
 	second := roster.New(first.Carriers(now, "orders", "a", 100)[1])
 	second.SetSelf(true, false)
-	second.Heard(now, lead, true, false, nil)
-	second.Heard(now, member("b", 1), true, false, []string{"orders"})
+	second.Heard(now, lead, roster.Standing{Ready: true}, nil)
+	second.Heard(now, member("b", 1), roster.Standing{Ready: true}, []string{"orders"})
 	g.Expect(second.FarCarriers(now, "orders", carriers)).To(BeEmpty(), "only the first carrier tells")
 }
 
