--- a/core/sched/slow_test.go
+++ b/core/sched/slow_test.go
@@ -157,3 +157,30 @@
 		grant.Settle(judge.Served, usual)
 	}
 }
+
+// Load pattern: one near target has room for everything, nine in another data centre
+// get only what keeps them at the floor. Guards against targets that get nothing for
+// two seconds, which counts as below the floor.
+func TestFloorReachesOtherDataCentresInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		all := targets(10)
+		all[0].DataCentre, all[0].Slots = "b", 100
+		p := sched.NewPool(service, "b")
+		p.SetTargets(all)
+		last, longest := map[string]time.Time{}, time.Duration(0)
+		begin := time.Now()
+		for time.Since(begin) < 60*time.Second {
+			time.Sleep(10 * time.Millisecond)
+			grant, err := p.Acquire(t.Context(), ask(true))
+			g.Expect(err).NotTo(HaveOccurred())
+			if at, ok := last[grant.Target.ID]; ok {
+				longest = max(longest, time.Since(at))
+			}
+			last[grant.Target.ID] = time.Now()
+			grant.Settle(judge.Served, usual)
+		}
+		g.Expect(last).To(HaveLen(10))
+		g.Expect(longest).To(BeNumerically("<", 2*time.Second))
+	})
+}
