Let a daemon be ready only with its part of the retry budget

Traced: a daemon counted as ready as soon as configuration and list were there, and got its part of the budget a moment later; a request that was reset or refused in between was not sent again.

Change: readiness is set at the end of the round of upkeep that follows. The state dump shows the budget.

Test: TestReadyOnlyWithBudget fails before (configuration last), passes after.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -45,6 +45,8 @@
 	listed atomic.Bool
 	// configMu lets one configuration at a time come into force.
 	configMu sync.Mutex
+	// prepared says that all that a request needs was in place once.
+	prepared atomic.Bool
 	// newest is the highest configuration version that a peer has in force.
 	newest atomic.Int64
 	// askNow ends a call that waits for a configuration.
@@ -186,5 +188,5 @@
 
 // Ready reports whether the daemon can serve requests.
 func (n *Node) Ready() bool {
-	return n.relay.Table() != nil && n.listed.Load() && !n.leaving.Load()
+	return n.prepared.Load() && !n.leaving.Load()
 }
--- a/core/node/ready_test.go
+++ b/core/node/ready_test.go
@@ -44,3 +44,51 @@
 		_ = n.conn.Close()
 	}
 }
+
+// budgetWatch notes the extra sends that are allowed when a daemon becomes ready.
+type budgetWatch struct {
+	node    *Node
+	allowed chan float64
+}
+
+func (w *budgetWatch) run() {
+	for !w.node.Ready() {
+	}
+	w.allowed <- w.node.relay.BudgetState("orders").Allowed
+}
+
+// Guards against a daemon that is ready before it has its part of the retry budget:
+// for a moment a request that its target had refused or reset was not sent again.
+func TestReadyOnlyWithBudget(t *testing.T) {
+	const slack = 1000
+	config := &route.Config{Version: 1, Services: []route.Service{{Name: "orders"}}}
+	list := watch.Delta{Version: 1, Age: time.Millisecond, Changes: []watch.Change{
+		{ID: "a", Entry: &watch.Entry{Service: "orders", Address: "10.0.0.1:80", DataCentre: "a", Slots: 2}},
+	}}
+	orders := map[string]func(n *Node){
+		"list last": func(n *Node) {
+			(&configFollower{n}).apply(ConfigRead{Config: config})
+			n.applyList(list)
+		},
+		"configuration last": func(n *Node) {
+			n.applyList(list)
+			(&configFollower{n}).apply(ConfigRead{Config: config})
+		},
+	}
+	for name, bring := range orders {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			const rounds = 100
+			for range rounds {
+				settings := &Settings{VM: "vm", DataCentre: "a", InnerAddress: "127.0.0.1:0", ShutdownSeconds: 1, FirstStart: true, RetryBudget: RetryBudget{SpanSeconds: 1, Slack: slack}}
+				n, err := New(settings, &Platform{})
+				g.Expect(err).NotTo(HaveOccurred())
+				w := &budgetWatch{node: n, allowed: make(chan float64, 1)}
+				go w.run()
+				bring(n)
+				g.Expect(<-w.allowed).To(BeNumerically(">", 0))
+				_ = n.conn.Close()
+			}
+		})
+	}
+}
--- a/core/node/state.go
+++ b/core/node/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wisteriarelay.example/core/retry"
 	"wisteriarelay.example/core/route"
 	"wisteriarelay.example/core/sched"
 )
@@ -20,6 +21,7 @@
 	n.dump.Add("store", func() any { return n.storeState() })
 	n.dump.Add("peers", func() any { return n.roster.State(time.Now()) })
 	n.dump.Add("targets", func() any { return n.targetState() })
+	n.dump.Add("budget", func() any { return n.budgetState() })
 	n.set.Gauge("gossip_events_dropped", n.peers.Dropped)
 	n.set.Gauge("caller_connections", func() int64 { return int64(n.callers.Connections()) })
 	n.set.Gauge("caller_requests_open", func() int64 { return int64(n.callers.Busy()) })
@@ -34,6 +36,15 @@
 	return s
 }
 
+// budgetState returns the budget of extra sends by service.
+func (n *Node) budgetState() map[string]retry.WindowState {
+	out := map[string]retry.WindowState{}
+	for _, s := range n.services() {
+		out[s] = n.relay.BudgetState(s)
+	}
+	return out
+}
+
 // targetState returns the targets by service.
 func (n *Node) targetState() map[string][]sched.TargetState {
 	out := map[string][]sched.TargetState{}
--- a/core/node/upkeep.go
+++ b/core/node/upkeep.go
@@ -34,9 +34,16 @@
 }
 
 // refresh renews what follows from the configuration, the targets and the peers.
+// The daemon becomes ready only with its part of the retry budget, which needs its
+// own place among the daemons first.
 func (n *Node) refresh() {
-	n.roster.SetSelf(n.Ready(), n.leaving.Load())
+	able := n.relay.Table() != nil && n.listed.Load()
+	leaving := n.leaving.Load()
+	n.roster.SetSelf(able && !leaving, leaving)
 	n.share()
+	if able {
+		n.prepared.Store(true)
+	}
 }
 
 // share deals out the fleet's budget of extra sends among the carriers of each service.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -163,6 +163,11 @@
 	r.service(name).window.SetPart(part)
 }
 
+// BudgetState returns the daemon's part of the budget of extra sends to a service.
+func (r *Relay) BudgetState(name string) retry.WindowState {
+	return r.service(name).window.State(time.Now())
+}
+
 // Recent returns the number of requests for the service in the span of the budget.
 func (r *Relay) Recent(name string) int {
 	return r.service(name).window.Requests(time.Now())
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -93,7 +93,29 @@
 }
 
 func (w *Window) left() bool {
-	return float64(sum(w.extras)+1) <= w.part.Ratio*w.ratio*float64(w.recent())+w.part.Slack*w.slack
+	return float64(sum(w.extras)+1) <= w.allowed()
+}
+
+// allowed returns the extra sends that this daemon may use in the span.
+func (w *Window) allowed() float64 {
+	return w.part.Ratio*w.ratio*float64(w.recent()) + w.part.Slack*w.slack
+}
+
+// WindowState is what a window holds, for the state dump.
+type WindowState struct {
+	// Requests are those of callers in the span, Extras the extra sends used.
+	Requests int `json:"requests"`
+	Extras   int `json:"extras"`
+	// Allowed is the number of extra sends that this daemon may use in the span.
+	Allowed float64 `json:"allowed"`
+}
+
+// State returns the figures of the window.
+func (w *Window) State(now time.Time) WindowState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slide(now)
+	return WindowState{Requests: w.recent(), Extras: sum(w.extras), Allowed: w.allowed()}
 }
 
 // slide empties the buckets that have left the window.
