Place stray orders by what carriers know, and large answers near

Requests that can be sent again still find out, there too; large ones only in the own data centre. Above a share of 0.8 of the targets in use, large answers do not cross for the floor.

--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -56,9 +56,9 @@
 
 	beliefs := Report{VM: "front-lautoka-north-12", Born: 1 << 41, Beliefs: []Beliefs{{Service: "service-with-a-name"}}}
 	for range maxBeliefs {
-		beliefs.Beliefs[0].Targets = append(beliefs.Beliefs[0].Targets, sched.TargetBelief{
+		beliefs.Beliefs[0].Targets = append(beliefs.Beliefs[0].Targets, newBelief(sched.TargetBelief{
 			ID: "i-0123456789", Born: 1 << 41, Snapshot: judge.Snapshot{Impaired: 0.123, Sick: 0.456, Age: 1 << 33, OnsetAge: 1 << 33},
-		})
+		}))
 	}
 	_, err = beliefs.Encode()
 	g.Expect(err).NotTo(HaveOccurred())
--- a/core/gossip/node.go
+++ b/core/gossip/node.go
@@ -47,8 +47,11 @@
 	Group func(g Group)
 	// Config is told a configuration that a peer has read.
 	Config func(d Document)
-	// Beliefs is told what a peer believes of the targets of a service.
-	Beliefs func(service string, targets []sched.TargetBelief)
+	// Beliefs is told what a peer believes of the targets of a service; left is the
+	// number of reports on it that follow.
+	Beliefs func(service string, targets []sched.TargetBelief, left int)
+	// Asked is told that a peer asks for what this daemon believes of a service.
+	Asked func(peer roster.Member, service string)
 }
 
 // Sources are asked for what the reports of this daemon hold.
@@ -160,17 +163,6 @@
 	}
 }
 
-// maxBeliefs bounds the targets of one report, so that it fits in a datagram.
-const maxBeliefs = 18
-
-// TellBeliefs tells a peer what is believed of the targets of a service.
-func (n *Node) TellBeliefs(to roster.Member, service string, targets []sched.TargetBelief) {
-	for part := range slices.Chunk(targets, maxBeliefs) {
-		report := Report{VM: n.self.VM, Born: n.self.Born, Beliefs: []Beliefs{{Service: service, Targets: part}}}
-		n.sendAll(&report, []roster.Member{to})
-	}
-}
-
 // Beat sends a heartbeat to everybody at once, for example when the daemon starts
 // or leaves.
 func (n *Node) Beat() {
--- a/core/gossip/receiver.go
+++ b/core/gossip/receiver.go
@@ -40,9 +40,7 @@
 		return
 	}
 	r.takeEvents(report)
-	for _, b := range report.Beliefs {
-		r.handlers.Beliefs(b.Service, b.Targets)
-	}
+	r.takeBeliefs(report, from)
 	for _, g := range report.Groups {
 		r.handlers.Group(g)
 	}
--- a/core/gossip/report.go
+++ b/core/gossip/report.go
@@ -27,8 +27,11 @@
 	Carries    []string    `cbor:"7,keyasint,omitempty"`
 	Events     []Event     `cbor:"8,keyasint,omitempty"`
 	List       *watch.Part `cbor:"9,keyasint,omitempty"`
-	// Beliefs tell a daemon that begins to carry a service what is known of its targets.
-	Beliefs []Beliefs `cbor:"11,keyasint,omitempty"`
+	// Beliefs tell a daemon that begins to carry a service, or asks, what is known of
+	// its targets. Field 11 held them in another form.
+	Beliefs []Beliefs `cbor:"18,keyasint,omitempty"`
+	// Asks are the services of whose targets the sender asks for beliefs.
+	Asks []string `cbor:"17,keyasint,omitempty"`
 	// Groups tell the own data centre who carries what in others.
 	Groups []Group `cbor:"12,keyasint,omitempty"`
 	// Forward asks the receiver to pass the events on in its data centre.
@@ -43,12 +46,6 @@
 	Cores float64 `cbor:"14,keyasint,omitempty"`
 }
 
-// Beliefs are what the sender believes of the targets of one service.
-type Beliefs struct {
-	Service string               `cbor:"1,keyasint"`
-	Targets []sched.TargetBelief `cbor:"2,keyasint"`
-}
-
 // Group is the carriers of a group of services in other data centres.
 type Group struct {
 	Name    string          `cbor:"1,keyasint"`
--- a/core/judge/belief.go
+++ b/core/judge/belief.go
@@ -225,12 +225,12 @@
 
 // Snapshot is a belief in a form that can be passed on.
 type Snapshot struct {
-	Impaired float64 `cbor:"1,keyasint"`
-	Sick     float64 `cbor:"2,keyasint"`
+	Impaired float64
+	Sick     float64
 	// Age is the time since the last result, OnsetAge that since the spell began;
 	// a negative one stands for no spell.
-	Age      time.Duration `cbor:"3,keyasint"`
-	OnsetAge time.Duration `cbor:"4,keyasint"`
+	Age      time.Duration
+	OnsetAge time.Duration
 }
 
 // Snapshot returns the belief; ok is false if nothing is known.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -52,7 +52,9 @@
 	// askNow ends a call that waits for a configuration.
 	askNow   chan struct{}
 	assembly watch.Assembly
-	cancel   context.CancelFunc
+	// inquiries ask peers about targets of services that this daemon does not carry.
+	inquiries *inquiries
+	cancel    context.CancelFunc
 }
 
 // Option changes a Node.
@@ -81,6 +83,7 @@
 		startedAt: time.Now(),
 	}
 	n.settings.Store(settings)
+	n.inquiries = newInquiries(n)
 	for _, o := range opts {
 		o(n)
 	}
@@ -109,6 +112,7 @@
 		relay.WithStats(n.set),
 		relay.WithBudget(budgetOf(n.settings.Load())),
 		relay.WithEmit(func(e sched.Event) { n.peers.Tell(e) }),
+		relay.WithInform(n.inquiries.await),
 	}
 	if m := n.settings.Load().MemoryMB; m > 0 {
 		opts = append(opts, relay.WithAnswerMemory(m<<20/messageShare))
@@ -143,7 +147,7 @@
 
 func (n *Node) newPeers(conn *net.UDPConn) *gossip.Node {
 	sources := gossip.Sources{State: n.report, Near: func() []roster.Member { return n.roster.Near() }, Watched: n.watched, Group: n.group, Peers: n.carryingPeers, Groups: n.farGroups}
-	handlers := gossip.Handlers{Heard: n.heard, Event: n.event, List: n.listHeard, Group: n.told, Config: n.configHeard, Beliefs: n.beliefs}
+	handlers := gossip.Handlers{Heard: n.heard, Event: n.event, List: n.listHeard, Group: n.told, Config: n.configHeard, Beliefs: n.beliefs, Asked: n.asked}
 	return gossip.NewNode(n.self, conn, sources, handlers, n.logger)
 }
 
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -155,8 +155,11 @@
 	n.relay.Pool(e.Service).Learn(peer, e)
 }
 
-func (n *Node) beliefs(service string, targets []sched.TargetBelief) {
+func (n *Node) beliefs(service string, targets []sched.TargetBelief, left int) {
 	n.relay.Pool(service).Adopt(targets)
+	if left == 0 {
+		n.inquiries.answer(service)
+	}
 }
 
 // listHeard takes in a piece of a change of the target list; only the receiver
--- a/core/node/upkeep.go
+++ b/core/node/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"wisteriarelay.example/core/retry"
@@ -46,7 +47,8 @@
 	}
 }
 
-// share deals out the fleet's budget of extra sends among the carriers of each service.
+// share deals out the fleet's budget of extra sends among the carriers of each
+// service, and says which services this daemon hears results of.
 func (n *Node) share() {
 	t := n.relay.Table()
 	if t == nil {
@@ -55,10 +57,13 @@
 	now := time.Now()
 	plan := n.plan()
 	start := n.startKind(now)
+	carried := n.carried(t.Services())
 	for _, s := range t.Services() {
+		group, cores := plan.Group(s)
+		n.relay.Pool(s).SetInformed(slices.Contains(carried, group))
 		part := retry.PartOf(1, start)
 		part.Slack = 0
-		if group, cores := plan.Group(s); n.roster.Carries(now, group, cores) {
+		if n.roster.Carries(now, group, cores) {
 			part = retry.PartOf(len(n.roster.Group(now, group, cores))+1, start)
 		}
 		n.relay.SetPart(s, part)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -42,6 +42,7 @@
 	logger     log.Logger
 	set        *stats.Set
 	emit       func(sched.Event)
+	inform     func(ctx context.Context, service string)
 	table      atomic.Pointer[route.Table]
 	pools      pools
 	sizes      sizes
@@ -74,6 +75,13 @@
 	return func(r *Relay) { r.emit = emit }
 }
 
+// WithInform sets the function that is called before a request that must not run
+// twice gets a target; it may wait a moment for what peers know of the targets of
+// the service.
+func WithInform(inform func(ctx context.Context, service string)) Option {
+	return func(r *Relay) { r.inform = inform }
+}
+
 // WithLinkOptions adds options to the pools of connections to targets.
 func WithLinkOptions(opts ...link.Option) Option {
 	return func(r *Relay) { r.pools.opts = opts }
@@ -97,6 +105,7 @@
 		logger:     log.NewNopLogger(),
 		set:        stats.New(),
 		emit:       func(sched.Event) {},
+		inform:     func(context.Context, string) {},
 	}
 	r.services.Store(&map[string]*service{})
 	r.memory.left.Store(defaultAnswerMemory)
@@ -212,6 +221,9 @@
 		return r.refuse(req, fault.RouteUnusable)
 	}
 	x := r.newExchange(req, table, match)
+	if !match.Idempotent() {
+		r.inform(ctx, x.service)
+	}
 	return x.run(ctx)
 }
 
--- a/core/sched/beliefs.go
+++ b/core/sched/beliefs.go
@@ -9,9 +9,9 @@
 // TargetBelief is what is believed of one target, for a daemon that begins to
 // carry the service.
 type TargetBelief struct {
-	ID       string         `cbor:"1,keyasint"`
-	Born     int64          `cbor:"2,keyasint"`
-	Snapshot judge.Snapshot `cbor:"3,keyasint"`
+	ID       string
+	Born     int64
+	Snapshot judge.Snapshot
 }
 
 // Beliefs returns what is believed of the targets.
--- a/core/sched/floor.go
+++ b/core/sched/floor.go
@@ -16,6 +16,11 @@
 	// repeatFloor is the same for requests that are sent again when they fail, so
 	// that knowledge of all targets costs little.
 	repeatFloor = 0.95
+	// largeFloor is the same for requests that are dear to carry between data
+	// centres; above it they only go to targets of the own one.
+	largeFloor = 0.8
+	// dearPenalty is the penalty for another data centre from which a request is dear.
+	dearPenalty = 250 * time.Millisecond
 	// failureMemory is how long a target that failed does not count for the floor.
 	failureMemory = 1900 * time.Millisecond
 	// introduceAfter is the time after which a target that nobody has used yet gets
@@ -24,21 +29,56 @@
 )
 
 // duty returns a target that has to get a request although another costs less:
-// one that nobody has used yet, or one that keeps the service at its floor.
+// one that nobody has used yet, or one that keeps the service at its floor. Load
+// pattern: hundreds of daemons get a stray request each. To those that do not hear
+// from their peers every target is new: a request that can be sent again may find
+// out what nobody knows, others go where they are served.
 func (p *Pool) duty(a Ask, now time.Time) (*member, Reason) {
-	if m := p.leastFailing(a, now, p.unintroduced); m != nil {
+	if p.uninformed && a.Last {
+		return nil, ""
+	}
+	fits := p.unintroduced
+	if p.uninformed && a.remotePenalty() >= dearPenalty {
+		fits = p.unintroducedNear
+	}
+	if m := p.leastFailing(a, now, fits); m != nil {
 		return m, Introduction
 	}
-	if p.floorHolds(a, now) {
+	fits = p.due(a, now)
+	if fits == nil {
 		return nil, ""
 	}
-	return p.leastFailing(a, now, unused), Floor
+	return p.leastFailing(a, now, fits), Floor
+}
+
+// due returns which targets have to get a request now, or nil if none has to.
+func (p *Pool) due(a Ask, now time.Time) func(*member, time.Time) bool {
+	used := p.usedShare(now)
+	switch {
+	case a.Last:
+		if used < p.floor {
+			return unused
+		}
+	case used < largeFloor || used < repeatFloor && a.remotePenalty() < dearPenalty:
+		return unused
+	case used < repeatFloor:
+		return p.unusedNear
+	}
+	return nil
+}
+
+func (p *Pool) unusedNear(m *member, now time.Time) bool {
+	return m.target.DataCentre == p.dataCentre && unused(m, now)
 }
 
 func (p *Pool) unintroduced(m *member, now time.Time) bool {
 	return m.usedAt.IsZero() && now.Sub(m.addedAt) > introduceAfter+m.turn && now.After(m.target.WarmAt)
 }
 
+func (p *Pool) unintroducedNear(m *member, now time.Time) bool {
+	return m.target.DataCentre == p.dataCentre && p.unintroduced(m, now)
+}
+
 func unused(m *member, now time.Time) bool {
 	last := m.usedAt
 	if m.addedAt.After(last) {
@@ -47,13 +87,9 @@
 	return now.Sub(last) > floorSpan+m.turn && now.Sub(m.badAt) >= failureMemory
 }
 
-// floorHolds reports whether enough of the targets got a request in the span.
-// Those that have just failed are left out.
-func (p *Pool) floorHolds(a Ask, now time.Time) bool {
-	floor := repeatFloor
-	if a.Last {
-		floor = p.floor
-	}
+// usedShare returns the share of the targets that got a request in the span. Those
+// that have just failed are left out.
+func (p *Pool) usedShare(now time.Time) float64 {
 	used, all := 0, 0
 	for _, m := range p.members {
 		if now.Sub(m.badAt) < failureMemory {
@@ -64,7 +100,10 @@
 			used++
 		}
 	}
-	return float64(used) >= floor*float64(all)
+	if all == 0 {
+		return 1
+	}
+	return float64(used) / float64(all)
 }
 
 // leastFailing returns the target with a free slot that fits and is expected to fail least.
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -38,6 +38,8 @@
 	queue queue
 	// asked counts the requests that asked for a target.
 	asked uint64
+	// uninformed says that this daemon is not told the results of its peers.
+	uninformed bool
 }
 
 // Option changes a Pool.
@@ -92,6 +94,21 @@
 	p.serveQueue(now)
 }
 
+// SetInformed says whether this daemon is told the results of its peers; a pool
+// expects so at first.
+func (p *Pool) SetInformed(informed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.uninformed = !informed
+}
+
+// Informed reports whether this daemon is told the results of its peers.
+func (p *Pool) Informed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.uninformed
+}
+
 // Size returns the number of targets.
 func (p *Pool) Size() int {
 	p.mu.Lock()
--- a/core/sched/slow_test.go
+++ b/core/sched/slow_test.go
@@ -126,6 +126,38 @@
 	})
 }
 
+// Load pattern: large answers of a service whose targets in other data centres are
+// kept in use by the daemons there. Guards against carrying such an answer between
+// data centres only to learn about its target, which nobody asked for.
+func TestLargeAnswersDoNotCrossForKnowledge(t *testing.T) {
+	for bytes, crosses := range map[int64]bool{1 << 10: true, 100 << 10: false} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			all := targets(8)
+			for i := range all[2:] {
+				all[2+i].DataCentre = "b"
+			}
+			p := sched.NewPool(service, "a")
+			p.SetTargets(all)
+			pull := ask(true)
+			pull.Bytes = bytes
+			crossed := false
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				for _, target := range all[2:7] {
+					p.Learn("peer", sched.Event{Target: target.Key, Result: judge.Served, Latency: usual})
+				}
+				pull.Deadline = time.Now().Add(2 * time.Second)
+				grant, err := p.Acquire(t.Context(), pull)
+				g.Expect(err).NotTo(HaveOccurred())
+				crossed = crossed || grant.Reason == sched.Floor && grant.Target.DataCentre == "b"
+				grant.Settle(judge.Served, usual)
+			}
+			g.Expect(crossed).To(Equal(crosses))
+		})
+	}
+}
+
 // Load pattern: daemons of several data centres keep each target at the floor.
 // Guards against a request to another data centre while a daemon there would have
 // sent its own a moment later.
