Let peers pass on what a daemon needs that starts

Cause: each start cost five calls to the store, the dearest price of the large site, and a daemon that started while the store was away answered 503 although its peers knew everything it needed.

Change: a daemon that starts asks the daemons at the addresses that its settings name (seeds) for its data centre, and the first two readers there pass members, configuration and target list on, each in pieces with a hash. It reads the store itself if it has no sign of a running fleet for 60 ms, or no help after 400 ms; when the whole fleet starts for the first time, the four strongest of a data centre read and the others wait up to 2 s. A list older than 2 s is only used if the store cannot be read, so that a peer that is cut off brings no target back that has left. Requests that come in the first second wait until the daemon is ready.

Ruled out: waiting for peers after the loss of all daemons; it would keep callers waiting for what one call to the store gives, so the wait ends after 60 ms.

--- a/core/gossip/node.go
+++ b/core/gossip/node.go
@@ -45,6 +45,10 @@
 	List  func(p watch.Part)
 	// Group is told who carries a group in other data centres.
 	Group func(g Group)
+	// Snapshot is told the whole target list, Members who else is in the data centre;
+	// both come only to a daemon that has just started.
+	Snapshot func(d watch.Delta)
+	Members  func(sender string, members []roster.Member)
 	// Config is told a configuration that a peer has read.
 	Config func(d Document)
 	// Beliefs is told what a peer believes of the targets of a service; left is the
--- a/core/gossip/receiver.go
+++ b/core/gossip/receiver.go
@@ -11,8 +11,9 @@
 // receiver takes reports in.
 type receiver struct {
 	*Node
-	groups *groups
-	config joiner
+	groups   *groups
+	config   joiner
+	snapshot joiner
 }
 
 // run ends when the connection is closed.
@@ -41,6 +42,7 @@
 	}
 	r.takeEvents(report)
 	r.takeBeliefs(report, from)
+	r.takeStart(report)
 	for _, g := range report.Groups {
 		r.handlers.Group(g)
 	}
--- a/core/gossip/report.go
+++ b/core/gossip/report.go
@@ -42,6 +42,15 @@
 	Quiet bool `cbor:"16,keyasint,omitempty"`
 	// Piece is a part of the operators' configuration.
 	Piece *Piece `cbor:"15,keyasint,omitempty"`
+	// Targets is the version of the store up to which the sender knows the targets;
+	// 0 if it knows none.
+	Targets int64 `cbor:"19,keyasint,omitempty"`
+	// Snapshot is a part of the whole target list, Members are daemons of the
+	// receiver's data centre. Both are for daemons that have just started.
+	Snapshot *Piece          `cbor:"20,keyasint,omitempty"`
+	Members  []roster.Member `cbor:"21,keyasint,omitempty"`
+	// Seeks asks the receiver for daemons of the sender's data centre.
+	Seeks bool `cbor:"22,keyasint,omitempty"`
 	// Cores is the capacity of the sender, as in roster.Member.
 	Cores float64 `cbor:"14,keyasint,omitempty"`
 }
--- a/core/node/config.go
+++ b/core/node/config.go
@@ -33,6 +33,7 @@
 type configFollower struct{ *Node }
 
 func (f *configFollower) loop(ctx context.Context) {
+	f.awaitPeers(ctx, func() bool { return f.relay.Table() != nil })
 	position := int64(0)
 	wait := configRetry
 	for ctx.Err() == nil {
@@ -66,9 +67,9 @@
 // take puts a configuration that was read from the store in force, and passes it
 // on if this daemon reads for its data centre.
 func (f *configFollower) take(read ConfigRead) {
-	newer := f.apply(read)
+	newer := f.apply(read, false)
 	if newer && f.readsForOthers() {
-		f.peers.TellConfig(gossip.Document{Version: int64(read.Config.Version), Data: read.Raw}, f.roster.Near())
+		f.peers.TellConfig(*f.document.Load(), f.roster.Near())
 	}
 }
 
@@ -125,7 +126,7 @@
 	}
 	config, err := n.platform.DecodeConfig(d.Data)
 	f := &configFollower{n}
-	f.apply(ConfigRead{Config: config, Problem: err})
+	f.apply(ConfigRead{Config: config, Raw: d.Data, Problem: err}, true)
 }
 
 // errAskAgain ends a waiting call whose connection may have gone silent.
@@ -184,8 +185,8 @@
 }
 
 // apply puts a configuration in force unless it is older than the one in force,
-// and reports whether it did.
-func (f *configFollower) apply(read ConfigRead) bool {
+// and reports whether it did. fromPeer says that a peer has read it.
+func (f *configFollower) apply(read ConfigRead, fromPeer bool) bool {
 	f.configMu.Lock()
 	defer f.configMu.Unlock()
 	if read.Problem != nil {
@@ -204,6 +205,7 @@
 		_ = f.logger.Log("msg", "configuration is not newer", "version", read.Config.Version, "in-force", old.Version)
 		return false
 	}
+	f.document.Store(&gossip.Document{Version: int64(read.Config.Version), Data: read.Raw})
 	f.relay.SetTable(route.Compile(read.Config))
 	f.relay.SetTargets(f.list.Targets())
 	f.refresh()
@@ -211,7 +213,7 @@
 	for _, p := range problems {
 		_ = f.logger.Log("msg", "part of the configuration cannot be used", "version", read.Config.Version, "err", p)
 	}
-	_ = f.logger.Log("msg", "configuration in force", "version", read.Config.Version, "position", read.Position, "from-peer", read.Raw == nil)
+	_ = f.logger.Log("msg", "configuration in force", "version", read.Config.Version, "position", read.Position, "from-peer", fromPeer)
 	return true
 }
 
--- a/core/node/list.go
+++ b/core/node/list.go
@@ -17,7 +17,8 @@
 }
 
 func (f *listFollower) loop(ctx context.Context) {
-	f.whole = true
+	f.awaitPeers(ctx, f.listed.Load)
+	f.whole = !f.listed.Load()
 	for ctx.Err() == nil {
 		version, asOf := f.list.Position()
 		due := f.schedule.Due(asOf, f.roster.Rank(time.Now()))
@@ -35,6 +36,7 @@
 	if err != nil {
 		f.whole = f.whole || fault.Is(err, fault.HistoryGone)
 		f.schedule.Failed(time.Now())
+		f.useOldList()
 		if ctx.Err() == nil {
 			_ = f.logger.Log("msg", "target list not read", "err", err, "version", version)
 		}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -43,10 +43,17 @@
 	listReadAt atomic.Pointer[time.Time]
 	// listed says that the target list was read once.
 	listed atomic.Bool
+	// oldList is a target list of a peer that could not read the store either.
+	oldList atomic.Pointer[watch.Delta]
+	// acquainted says that the other daemons of the data centre are known.
+	acquainted atomic.Bool
+	// document is the configuration in force as it lies in the store.
+	document atomic.Pointer[gossip.Document]
+	helper   *helper
 	// configMu lets one configuration at a time come into force.
 	configMu sync.Mutex
-	// prepared says that all that a request needs was in place once.
-	prepared atomic.Bool
+	// prepared is open once all that a request needs is in place.
+	prepared *gate
 	// newest is the highest configuration version that a peer has in force.
 	newest atomic.Int64
 	// askNow ends a call that waits for a configuration.
@@ -84,6 +91,8 @@
 	}
 	n.settings.Store(settings)
 	n.inquiries = newInquiries(n)
+	n.helper = newHelper(n)
+	n.prepared = newGate()
 	for _, o := range opts {
 		o(n)
 	}
@@ -134,7 +143,7 @@
 	if m := n.settings.Load().MemoryMB; m > 0 {
 		opts = append(opts, caller.WithBodyMemory(m<<20/messageShare))
 	}
-	return caller.NewServer(r.Handle, r.Limits, opts...)
+	return caller.NewServer(n.handle, r.Limits, opts...)
 }
 
 func (n *Node) newConn() (*net.UDPConn, error) {
@@ -147,7 +156,7 @@
 
 func (n *Node) newPeers(conn *net.UDPConn) *gossip.Node {
 	sources := gossip.Sources{State: n.report, Near: func() []roster.Member { return n.roster.Near() }, Watched: n.watched, Group: n.group, Peers: n.carryingPeers, Groups: n.farGroups}
-	handlers := gossip.Handlers{Heard: n.heard, Event: n.event, List: n.listHeard, Group: n.told, Config: n.configHeard, Beliefs: n.beliefs, Asked: n.asked}
+	handlers := gossip.Handlers{Heard: n.heard, Event: n.event, List: n.listHeard, Group: n.told, Config: n.configHeard, Beliefs: n.beliefs, Asked: n.asked, Snapshot: n.listTold, Members: n.membersTold}
 	return gossip.NewNode(n.self, conn, sources, handlers, n.logger)
 }
 
@@ -171,6 +180,7 @@
 	}
 	n.ports = ports
 	n.peers.Start(ctx)
+	n.seek()
 	c := &configFollower{n}
 	go c.loop(ctx)
 	l := &listFollower{Node: n}
@@ -192,5 +202,5 @@
 
 // Ready reports whether the daemon can serve requests.
 func (n *Node) Ready() bool {
-	return n.prepared.Load() && !n.leaving.Load()
+	return n.prepared.isOpen() && !n.leaving.Load()
 }
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -25,6 +25,7 @@
 		Leaving:    n.leaving.Load(),
 		Cores:      n.self.Cores,
 	}
+	r.Targets, _ = n.list.Position()
 	if t := n.relay.Table(); t != nil {
 		r.Config = int64(t.Version)
 		r.Carries = n.carried(t.Services())
@@ -135,6 +136,7 @@
 	if r.Config > n.newest.Load() {
 		n.newest.Store(r.Config)
 	}
+	n.helper.offer(m, r)
 	return true
 }
 
--- a/core/node/ready_test.go
+++ b/core/node/ready_test.go
@@ -67,12 +67,12 @@
 	}}
 	orders := map[string]func(n *Node){
 		"list last": func(n *Node) {
-			(&configFollower{n}).apply(ConfigRead{Config: config})
+			(&configFollower{n}).apply(ConfigRead{Config: config}, false)
 			n.applyList(list)
 		},
 		"configuration last": func(n *Node) {
 			n.applyList(list)
-			(&configFollower{n}).apply(ConfigRead{Config: config})
+			(&configFollower{n}).apply(ConfigRead{Config: config}, false)
 		},
 	}
 	for name, bring := range orders {
--- a/core/node/settings.go
+++ b/core/node/settings.go
@@ -27,6 +27,9 @@
 	InnerAddress   string `json:"inner-address"`
 	MetricsAddress string `json:"metrics-address"`
 	StoreAddress   string `json:"store-address"`
+	// Seeds are addresses of some other VMs, which may be down or gone. A daemon that
+	// starts asks the daemons there, at the port of its own inner address, for peers.
+	Seeds []string `json:"seeds"`
 	// FirstStart says that the whole fleet starts for the first time.
 	FirstStart bool `json:"first-start"`
 	// ShutdownSeconds is the time from the signal to stop until the process is killed.
--- a/core/node/upkeep.go
+++ b/core/node/upkeep.go
@@ -43,7 +43,7 @@
 	n.roster.SetSelf(able && !leaving, leaving)
 	n.share()
 	if able {
-		n.prepared.Store(true)
+		n.prepared.open()
 	}
 }
 
@@ -89,7 +89,9 @@
 
 func (r *registration) loop(ctx context.Context) {
 	r.until(ctx, r.write)
-	r.until(ctx, r.read)
+	if !r.acquainted.Load() {
+		r.until(ctx, r.read)
+	}
 }
 
 func (r *registration) until(ctx context.Context, step func(context.Context) bool) {
@@ -107,6 +109,7 @@
 	for _, m := range members {
 		r.roster.Add(m)
 	}
+	r.acquainted.Store(true)
 	r.peers.Beat()
 	return true
 }
--- a/core/roster/carriers.go
+++ b/core/roster/carriers.go
@@ -45,15 +45,18 @@
 // carry the group.
 func (r *Roster) ordered(now time.Time, group, dataCentre string) []Member {
 	all := r.living(now, dataCentre)
-	slices.SortFunc(all, func(a, b Member) int {
-		if byCores := cmp.Compare(b.capacity(), a.capacity()); byCores != 0 {
-			return byCores
-		}
-		return cmp.Compare(rank(group, b.VM), rank(group, a.VM))
-	})
+	slices.SortFunc(all, func(a, b Member) int { return before(group, a, b) })
 	return all
 }
 
+// before compares two members by the order in which they carry the group.
+func before(group string, a, b Member) int {
+	if byCores := cmp.Compare(b.capacity(), a.capacity()); byCores != 0 {
+		return byCores
+	}
+	return cmp.Compare(rank(group, b.VM), rank(group, a.VM))
+}
+
 // living returns the members of a data centre that count as serving.
 func (r *Roster) living(now time.Time, dataCentre string) []Member {
 	var out []Member
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -196,6 +196,18 @@
 	return out
 }
 
+// AnyReady reports whether another daemon was heard that serves.
+func (r *Roster) AnyReady(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.entries {
+		if e.ready && !e.leaving && !e.heard.IsZero() && now.Sub(e.heard) < farTTL {
+			return true
+		}
+	}
+	return false
+}
+
 // ageMargin is the difference of two start times from which a daemon counts as
 // older; it covers clocks that differ.
 const ageMargin = 5 * time.Second
--- a/core/roster/watched.go
+++ b/core/roster/watched.go
@@ -38,6 +38,29 @@
 	return all[:min(carrierCount(all, cores)+spares, len(all))]
 }
 
+// Ordered returns the living members of a data centre, those first that read the store.
+func (r *Roster) Ordered(now time.Time, dataCentre string) []Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ordered(now, readerGroup, dataCentre)
+}
+
+// Ahead returns the number of daemons of the own data centre that come before this
+// one in reading the store and of which nothing speaks against their being alive.
+// It is for a daemon that has just started and has not heard the others yet.
+func (r *Roster) Ahead(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ahead := 0
+	for _, e := range r.entries {
+		silent := !e.heard.IsZero() && now.Sub(e.heard) >= e.ttl()
+		if e.DataCentre == r.self.DataCentre && !e.leaving && !silent && before(readerGroup, e.Member, r.self) < 0 {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 // Rank returns the position of this daemon among those alive in its data
 // centre; the first reads the store for the others.
 func (r *Roster) Rank(now time.Time) int {
--- a/core/watch/list.go
+++ b/core/watch/list.go
@@ -146,6 +146,23 @@
 	return l.version, l.asOf
 }
 
+// Snapshot returns the whole list, as a read of the store would. Lapsed targets are
+// left out.
+func (l *List) Snapshot(now time.Time) Delta {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := Delta{Version: l.version, Age: max(now.Sub(l.asOf), 0)}
+	for id, r := range l.records {
+		if !r.goneAt.IsZero() {
+			continue
+		}
+		entry := r.entry
+		entry.ColdLeft = max(entry.ColdLeft-now.Sub(r.seen), 0)
+		d.Changes = append(d.Changes, Change{ID: id, Entry: &entry})
+	}
+	return d
+}
+
 // Targets returns the targets that may get work, by service.
 func (l *List) Targets() map[string][]sched.Target {
 	l.mu.Lock()
