Let only settled peers say who all the others are

Daemons that start together help each other as soon as they are ready; one told by a peer that knows few would not read the members from the store, and might never hear of the rest. And one that was told only of its own data centre would take the fleet for one data centre, want more carriers and count itself among them.

Change: a peer counts as knowing all only if it has run for 10 s, and it names some daemons of the other data centres too.

Test: TestOnlySettledPeersKnowAll failed before in both respects.

--- a/core/node/help.go
+++ b/core/node/help.go
@@ -76,9 +76,12 @@
 }
 
 // introduce tells the daemon who serves in its data centre, and that this one does.
+// One of the own data centre is told all of them and some in each other.
 func (h *helper) introduce(now time.Time, m roster.Member, all bool) {
 	members := h.roster.Ordered(now, m.DataCentre)
-	if !all {
+	if all {
+		members = append(members, h.roster.Abroad(now, introductions)...)
+	} else {
 		members = members[:min(len(members), introductions)]
 		h.peers.BeatTo([]string{m.Inner})
 	}
--- a/core/node/help_test.go
+++ b/core/node/help_test.go
@@ -96,6 +96,7 @@
 			g.Expect(n.relay.Table().Version).To(Equal(route.Version(7)))
 			g.Expect(n.relay.Pool("orders").Size()).To(Equal(600))
 			g.Eventually(func() int { return len(n.roster.Near()) }).WithTimeout(10 * time.Second).Should(Equal(2))
+			g.Expect(n.acquainted.Load()).To(BeFalse(), "the peers may not know all yet")
 		})
 	}
 }
@@ -115,6 +116,25 @@
 	g.Expect(n.relay.Pool("orders").Size()).To(Equal(3))
 }
 
+// Guards against daemons that start together, tell each other of the few that they
+// know, and never learn of the rest; and against one that joins a running fleet and
+// knows nobody in other data centres, so that it takes itself for a carrier.
+func TestOnlySettledPeersKnowAll(t *testing.T) {
+	for age, settled := range map[time.Duration]bool{time.Second: false, time.Minute: true} {
+		g := NewWithT(t)
+		n := newFollower(g, weak, &operators{begin: time.Now()})
+		born := n.self.Born - age.Milliseconds()
+		n.listed.Store(false)
+		n.membersTold("vm-1", []roster.Member{
+			{VM: "vm-1", DataCentre: "a", Inner: "127.0.0.1:1", Born: born},
+			{VM: "vm-2", DataCentre: "b", Inner: "127.0.0.1:1", Born: born},
+		})
+		g.Expect(n.acquainted.Load()).To(Equal(settled))
+		g.Expect(n.roster.DataCentres()).To(Equal([]string{"a", "b"}))
+		g.Expect(n.conn.Close()).To(Succeed())
+	}
+}
+
 // Load pattern: a fleet starts, or one daemon joins it. Guards against calls to the
 // store by daemons that others could help, and against daemons that wait for help
 // while nobody serves.
--- a/core/node/start.go
+++ b/core/node/start.go
@@ -28,6 +28,9 @@
 	// freshList is the age up to which a list that a peer passes on counts as read:
 	// an older one may come from a peer that is cut from the store.
 	freshList = 2 * time.Second
+	// settledAge is the age from which a daemon has heard all others of its data
+	// centre. It covers clocks that differ.
+	settledAge = 10 * time.Second
 )
 
 // awaitPeers waits until peers have passed on what the daemon needs, or it has to
@@ -75,20 +78,23 @@
 	n.peers.Seek(addresses)
 }
 
-// membersTold takes in daemons of the own data centre that a peer knows. A peer of
-// that data centre knows all of them.
+// membersTold takes in daemons that a peer knows. One of the own data centre that
+// has run for a while knows all of them there, so that the store need not be asked.
 func (n *Node) membersTold(sender string, members []roster.Member) {
 	if n.Ready() {
 		return
 	}
 	var addresses []string
 	for _, m := range members {
-		if m.DataCentre != n.self.DataCentre || m.VM == n.self.VM {
+		if m.VM == n.self.VM {
 			continue
 		}
 		n.roster.Add(m)
+		if m.DataCentre != n.self.DataCentre {
+			continue
+		}
 		addresses = append(addresses, m.Inner)
-		if m.VM == sender {
+		if m.VM == sender && n.self.Born-m.Born > settledAge.Milliseconds() {
 			n.acquainted.Store(true)
 		}
 	}
--- a/core/roster/watched.go
+++ b/core/roster/watched.go
@@ -45,6 +45,32 @@
 	return r.ordered(now, readerGroup, dataCentre)
 }
 
+// Abroad returns daemons of other data centres that serve, at most count of each:
+// those that were heard, and those that a peer has named as carriers.
+func (r *Roster) Abroad(now time.Time, count int) []Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found := map[string]int{}
+	var out []Member
+	for _, e := range r.entries {
+		if e.DataCentre == r.self.DataCentre || !r.farAlive(e, now) && !e.toldLately(now) || found[e.DataCentre] >= count {
+			continue
+		}
+		found[e.DataCentre]++
+		out = append(out, e.Member)
+	}
+	return out
+}
+
+func (e *entry) toldLately(now time.Time) bool {
+	for _, at := range e.told {
+		if now.Sub(at) < carryTTL {
+			return true
+		}
+	}
+	return false
+}
+
 // Ahead returns the number of daemons of the own data centre that come before this
 // one in reading the store and of which nothing speaks against their being alive.
 // It is for a daemon that has just started and has not heard the others yet.
