Check a settings file from the command line, and name the line of a mistake

Cause: a value of the wrong type in the relay's settings was reported without its line, and the only way to check a file was to start the daemon.

Tests: TestSettingsErrorsNameTheirPlace (its case of a wrong type failed before, that of a bad seed is new with the key).

--- a/core/node/settings.go
+++ b/core/node/settings.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/netip"
 	"os"
-	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/tailscale/hujson"
 
 	"wisteriarelay.example/core/fault"
@@ -93,11 +95,11 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.ConfigInvalid, "%s: not valid JSON with comments", file)
 	}
-	decoder := json.NewDecoder(strings.NewReader(string(plain)))
+	decoder := json.NewDecoder(bytes.NewReader(plain))
 	decoder.DisallowUnknownFields()
 	var s Settings
 	if err := decoder.Decode(&s); err != nil {
-		return nil, fault.Wrap(err, fault.ConfigInvalid, "%s", file)
+		return nil, fault.Wrap(err, fault.ConfigInvalid, "%s%s", file, lineOf(plain, err))
 	}
 	if err := s.check(); err != nil {
 		return nil, fault.Wrap(err, fault.ConfigInvalid, "%s", file)
@@ -105,6 +107,16 @@
 	return &s, nil
 }
 
+// lineOf returns the line of an error as ":12", or nothing if it has none.
+// Comments were replaced by spaces, so that offsets are those of the file.
+func lineOf(data []byte, err error) string {
+	var wrongType *json.UnmarshalTypeError
+	if !errors.As(err, &wrongType) {
+		return ""
+	}
+	return fmt.Sprintf(":%d", 1+bytes.Count(data[:min(wrongType.Offset, int64(len(data)))], []byte("\n")))
+}
+
 func (s *Settings) check() error {
 	for key, value := range map[string]string{"vm": s.VM, "data-centre": s.DataCentre, "store-address": s.StoreAddress} {
 		if value == "" {
@@ -120,6 +132,11 @@
 			return fault.New(fault.ConfigInvalid, "key %q: %q is not an IP address with a port", key, value)
 		}
 	}
+	for _, seed := range s.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			return fault.New(fault.ConfigInvalid, "key %q: %q is not an IP address with a port", "seeds", seed)
+		}
+	}
 	if s.CallerAddress == "" || s.InnerAddress == "" {
 		return fault.New(fault.ConfigInvalid, "keys %q and %q are required", "caller-address", "inner-address")
 	}
--- /dev/null
+++ b/core/node/settings_test.go
@@ -0,0 +1,47 @@
+package node_test
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/node"
+)
+
+const settingsFile = `// Settings of one daemon.
+{
+  "vm": "vm-1", "data-centre": "a", "caller-address": "10.0.0.1:80", "inner-address": "10.0.0.1:81",
+  "store-address": "10.9.0.1:80", "shutdown-s": 6, "retry-budget": {"ratio": 0.2, "span-s": 10, "slack": 20},
+  "seeds": ["10.0.0.2:82"],
+  /* capacity */
+  "cpu-share": 0.5
+}`
+
+// Guards against a settings file with comments that is refused.
+func TestSettingsAreRead(t *testing.T) {
+	g := NewWithT(t)
+	s, err := node.Parse("settings.json", []byte(settingsFile))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Seeds).To(Equal([]string{"10.0.0.2:82"}))
+	g.Expect(s.CPUShare).To(Equal(0.5))
+}
+
+// Guards against an error that leaves the operator to search: it names the file and
+// the line or the key, and what is wrong there.
+func TestSettingsErrorsNameTheirPlace(t *testing.T) {
+	cases := map[string]struct{ from, to, message string }{
+		"type":    {"0.5", `"half"`, `settings.json:7: .*cpu-share`},
+		"unknown": {"cpu-share", "cpu-part", `settings.json: .*"cpu-part"`},
+		"seed":    {"10.0.0.2:82", "peer", `settings.json: .*key "seeds": "peer" is not an IP address with a port`},
+		"missing": {`"vm-1"`, `""`, `settings.json: .*key "vm" is missing`},
+		"syntax":  {"/* capacity */", "capacity", `settings.json: not valid JSON with comments: .*line 6`},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := node.Parse("settings.json", []byte(strings.Replace(settingsFile, c.from, c.to, 1)))
+			g.Expect(err).To(MatchError(MatchRegexp(c.message)))
+		})
+	}
+}
--- a/wisteriad/relay.go
+++ b/wisteriad/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -25,6 +27,7 @@
 		Name:  "relay",
 		Usage: "relay by host and path on the platform",
 		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "check", Usage: "check the settings file, print what is in force with it, and end"},
 			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Sources: cli.EnvVars(settingsVariable), Usage: "process settings file, in JSON with comments"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -32,11 +35,21 @@
 			if err != nil {
 				return err
 			}
+			if c.Bool("check") {
+				return printSettings(c.Root().Writer, settings)
+			}
 			return relay(ctx, settings, c.String("settings"))
 		},
 	}
 }
 
+// printSettings prints the settings as they are in force, in JSON.
+func printSettings(w io.Writer, settings *node.Settings) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(settings)
+}
+
 // logFlush is the longest wait for the last log lines to be written.
 const logFlush = 200 * time.Millisecond
 
