Put one list of targets in place at a time

Cause: found while reading what runs beside what. The target list changes in the receiver of datagrams, in the reader of the store and in upkeep, and a configuration puts the targets in place too. One that was overtaken between reading the list and putting it in place brought back a target that had left, until the next change.

Ruled out: that the pools' own lock covers it; it is taken after the list was read.

--- a/core/node/config.go
+++ b/core/node/config.go
@@ -173,7 +173,7 @@
 	}
 	f.document.Store(&gossip.Document{Version: int64(read.Config.Version), Data: read.Raw})
 	f.relay.SetTable(route.Compile(read.Config))
-	f.relay.SetTargets(f.list.Targets())
+	f.renewTargets()
 	f.refresh()
 	f.set.Counter("config_problems").Inc(int64(len(problems)))
 	for _, p := range problems {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -54,6 +54,8 @@
 	configMu sync.Mutex
 	// prepared is open once all that a request needs is in place.
 	prepared *gate
+	// targetsMu lets one list of targets at a time come into place.
+	targetsMu sync.Mutex
 	// newest is the highest configuration version that a peer has in force.
 	newest atomic.Int64
 	// askNow ends a call that waits for a configuration.
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -153,6 +153,14 @@
 	}
 }
 
+// renewTargets puts the targets of the list in place. One call at a time, so that
+// none that was overtaken brings back a target that has left.
+func (n *Node) renewTargets() {
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
+	n.relay.SetTargets(n.list.Targets())
+}
+
 func (n *Node) event(peer string, e sched.Event) {
 	n.relay.Pool(e.Service).Learn(peer, e)
 }
@@ -186,7 +194,7 @@
 	}
 	first := !n.listed.Load()
 	if first || len(out.Changes) > 0 {
-		n.relay.SetTargets(n.list.Targets())
+		n.renewTargets()
 	}
 	if first {
 		// Only now, because the daemon is ready from here on.
--- a/core/node/upkeep.go
+++ b/core/node/upkeep.go
@@ -23,7 +23,7 @@
 	defer tick.Stop()
 	for {
 		if u.list.Expire(time.Now()) {
-			u.relay.SetTargets(u.list.Targets())
+			u.renewTargets()
 		}
 		u.refresh()
 		select {
