Tell stray daemons only of failures

Cause: a daemon with 20 stray requests in 10 s joined the group that hears every event. When callers spread over all daemons, all of them join, and evidence grows with the square of the fleet.

Change: daemons of the own data centre that are not among its carriers are told only of events that speak against a target. They ask carriers for the rest once a second, with the work in flight at each target.

Tests: TestManyStraysStayOutOfTheGroup and TestStraysHearOnlyFailures are new with their functions.

--- a/core/gossip/beliefs.go
+++ b/core/gossip/beliefs.go
@@ -32,6 +32,8 @@
 	// Age and OnsetAge are in milliseconds; a negative OnsetAge stands for no spell.
 	Age      int64
 	OnsetAge int64
+	// Load is the work in flight of the whole fleet at the target.
+	Load int
 }
 
 func newBelief(b sched.TargetBelief) belief {
@@ -43,6 +45,7 @@
 		Sick:     share(b.Snapshot.Sick),
 		Age:      b.Snapshot.Age.Milliseconds(),
 		OnsetAge: -1,
+		Load:     b.Load,
 	}
 	if b.Snapshot.OnsetAge >= 0 {
 		out.OnsetAge = b.Snapshot.OnsetAge.Milliseconds()
@@ -61,7 +64,7 @@
 	if b.OnsetAge >= 0 {
 		s.OnsetAge = time.Duration(b.OnsetAge) * time.Millisecond
 	}
-	return sched.TargetBelief{ID: b.ID, Born: b.Born, Snapshot: s}
+	return sched.TargetBelief{ID: b.ID, Born: b.Born, Snapshot: s, Load: b.Load}
 }
 
 // TellBeliefs tells a peer what is believed of the targets of a service.
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -104,8 +104,8 @@
 	index := NewTargetIndex(map[string][]sched.Target{"orders": {{Key: sched.Key{ID: "t1"}}}})
 	sources := Sources{
 		Targets: func() TargetIndex { return index },
-		Group: func(string) []roster.Member {
-			return slices.Concat(f.members[:i], f.members[i+1:])
+		Group: func(string) (all, bad []roster.Member) {
+			return slices.Concat(f.members[:i], f.members[i+1:]), nil
 		},
 	}
 	handlers := Handlers{Event: func(peer string, _ sched.Event) { f.heard <- peer + " to " + f.members[i].VM }}
@@ -177,3 +177,14 @@
 	}
 	g.Expect(size(11) - size(1)).To(BeNumerically("<=", 10*14))
 }
+
+// Load pattern: callers spread over all daemons. Guards against telling each of them
+// every event, and against hiding failures from those with stray requests.
+func TestStraysHearOnlyFailures(t *testing.T) {
+	g := NewWithT(t)
+	r := &recipients{near: []roster.Member{{VM: "carrier"}}, strays: []roster.Member{{VM: "stray"}}}
+	g.Expect(r.within(sched.Event{Result: judge.Served})).To(HaveLen(1))
+	g.Expect(r.within(sched.Event{})).To(HaveLen(1))
+	g.Expect(r.within(sched.Event{Result: judge.Broken})).To(HaveLen(2))
+	g.Expect(r.within(sched.Event{Result: judge.Slow})).To(HaveLen(2))
+}
--- a/core/gossip/groups.go
+++ b/core/gossip/groups.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wisteriarelay.example/core/roster"
+	"wisteriarelay.example/core/sched"
 )
 
 // groupTTL is how long the members of a group are taken as known.
@@ -16,10 +17,20 @@
 // recipients are the daemons that get the events of one service.
 type recipients struct {
 	near []roster.Member
+	// strays get only the events that speak against a target.
+	strays []roster.Member
 	// far holds the members of each other data centre, the preferred gateway first.
 	far [][]roster.Member
 }
 
+// within returns those of the own data centre that get the event.
+func (r *recipients) within(e sched.Event) []roster.Member {
+	if !e.Result.Bad() {
+		return r.near
+	}
+	return slices.Concat(r.near, r.strays)
+}
+
 // groups remembers the recipients of each service for a moment. It belongs to
 // one goroutine.
 type groups struct {
@@ -48,7 +59,9 @@
 func (n *Node) recipients(service string) *recipients {
 	out := &recipients{}
 	far := map[string][]roster.Member{}
-	for _, m := range n.sources.Group(service) {
+	members, strays := n.sources.Group(service)
+	out.strays = strays
+	for _, m := range members {
 		if m.DataCentre == n.self.DataCentre {
 			out.near = append(out.near, m)
 			continue
--- a/core/gossip/node.go
+++ b/core/gossip/node.go
@@ -67,8 +67,9 @@
 	Watched func() (members []roster.Member, self bool)
 	// Targets returns the targets that this daemon knows.
 	Targets func() TargetIndex
-	// Group returns the daemons that get the events of a service.
-	Group func(service string) []roster.Member
+	// Group returns the daemons that get the events of a service, and those of the own
+	// data centre that only get the ones that speak against a target.
+	Group func(service string) (all, bad []roster.Member)
 	// Peers returns the daemons that carry what this daemon carries.
 	Peers func() []roster.Member
 	// Groups returns what the own data centre is told of carriers in others.
--- a/core/gossip/receiver.go
+++ b/core/gossip/receiver.go
@@ -85,7 +85,7 @@
 		if !report.Forward {
 			continue
 		}
-		for _, m := range r.groups.of(ref.Service).near {
+		for _, m := range r.groups.of(ref.Service).within(event) {
 			onward[m] = append(onward[m], queued{number: number, service: ref.Service, target: e.Target, event: event})
 		}
 	}
--- a/core/gossip/sender.go
+++ b/core/gossip/sender.go
@@ -74,7 +74,7 @@
 	far := map[roster.Member][]queued{}
 	for _, e := range events {
 		r := s.groups.of(e.service)
-		for _, m := range r.near {
+		for _, m := range r.within(e.event) {
 			near[m] = append(near[m], e)
 		}
 		for _, members := range r.far {
--- a/core/node/inquiry.go
+++ b/core/node/inquiry.go
@@ -40,9 +40,10 @@
 }
 
 // await asks about the targets of the service if this daemon does not hear of
-// them, and waits a moment for the answer.
-func (q *inquiries) await(ctx context.Context, service string) {
-	if q.node.relay.Pool(service).Informed() {
+// them, and waits a moment for the answer. A single request that can be sent again
+// needs no answer, and finds out what nobody knows.
+func (q *inquiries) await(ctx context.Context, service string, repeatable bool) {
+	if q.node.relay.Pool(service).Informed() || repeatable && q.node.relay.Recent(service) < strayRequests {
 		return
 	}
 	i := q.ask(service)
--- a/core/node/inquiry_test.go
+++ b/core/node/inquiry_test.go
@@ -74,12 +74,37 @@
 	// An answer can take longer than a request waits for it on a busy machine; the
 	// next request then finds it.
 	g.Eventually(func() float64 {
-		stray.inquiries.await(t.Context(), "orders")
+		stray.inquiries.await(t.Context(), "orders", false)
 		return failRate(stray, "t0")
 	}).WithTimeout(10 * time.Second).Should(BeNumerically(">", 0.7))
 	g.Expect(failRate(stray, "t1")).To(BeNumerically("<", 0.3))
 }
 
+// Load pattern: callers that find no directory spread over all daemons, twenty
+// requests and more to each. Guards against all of them hearing every event.
+func TestManyStraysStayOutOfTheGroup(t *testing.T) {
+	g := NewWithT(t)
+	nodes := []*Node{newPeer(t, "vm-1", strong), newPeer(t, "vm-2", strong), newPeer(t, "vm-3", weak), newPeer(t, "vm-4", weak)}
+	introduce(nodes...)
+	group, _ := nodes[0].plan().Group("orders")
+	for _, n := range nodes {
+		for _, o := range nodes[2:] {
+			n.heard(o.self, &gossip.Report{VM: o.self.VM, DataCentre: "a", Ready: true, Carries: []string{group}})
+		}
+	}
+	for _, n := range nodes {
+		n.refresh()
+		carriers, strays := n.group("orders")
+		for _, m := range carriers {
+			g.Expect(m.VM).To(BeElementOf("vm-1", "vm-2"))
+		}
+		for _, m := range strays {
+			g.Expect(m.VM).To(BeElementOf("vm-3", "vm-4"))
+		}
+		g.Expect(n.relay.Pool("orders").Informed()).To(Equal(n.self.VM < "vm-3"))
+	}
+}
+
 // Guards against requests that wait for daemons which do not answer, or each ask
 // anew.
 func TestInquiryWithoutAnswerIsShortAndRare(t *testing.T) {
@@ -91,11 +116,13 @@
 	n.heard(silent, &gossip.Report{VM: "vm-1", DataCentre: "a", Ready: true})
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	n.inquiries.await(ctx, "orders")
+	n.inquiries.await(ctx, "orders", true)
+	g.Expect(n.inquiries.open).To(BeEmpty())
+	n.inquiries.await(ctx, "orders", false)
 	g.Expect(ctx.Err()).NotTo(HaveOccurred())
 	asked := n.inquiries.open["orders"]
 	asked.askedAt = time.Now().Add(time.Hour)
 	asked.end()
-	n.inquiries.await(ctx, "orders")
+	n.inquiries.await(ctx, "orders", false)
 	g.Expect(n.inquiries.open["orders"]).To(BeIdenticalTo(asked))
 }
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -11,7 +11,7 @@
 )
 
 // strayRequests is the number of requests in the span of the retry budget from
-// which a daemon takes part in the evidence about a service that others carry.
+// which a daemon is told of failures at the targets of a service that others carry.
 const strayRequests = 20
 
 // report returns the daemon's own part of a report.
@@ -88,10 +88,23 @@
 	return nil
 }
 
-// group returns the other daemons that carry the service.
-func (n *Node) group(service string) []roster.Member {
+// group returns the other daemons that get the events of the service: those that
+// carry it, and those of the own data centre that only get stray requests. Load
+// pattern: callers that find no directory spread over all daemons; if each of these
+// heard every event, evidence would grow with the square of the fleet.
+func (n *Node) group(service string) (carriers, strays []roster.Member) {
+	now := time.Now()
 	group, cores := n.plan().Group(service)
-	return n.roster.Group(time.Now(), group, cores)
+	near := n.roster.Carriers(now, group, n.self.DataCentre, cores)
+	for _, m := range n.roster.Group(now, group, cores) {
+		ranked := slices.ContainsFunc(near, func(o roster.Member) bool { return o.VM == m.VM })
+		if m.DataCentre == n.self.DataCentre && !ranked {
+			strays = append(strays, m)
+			continue
+		}
+		carriers = append(carriers, m)
+	}
+	return carriers, strays
 }
 
 // carryingPeers returns the daemons that carry a group which this daemon carries.
--- a/core/node/upkeep.go
+++ b/core/node/upkeep.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"wisteriarelay.example/core/retry"
@@ -57,13 +56,13 @@
 	now := time.Now()
 	plan := n.plan()
 	start := n.startKind(now)
-	carried := n.carried(t.Services())
 	for _, s := range t.Services() {
 		group, cores := plan.Group(s)
-		n.relay.Pool(s).SetInformed(slices.Contains(carried, group))
+		carries := n.roster.Carries(now, group, cores)
+		n.relay.Pool(s).SetInformed(carries)
 		part := retry.PartOf(1, start)
 		part.Slack = 0
-		if n.roster.Carries(now, group, cores) {
+		if carries {
 			part = retry.PartOf(len(n.roster.Group(now, group, cores))+1, start)
 		}
 		n.relay.SetPart(s, part)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -42,7 +42,7 @@
 	logger     log.Logger
 	set        *stats.Set
 	emit       func(sched.Event)
-	inform     func(ctx context.Context, service string)
+	inform     func(ctx context.Context, service string, repeatable bool)
 	table      atomic.Pointer[route.Table]
 	pools      pools
 	sizes      sizes
@@ -75,10 +75,10 @@
 	return func(r *Relay) { r.emit = emit }
 }
 
-// WithInform sets the function that is called before a request that must not run
-// twice gets a target; it may wait a moment for what peers know of the targets of
-// the service.
-func WithInform(inform func(ctx context.Context, service string)) Option {
+// WithInform sets the function that is called before a request gets a target; it may
+// wait a moment for what peers know of the targets of the service. repeatable says
+// that the request can be sent again.
+func WithInform(inform func(ctx context.Context, service string, repeatable bool)) Option {
 	return func(r *Relay) { r.inform = inform }
 }
 
@@ -105,7 +105,7 @@
 		logger:     log.NewNopLogger(),
 		set:        stats.New(),
 		emit:       func(sched.Event) {},
-		inform:     func(context.Context, string) {},
+		inform:     func(context.Context, string, bool) {},
 	}
 	r.services.Store(&map[string]*service{})
 	r.memory.left.Store(defaultAnswerMemory)
@@ -221,9 +221,7 @@
 		return r.refuse(req, fault.RouteUnusable)
 	}
 	x := r.newExchange(req, table, match)
-	if !match.Idempotent() {
-		r.inform(ctx, x.service)
-	}
+	r.inform(ctx, x.service, match.Idempotent())
 	return x.run(ctx)
 }
 
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -217,7 +217,9 @@
 	if m == nil {
 		return
 	}
-	m.setPeerLoad(peer, e.InFlight, now)
+	if !p.uninformed {
+		m.setPeerLoad(peer, e.InFlight, now)
+	}
 	m.usedAt = now
 	if e.Result == judge.Shed {
 		m.shedAt = now
