Take the mean of three replays of silent spells

Cause: TestCrewLearnsOfSilentSpells failed once in a trial, at 0.02223 against a bound of 0.02222. Ten replays spread from 0.0182 to 0.0208: the daemons draw their turns at random, and the bound, which comes from the number of spells, stands 2 to 3 deviations above the mean.

Change: the same bound for the mean of three replays, which a worse policy passes no more easily and a good one misses less often. Ruled out: a replay of ten minutes; its mean is 0.0143, so the same bound would be looser.

--- a/core/sched/replay_test.go
+++ b/core/sched/replay_test.go
@@ -212,19 +212,26 @@
 // without an answer for spells of nine seconds. Guards against orders that go to such
 // a target until the first of them has run for several times as long as usual.
 func TestCrewLearnsOfSilentSpells(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		const rate = 180
-		c := newCrew(6, 9)
-		for _, p := range c.pools {
-			p.SetTargets(roomy(targets(9)))
-		}
-		out := replayCrew(c, rate, 120*time.Second, true)
-		// Half a second is enough for two orders in a row to be slow.
-		const onTheWay = rate / 9 / 2
-		allowed := (spellsPerSecond*onTheWay + floorLosses) / rate
-		g.Expect(share(out, func(o outcome) bool { return o.lost })).To(BeNumerically("<", allowed))
-	})
+	const (
+		rate = 180
+		// The bound holds for the mean: daemons draw their turns at random.
+		replays = 3
+	)
+	mean := 0.0
+	for range replays {
+		synctest.Test(t, func(*testing.T) {
+			c := newCrew(6, 9)
+			for _, p := range c.pools {
+				p.SetTargets(roomy(targets(9)))
+			}
+			out := replayCrew(c, rate, 120*time.Second, true)
+			mean += share(out, func(o outcome) bool { return o.lost }) / replays
+		})
+	}
+	// Half a second is enough for two orders in a row to be slow.
+	const onTheWay = rate / 9 / 2
+	allowed := (spellsPerSecond*onTheWay + floorLosses) / rate
+	NewWithT(t).Expect(mean).To(BeNumerically("<", allowed))
 }
 
 // roomy returns the targets with more slots.
