--- a/core/node/help.go
+++ b/core/node/help.go
@@ -45,8 +45,9 @@
 	if r.Leaving || r.Config > 0 && r.Targets > 0 || !h.Ready() {
 		return
 	}
-	helps := m.DataCentre == h.self.DataCentre && h.roster.Rank(now) < helpers
-	if !helps && !r.Seeks || !h.due(m.VM, now) {
+	rank := h.roster.Rank(now)
+	helps := m.DataCentre == h.self.DataCentre && rank < helpers
+	if !helps && !r.Seeks || !h.due(m.VM, helps && rank > 0, now) {
 		return
 	}
 	h.introduce(now, m, helps)
@@ -61,18 +62,21 @@
 	}
 }
 
-// due reports whether the daemon may be helped again.
-func (h *helper) due(vm string, now time.Time) bool {
+// due reports whether the daemon may be helped now. The second in rank leaves the
+// first call to the first: pieces of two lists that are passed on at the same moment
+// would keep each other from becoming whole.
+func (h *helper) due(vm string, second bool, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if now.Sub(h.helped[vm]) < helpPause {
+	last, known := h.helped[vm]
+	if now.Sub(last) < helpPause {
 		return false
 	}
 	if len(h.helped) >= maxHelped {
 		clear(h.helped)
 	}
 	h.helped[vm] = now
-	return true
+	return known || !second
 }
 
 // introduce tells the daemon who serves in its data centre, and that this one does.
