Keep the evidence of large groups with their targets, and carry with fewer daemons

Each result went to every carrier in five data centres, and 30 weak daemons of each carried, since a core was counted for 250 slots.

Change: from 12 carriers on, a data centre gets only the events of its own targets from others, has duties for these only, and orders wait a moment rather than go to a target elsewhere of which nothing is known. A core is counted for 500 slots: on the large site the carriers used 0.14 of a core for 240 slots. Groups are split from 2,000 slots on. Requests that are merely slow are no reason to send events at once.

--- a/core/gossip/events.go
+++ b/core/gossip/events.go
@@ -52,8 +52,9 @@
 
 // TargetRef names a target.
 type TargetRef struct {
-	Service string
-	Key     sched.Key
+	Service    string
+	Key        sched.Key
+	DataCentre string
 }
 
 // TargetIndex finds targets by their hashes.
@@ -69,7 +70,7 @@
 			h := HashTarget(service, t.Key)
 			_, taken := index[h]
 			shared[h] = shared[h] || taken
-			index[h] = TargetRef{Service: service, Key: t.Key}
+			index[h] = TargetRef{Service: service, Key: t.Key, DataCentre: t.DataCentre}
 		}
 	}
 	for h, twice := range shared {
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -104,8 +104,8 @@
 	index := NewTargetIndex(map[string][]sched.Target{"orders": {{Key: sched.Key{ID: "t1"}}}})
 	sources := Sources{
 		Targets: func() TargetIndex { return index },
-		Group: func(string) (all, bad []roster.Member) {
-			return slices.Concat(f.members[:i], f.members[i+1:]), nil
+		Group: func(string) Audience {
+			return Audience{Carriers: slices.Concat(f.members[:i], f.members[i+1:])}
 		},
 	}
 	handlers := Handlers{Event: func(peer string, _ sched.Event) { f.heard <- peer + " to " + f.members[i].VM }}
@@ -122,7 +122,9 @@
 		r := f.nodes[i].recipients("orders")
 		g.Expect(r.near).To(HaveLen(3))
 		g.Expect(r.far).To(HaveLen(1))
-		gateways[r.far[0][0].VM] = true
+		for _, members := range r.far {
+			gateways[members[0].VM] = true
+		}
 	}
 	g.Expect(len(gateways)).To(BeNumerically(">", 2), "the work of passing on is spread")
 }
@@ -188,3 +190,15 @@
 	g.Expect(r.within(sched.Event{Result: judge.Broken})).To(HaveLen(2))
 	g.Expect(r.within(sched.Event{Result: judge.Slow})).To(HaveLen(2))
 }
+
+// Load pattern: a group of many carriers. Guards against events of every target that
+// go to all of them: what one data centre uses, others hardly need to know.
+func TestEventsOfALargeGroupStayWithTheirTargets(t *testing.T) {
+	g := NewWithT(t)
+	r := &recipients{far: map[string][]roster.Member{"b": {{VM: "b-1"}}, "c": {{VM: "c-1"}}}}
+	g.Expect(r.beyond("a")).To(HaveLen(2))
+	r.local = true
+	g.Expect(r.beyond("a")).To(BeEmpty())
+	g.Expect(r.beyond("b")).To(Equal([][]roster.Member{{{VM: "b-1"}}}))
+	g.Expect(r.beyond("")).To(BeEmpty())
+}
--- a/core/gossip/groups.go
+++ b/core/gossip/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,7 +21,20 @@
 	// strays get only the events that speak against a target.
 	strays []roster.Member
 	// far holds the members of each other data centre, the preferred gateway first.
-	far [][]roster.Member
+	far map[string][]roster.Member
+	// local says that each of these only gets the events of its own targets.
+	local bool
+}
+
+// beyond returns the data centres that get an event of a target in the data centre.
+func (r *recipients) beyond(dataCentre string) [][]roster.Member {
+	if r.local {
+		if members := r.far[dataCentre]; len(members) > 0 {
+			return [][]roster.Member{members}
+		}
+		return nil
+	}
+	return slices.Collect(maps.Values(r.far))
 }
 
 // within returns those of the own data centre that get the event.
@@ -57,20 +71,17 @@
 }
 
 func (n *Node) recipients(service string) *recipients {
-	out := &recipients{}
-	far := map[string][]roster.Member{}
-	members, strays := n.sources.Group(service)
-	out.strays = strays
-	for _, m := range members {
+	audience := n.sources.Group(service)
+	out := &recipients{strays: audience.Strays, local: audience.Local, far: map[string][]roster.Member{}}
+	for _, m := range audience.Carriers {
 		if m.DataCentre == n.self.DataCentre {
 			out.near = append(out.near, m)
 			continue
 		}
-		far[m.DataCentre] = append(far[m.DataCentre], m)
+		out.far[m.DataCentre] = append(out.far[m.DataCentre], m)
 	}
-	for _, members := range far {
+	for _, members := range out.far {
 		n.sortGateways(members)
-		out.far = append(out.far, members)
 	}
 	return out
 }
--- a/core/gossip/node.go
+++ b/core/gossip/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 
+	"wisteriarelay.example/core/judge"
 	"wisteriarelay.example/core/roster"
 	"wisteriarelay.example/core/sched"
 	"wisteriarelay.example/core/watch"
@@ -67,15 +68,24 @@
 	Watched func() (members []roster.Member, self bool)
 	// Targets returns the targets that this daemon knows.
 	Targets func() TargetIndex
-	// Group returns the daemons that get the events of a service, and those of the own
-	// data centre that only get the ones that speak against a target.
-	Group func(service string) (all, bad []roster.Member)
+	// Group returns the daemons that get the events of a service.
+	Group func(service string) Audience
 	// Peers returns the daemons that carry what this daemon carries.
 	Peers func() []roster.Member
 	// Groups returns what the own data centre is told of carriers in others.
 	Groups func() []Group
 }
 
+// Audience is the daemons that get the events of a service.
+type Audience struct {
+	Carriers []roster.Member
+	// Strays are daemons of the own data centre that only get the events that speak
+	// against a target.
+	Strays []roster.Member
+	// Local says that another data centre only gets the events of its own targets.
+	Local bool
+}
+
 // Node sends and receives reports.
 type Node struct {
 	self     roster.Member
@@ -137,7 +147,7 @@
 	n.fresh = append(n.fresh, newQueued(n.number, e))
 	n.mu.Unlock()
 	signal(n.wake)
-	if e.Result.Bad() {
+	if e.Result.Bad() && e.Result != judge.Slow {
 		signal(n.urgent)
 	}
 }
--- a/core/gossip/sender.go
+++ b/core/gossip/sender.go
@@ -72,12 +72,13 @@
 func (s *sender) send(events []queued, gateway int) {
 	near := map[roster.Member][]queued{}
 	far := map[roster.Member][]queued{}
+	index := s.sources.Targets()
 	for _, e := range events {
 		r := s.groups.of(e.service)
 		for _, m := range r.within(e.event) {
 			near[m] = append(near[m], e)
 		}
-		for _, members := range r.far {
+		for _, members := range r.beyond(index[e.target].DataCentre) {
 			m := members[gateway%len(members)]
 			far[m] = append(far[m], e)
 		}
--- a/core/node/inquiry_test.go
+++ b/core/node/inquiry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -94,17 +95,36 @@
 	}
 	for _, n := range nodes {
 		n.refresh()
-		carriers, strays := n.group("orders")
-		for _, m := range carriers {
+		audience := n.group("orders")
+		g.Expect(audience.Local).To(BeFalse())
+		for _, m := range audience.Carriers {
 			g.Expect(m.VM).To(BeElementOf("vm-1", "vm-2"))
 		}
-		for _, m := range strays {
+		for _, m := range audience.Strays {
 			g.Expect(m.VM).To(BeElementOf("vm-3", "vm-4"))
 		}
 		g.Expect(n.relay.Pool("orders").Informed()).To(Equal(n.self.VM < "vm-3"))
 	}
 }
 
+// Load pattern: VMs so weak that dozens carry one group. Guards against each hearing
+// the results of all, and against targets of a data centre without carriers that
+// nobody looks after.
+func TestLargeGroupsKeepEvidenceLocal(t *testing.T) {
+	g := NewWithT(t)
+	n := newPeer(t, "vm-1", weak)
+	group, _ := n.plan().Group("orders")
+	for i := range localFrom {
+		m := n.self
+		m.VM, m.DataCentre = fmt.Sprint("far-", i), "b"
+		g.Expect(n.group("orders").Local).To(BeFalse())
+		g.Expect(n.tended(n.group("orders"))).To(BeEmpty())
+		n.heard(m, &gossip.Report{VM: m.VM, DataCentre: "b", Ready: true, Carries: []string{group}})
+	}
+	g.Expect(n.group("orders").Local).To(BeTrue())
+	g.Expect(n.tended(n.group("orders"))).To(Equal(map[string]bool{"b": true}))
+}
+
 // Guards against requests that wait for daemons which do not answer, or each ask
 // anew.
 func TestInquiryWithoutAnswerIsShortAndRare(t *testing.T) {
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -88,23 +88,41 @@
 	return nil
 }
 
-// group returns the other daemons that get the events of the service: those that
-// carry it, and those of the own data centre that only get stray requests. Load
-// pattern: callers that find no directory spread over all daemons; if each of these
-// heard every event, evidence would grow with the square of the fleet.
-func (n *Node) group(service string) (carriers, strays []roster.Member) {
+// localFrom is the number of carriers of a group from which events stay in the data
+// centres of the sender and of the target.
+const localFrom = 12
+
+// group returns the other daemons that get the events of the service. Load patterns:
+// callers that find no directory spread over all daemons, and if each of these heard
+// every event, evidence would grow with the square of the fleet; and a group of weak
+// VMs has many carriers, each of which would hear the results of all.
+func (n *Node) group(service string) gossip.Audience {
 	now := time.Now()
 	group, cores := n.plan().Group(service)
 	near := n.roster.Carriers(now, group, n.self.DataCentre, cores)
+	var out gossip.Audience
 	for _, m := range n.roster.Group(now, group, cores) {
 		ranked := slices.ContainsFunc(near, func(o roster.Member) bool { return o.VM == m.VM })
 		if m.DataCentre == n.self.DataCentre && !ranked {
-			strays = append(strays, m)
+			out.Strays = append(out.Strays, m)
 			continue
 		}
-		carriers = append(carriers, m)
+		out.Carriers = append(out.Carriers, m)
 	}
-	return carriers, strays
+	out.Local = len(out.Carriers) >= localFrom
+	return out
+}
+
+// tended returns the data centres whose own daemons alone know their targets of a
+// service, because its group is large.
+func (n *Node) tended(audience gossip.Audience) map[string]bool {
+	out := map[string]bool{}
+	for _, m := range audience.Carriers {
+		if audience.Local && m.DataCentre != n.self.DataCentre {
+			out[m.DataCentre] = true
+		}
+	}
+	return out
 }
 
 // carryingPeers returns the daemons that carry a group which this daemon carries.
--- a/core/node/upkeep.go
+++ b/core/node/upkeep.go
@@ -60,6 +60,7 @@
 		group, cores := plan.Group(s)
 		carries := n.roster.Carries(now, group, cores)
 		n.relay.Pool(s).SetInformed(carries)
+		n.relay.Pool(s).SetTended(n.tended(n.group(s)))
 		part := retry.PartOf(1, start)
 		part.Slack = 0
 		if carries {
--- a/core/roster/plan.go
+++ b/core/roster/plan.go
@@ -11,10 +11,10 @@
 const (
 	// slotsPerCore is the number of target slots whose requests one core carries.
 	// Fewer carriers learn faster which targets are sick; more share the load.
-	slotsPerCore = 250
+	slotsPerCore = 500
 	// groupCores is the demand from which the services are split into more groups:
 	// each result is told to the whole group.
-	groupCores = 16
+	groupCores = 4
 )
 
 // Demand is what the services of a fleet ask of its daemons.
--- a/core/sched/choice.go
+++ b/core/sched/choice.go
@@ -17,6 +17,9 @@
 	// than goes to the target. A target of which nothing is known stays below it:
 	// the service needs to learn of its capacity when the known targets are full.
 	sickRate = 0.45
+	// tendedRate is the same for a target that daemons of its own data centre look
+	// after: nothing has to be learnt of it here.
+	tendedRate = 0.15
 	// retryPenalty is the delay that a failure costs if the request is sent again.
 	retryPenalty = 600 * time.Millisecond
 	// remotePenalty and remotePerKB prefer targets of the own data centre: traffic
@@ -119,7 +122,7 @@
 	if free.member == nil {
 		return true
 	}
-	if free.rate < sickRate {
+	if free.rate < p.waitRate(free.member) {
 		return false
 	}
 	wait := p.expectedWait(a, now)
@@ -129,6 +132,15 @@
 	return full.cost+wait < free.cost
 }
 
+// waitRate returns the expected share of failures from which a request rather waits
+// than goes to the target.
+func (p *Pool) waitRate(m *member) float64 {
+	if p.tended[m.target.DataCentre] {
+		return tendedRate
+	}
+	return sickRate
+}
+
 // cost returns the expected delay of a request at the target. All reasons for
 // and against a target are expressed in time, so that they can be weighed.
 func (p *Pool) cost(m *member, a Ask, now time.Time, rate float64) time.Duration {
--- a/core/sched/floor.go
+++ b/core/sched/floor.go
@@ -57,10 +57,10 @@
 	switch {
 	case a.Last:
 		if used < p.floor {
-			return unused
+			return p.unused
 		}
 	case used < largeFloor || used < repeatFloor && a.remotePenalty() < dearPenalty:
-		return unused
+		return p.unused
 	case used < repeatFloor:
 		return p.unusedNear
 	}
@@ -68,18 +68,21 @@
 }
 
 func (p *Pool) unusedNear(m *member, now time.Time) bool {
-	return m.target.DataCentre == p.dataCentre && unused(m, now)
+	return m.target.DataCentre == p.dataCentre && p.unused(m, now)
 }
 
 func (p *Pool) unintroduced(m *member, now time.Time) bool {
-	return m.usedAt.IsZero() && now.Sub(m.addedAt) > introduceAfter+m.turn && now.After(m.target.WarmAt)
+	return !p.tended[m.target.DataCentre] && m.usedAt.IsZero() && now.Sub(m.addedAt) > introduceAfter+m.turn && now.After(m.target.WarmAt)
 }
 
 func (p *Pool) unintroducedNear(m *member, now time.Time) bool {
 	return m.target.DataCentre == p.dataCentre && p.unintroduced(m, now)
 }
 
-func unused(m *member, now time.Time) bool {
+func (p *Pool) unused(m *member, now time.Time) bool {
+	if p.tended[m.target.DataCentre] {
+		return false
+	}
 	last := m.usedAt
 	if m.addedAt.After(last) {
 		last = m.addedAt
@@ -92,11 +95,11 @@
 func (p *Pool) usedShare(now time.Time) float64 {
 	used, all := 0, 0
 	for _, m := range p.members {
-		if now.Sub(m.badAt) < failureMemory {
+		if now.Sub(m.badAt) < failureMemory || p.tended[m.target.DataCentre] {
 			continue
 		}
 		all++
-		if !unused(m, now) {
+		if !p.unused(m, now) {
 			used++
 		}
 	}
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -42,6 +42,8 @@
 	// were weighed for them.
 	asked   uint64
 	weighed uint64
+	// tended are the data centres whose targets are looked after by their own daemons.
+	tended map[string]bool
 	// uninformed says that this daemon is not told the results of its peers.
 	uninformed bool
 }
@@ -106,6 +108,14 @@
 	p.uninformed = !informed
 }
 
+// SetTended sets the data centres whose targets are looked after by their own daemons:
+// this one hears little of them, and has no duties there.
+func (p *Pool) SetTended(dataCentres map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tended = dataCentres
+}
+
 // Informed reports whether this daemon is told the results of its peers.
 func (p *Pool) Informed() bool {
 	p.mu.Lock()
