Pass the target list on from its first reader only

The first reader passed 643 changes on, daemons missed pieces, read the store themselves and each told all others what it had read: 13,000 to 17,000 datagrams from one daemon in two seconds, 14 MB.

Change: the first in rank passes on what it reads, another one only if no piece came from a peer for a second.

Test: TestOnlyTheFirstPassesTheListOn is new with its function.

--- a/core/node/list.go
+++ b/core/node/list.go
@@ -51,7 +51,7 @@
 	}
 	delta.Age = time.Since(began)
 	applied := f.applyList(delta)
-	if applied.Taken && delta.Since != 0 {
+	if applied.Taken && delta.Since != 0 && f.tellsList(now) {
 		delta.Changes = applied.Changes
 		f.peers.TellList(delta)
 	}
@@ -63,3 +63,19 @@
 	}
 	return f.platform.PollTargets(ctx, version)
 }
+
+// listSilence is the time without a piece of the list from a peer after which a
+// daemon that reads the list passes it on, whatever its rank.
+const listSilence = time.Second
+
+// tellsList reports whether this daemon passes on what it has read: the first does,
+// and another one if nobody else seems to. Load pattern: hundreds of targets change at
+// once and pieces of that are lost; every daemon that misses one reads the store for
+// itself, and none of them has to tell all the others.
+func (n *Node) tellsList(now time.Time) bool {
+	if n.roster.Rank(now) == 0 {
+		return true
+	}
+	heard := n.listPieceAt.Load()
+	return heard == nil || now.Sub(*heard) >= listSilence
+}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -41,6 +41,8 @@
 	leaving   atomic.Bool
 	// listReadAt is when the daemon last read the target list from the store itself.
 	listReadAt atomic.Pointer[time.Time]
+	// listPieceAt is when a peer last passed on a piece of the target list.
+	listPieceAt atomic.Pointer[time.Time]
 	// listed says that the target list was read once.
 	listed atomic.Bool
 	// oldList is a target list of a peer that could not read the store either.
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -216,6 +216,8 @@
 // listHeard takes in a piece of a change of the target list; only the receiver
 // of the datagrams calls it.
 func (n *Node) listHeard(p watch.Part) {
+	now := time.Now()
+	n.listPieceAt.Store(&now)
 	if d, ok := n.assembly.Add(p); ok {
 		n.applyList(d)
 	}
--- a/core/node/targets_test.go
+++ b/core/node/targets_test.go
@@ -3,10 +3,12 @@
 import (
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"wisteriarelay.example/core/gossip"
 	"wisteriarelay.example/core/watch"
 )
 
@@ -48,3 +50,28 @@
 		g.Expect(n.relay.Pool("orders").Size()).To(Equal(2))
 	}
 }
+
+// Load pattern: hundreds of targets change at once, and daemons miss pieces of what the
+// first reader passes on. Guards against each of them telling all others what it then
+// read itself: that grew with the square of the data centre.
+func TestOnlyTheFirstPassesTheListOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := newFollower(g, weak, &operators{begin: time.Now()})
+		defer n.conn.Close()
+		m := n.self
+		m.VM, m.Cores = "vm-1", strong
+		n.heard(m, &gossip.Report{VM: m.VM, DataCentre: "a", Ready: true})
+		g.Expect(n.tellsList(time.Now())).To(BeTrue(), "nobody else does")
+		n.listHeard(watch.Part{Delta: watch.Delta{Since: 5, Version: 6}, Count: 2})
+		g.Expect(n.tellsList(time.Now())).To(BeFalse())
+		time.Sleep(listSilence)
+		g.Expect(n.tellsList(time.Now())).To(BeTrue(), "the first may be cut from the store")
+		n.listHeard(watch.Part{Delta: watch.Delta{Since: 6, Version: 7}, Count: 2})
+		first := newFollower(g, strong, &operators{begin: time.Now()})
+		defer first.conn.Close()
+		first.refresh()
+		first.listHeard(watch.Part{Delta: watch.Delta{Since: 5, Version: 6}, Count: 2})
+		g.Expect(first.tellsList(time.Now())).To(BeTrue())
+	})
+}
