--- a/core/gossip/node.go
+++ b/core/gossip/node.go
@@ -46,7 +46,7 @@
 	// Event is called once with each event of a target.
 	Event func(peer string, e sched.Event)
 	// ListPart is called with each part of a change of the target list.
-	ListPart func(p watch.Part)
+	ListPart func(peer string, p watch.Part)
 	// RemoteCarriers is called with carriers of a group in other data centres.
 	RemoteCarriers func(g GroupCarriers)
 	// Snapshot is called with the whole target list, Members with members of the
--- a/core/gossip/receiver.go
+++ b/core/gossip/receiver.go
@@ -49,7 +49,7 @@
 		r.handlers.RemoteCarriers(g)
 	}
 	if report.ListPart != nil {
-		r.handlers.ListPart(*report.ListPart)
+		r.handlers.ListPart(report.VM, *report.ListPart)
 	}
 	if report.ConfigFragment != nil {
 		r.handleConfigFragment(report)
--- a/core/node/maintenance.go
+++ b/core/node/maintenance.go
@@ -21,7 +21,9 @@
 func (m *maintenance) loop(ctx context.Context) {
 	tick := time.NewTicker(maintenanceInterval)
 	defer tick.Stop()
+	age := &listAgeMonitor{Node: m.Node}
 	for {
+		age.check(time.Now())
 		if m.targetList.Expire(time.Now()) {
 			m.updateTargets()
 		}
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -224,19 +224,32 @@
 
 // handleListPart adds a part of a change of the target list, and applies the change
 // once it is complete. Only the goroutine that receives datagrams calls it.
-func (n *Node) handleListPart(p watch.Part) {
+func (n *Node) handleListPart(peer string, p watch.Part) {
 	now := time.Now()
 	n.listPartAt.Store(&now)
-	if d, ok := n.listAssembly.Add(p); ok {
-		n.applyList(d)
+	abandoned := n.listAssembly.Abandoned()
+	d, complete := n.listAssembly.Add(p)
+	n.metrics.Counter("list_deltas_incomplete").Inc(n.listAssembly.Abandoned() - abandoned)
+	if complete {
+		n.applyList(peer, d)
 	}
 }
 
+// The sources of a delta that is not a peer's change of the target list.
+const (
+	// fromStore stands for a read of the store by this daemon.
+	fromStore = "store"
+	// fromSnapshot stands for the whole list of a peer.
+	fromSnapshot = "snapshot"
+)
+
 // applyList applies changes to the target list and returns those that affect the
-// use of targets.
-func (n *Node) applyList(d watch.Delta) watch.ApplyResult {
+// use of targets. The source is for the log: the VM of a peer, fromStore or fromSnapshot.
+func (n *Node) applyList(source string, d watch.Delta) watch.ApplyResult {
+	known, _ := n.targetList.Position()
 	out := n.targetList.Apply(time.Now(), d)
-	if !out.Accepted {
+	if !out.Accepted() {
+		n.recordRejectedDelta(source, known, d, out.Rejection)
 		return out
 	}
 	if out.StoreRecovered {
@@ -256,8 +269,7 @@
 		n.refresh()
 	}
 	for _, c := range out.Changes {
-		_ = n.logger.Log("msg", "target changed", "target", c.ID, "gone", c.Entry == nil,
-			"draining", c.Entry != nil && c.Entry.Draining, "list-version", d.Version, "age", d.Age)
+		n.logTargetChange(source, d, c)
 	}
 	return out
 }
--- a/core/node/ready_test.go
+++ b/core/node/ready_test.go
@@ -40,7 +40,7 @@
 		n.relay.SetTable(route.Compile(config))
 		observer := &readyObserver{node: n, sizes: make(chan int, 1)}
 		go observer.run()
-		n.applyList(watch.Delta{Version: 1, Age: time.Millisecond, Changes: changes})
+		n.applyList(fromStore, watch.Delta{Version: 1, Age: time.Millisecond, Changes: changes})
 		g.Expect(<-observer.sizes).To(Equal(len(changes)))
 		_ = n.gossipConn.Close()
 	}
@@ -71,10 +71,10 @@
 	sequences := map[string]func(n *Node){
 		"list last": func(n *Node) {
 			(&configFollower{n}).apply(ConfigResult{Config: config}, false)
-			n.applyList(list)
+			n.applyList(fromStore, list)
 		},
 		"configuration last": func(n *Node) {
-			n.applyList(list)
+			n.applyList(fromStore, list)
 			(&configFollower{n}).apply(ConfigResult{Config: config}, false)
 		},
 	}
--- a/core/node/start.go
+++ b/core/node/start.go
@@ -128,7 +128,7 @@
 
 func (n *Node) applyPeerList(d watch.Delta) {
 	_ = n.logger.Log("msg", "target list of a peer in use", "list-version", d.Version, "age", d.Age, "targets", len(d.Changes))
-	n.applyList(d)
+	n.applyList(fromSnapshot, d)
 }
 
 // startupHold is how long after its start a daemon holds requests until it is
--- a/core/node/startup_test.go
+++ b/core/node/startup_test.go
@@ -75,7 +75,7 @@
 	t.Cleanup(func() { _ = n.gossipConn.Close() })
 	n.gossip.Start(t.Context())
 	n.handleConfig(gossip.Document{Version: 7, Data: []byte("seven")})
-	n.applyList(testTargetList(age))
+	n.applyList(fromStore, testTargetList(age))
 	return n
 }
 
@@ -112,7 +112,7 @@
 	n.listLoaded.Store(false)
 	n.handleSnapshot(testTargetList(time.Minute))
 	g.Expect(n.relay.TargetPool("orders").Size()).To(BeZero())
-	n.applyList(watch.Delta{Version: 20, Changes: testTargetList(0).Changes[:3]})
+	n.applyList(fromStore, watch.Delta{Version: 20, Changes: testTargetList(0).Changes[:3]})
 	n.handleSnapshot(testTargetList(0))
 	n.applyStaleList()
 	g.Expect(n.relay.TargetPool("orders").Size()).To(Equal(3))
--- a/core/node/state.go
+++ b/core/node/state.go
@@ -23,6 +23,7 @@
 	n.stateDump.Add("targets", func() any { return n.targetState() })
 	n.stateDump.Add("budget", func() any { return n.budgetState() })
 	n.metrics.Gauge("gossip_events_dropped", n.gossip.Dropped)
+	n.metrics.Gauge("list_age_ms", func() int64 { return n.storeState().ListAge.Milliseconds() })
 	n.metrics.Gauge("caller_connections", func() int64 { return int64(n.callerServer.OpenConnections()) })
 	n.metrics.Gauge("caller_requests_open", func() int64 { return int64(n.callerServer.PendingRequests()) })
 }
--- a/core/node/target_list.go
+++ b/core/node/target_list.go
@@ -50,8 +50,8 @@
 		_ = f.logger.Log("msg", "target entry ignored", "err", p)
 	}
 	delta.Age = time.Since(began)
-	applied := f.applyList(delta)
-	if applied.Accepted && delta.Since != 0 && f.sendsList(now) {
+	applied := f.applyList(fromStore, delta)
+	if applied.Accepted() && delta.Since != 0 && f.sendsList(now) {
 		delta.Changes = applied.Changes
 		f.gossip.SendListChanges(delta)
 	}
--- a/core/node/targets_test.go
+++ b/core/node/targets_test.go
@@ -21,7 +21,7 @@
 
 func (u *listUpdate) run() {
 	defer u.done.Done()
-	u.node.applyList(u.delta)
+	u.node.applyList(fromStore, u.delta)
 }
 
 // Guards against using a target that has left: several goroutines change the list,
@@ -34,7 +34,7 @@
 	full := testTargetList(0)
 	full.Changes = full.Changes[:2]
 	full.Version = 1
-	n.applyList(full)
+	n.applyList(fromStore, full)
 	version := int64(1)
 	for range rounds {
 		version++
@@ -46,7 +46,7 @@
 		leave.done.Wait()
 		g.Expect(n.relay.TargetPool("orders").Size()).To(BeZero())
 		version++
-		n.applyList(watch.Delta{Since: 1, Version: version, Changes: full.Changes})
+		n.applyList(fromStore, watch.Delta{Since: 1, Version: version, Changes: full.Changes})
 		g.Expect(n.relay.TargetPool("orders").Size()).To(Equal(2))
 	}
 }
@@ -64,15 +64,15 @@
 		m.VM, m.Cores = "vm-1", highShare
 		n.handleHeartbeat(m, &gossip.Report{VM: m.VM, DataCentre: "a", Ready: true})
 		g.Expect(n.sendsList(time.Now())).To(BeTrue(), "no other daemon has sent a part")
-		n.handleListPart(watch.Part{Delta: watch.Delta{Since: 5, Version: 6}, Count: 2})
+		n.handleListPart("peer", watch.Part{Delta: watch.Delta{Since: 5, Version: 6}, Count: 2})
 		g.Expect(n.sendsList(time.Now())).To(BeFalse())
 		time.Sleep(listSenderTimeout)
 		g.Expect(n.sendsList(time.Now())).To(BeTrue(), "the first may have lost its connection to the store")
-		n.handleListPart(watch.Part{Delta: watch.Delta{Since: 6, Version: 7}, Count: 2})
+		n.handleListPart("peer", watch.Part{Delta: watch.Delta{Since: 6, Version: 7}, Count: 2})
 		first := newTestNode(g, highShare, &configWriter{start: time.Now()})
 		defer first.gossipConn.Close()
 		first.refresh()
-		first.handleListPart(watch.Part{Delta: watch.Delta{Since: 5, Version: 6}, Count: 2})
+		first.handleListPart("peer", watch.Part{Delta: watch.Delta{Since: 5, Version: 6}, Count: 2})
 		g.Expect(first.sendsList(time.Now())).To(BeTrue())
 	})
 }
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -58,6 +58,7 @@
 	t.sentAt = time.Now()
 	t.exchange.granted <- t
 	t.exchange.relay.recordWait(t)
+	t.exchange.relay.recordSend(t)
 	r := t.send()
 	r.duration = time.Since(t.sentAt)
 	if r.response == nil || r.response.rest == nil {
--- a/core/relay/record.go
+++ b/core/relay/record.go
@@ -39,6 +39,19 @@
 		"target", t.grant.Target.ID, "fail-rate", t.grant.FailRate, "load", t.grant.Load)
 }
 
+// recordSend counts and logs an attempt that is about to be sent to a target that was
+// removed from the pool.
+func (r *Relay) recordSend(t *attempt) {
+	since, removed := t.grant.SinceRemoval()
+	if !removed {
+		return
+	}
+	x := t.exchange
+	r.metrics.Counter(stats.Label("relay_sends_to_removed_targets", "service", x.service)).Inc(1)
+	_ = r.logger.Log("msg", "sent to a removed target", "id", x.id, "service", x.service,
+		"target", t.grant.Target.ID, "since-removal", since, "reason", t.grant.Reason)
+}
+
 // recordResponse records and logs the response to a caller; a non-empty reason says
 // why it is an error response of the relay.
 func (r *Relay) recordResponse(x *exchange, status int, reason string) {
--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -154,6 +154,17 @@
 	p.grantWaiting(g.member, now)
 }
 
+// SinceRemoval returns how long ago the target was removed from the pool, and false if
+// it belongs to the pool.
+func (g *Grant) SinceRemoval() (since time.Duration, removed bool) {
+	g.pool.mu.Lock()
+	defer g.pool.mu.Unlock()
+	if g.member.removedAt.IsZero() {
+		return 0, false
+	}
+	return time.Since(g.member.removedAt), true
+}
+
 // ReportPending records that the request is still pending: judge.Slow first,
 // judge.Overdue later. Each result counts once. It reports whether the target is now
 // expected to fail the request.
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -99,6 +99,11 @@
 		m.target = t
 		members[t.Key] = m
 	}
+	for k, m := range p.members {
+		if members[k] == nil {
+			m.removedAt = now
+		}
+	}
 	p.members = members
 	p.scanQueue(now)
 }
@@ -150,7 +155,10 @@
 func (p *Pool) Remove(k Key) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.members, k)
+	if m := p.members[k]; m != nil {
+		m.removedAt = time.Now()
+		delete(p.members, k)
+	}
 }
 
 // recordOwn records a result of one of this daemon's requests. Unreached is evidence
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -61,6 +61,9 @@
 	addedAt time.Time
 	// servedAt is when the target last served a request of this daemon.
 	servedAt time.Time
+	// removedAt is when the target was removed from the pool; zero while it belongs to
+	// the pool.
+	removedAt time.Time
 	// jitter delays the requests that this daemon sends to keep the target in use,
 	// so that only one of the daemons does so.
 	jitter time.Duration
--- a/core/watch/entry.go
+++ b/core/watch/entry.go
@@ -84,6 +84,14 @@
 type Assembler struct {
 	version int64
 	parts   map[int][]Change
+	// abandoned counts the deltas that were given up for a newer one.
+	abandoned int64
+}
+
+// Abandoned returns the number of deltas of which a part was missing when the first
+// part of a newer one arrived.
+func (a *Assembler) Abandoned() int64 {
+	return a.abandoned
 }
 
 // Add adds a part. It returns the delta and true once all parts have arrived.
@@ -94,6 +102,9 @@
 	if p.Version < a.version || p.Count > maxParts || p.Index < 0 || p.Index >= p.Count {
 		return Delta{}, false
 	}
+	if p.Version > a.version && a.parts != nil {
+		a.abandoned++
+	}
 	if p.Version > a.version || a.parts == nil {
 		a.version = p.Version
 		a.parts = make(map[int][]Change, p.Count)
--- a/core/watch/list.go
+++ b/core/watch/list.go
@@ -43,27 +43,44 @@
 	return &List{records: map[string]*record{}}
 }
 
+// Rejection is the reason why a delta was not applied; empty if it was.
+type Rejection string
+
+// The reasons to reject a delta.
+const (
+	// Gap means that changes between the list's version and the delta are missing.
+	Gap Rejection = "gap"
+	// Outdated means that the delta is older than the list.
+	Outdated Rejection = "outdated"
+)
+
 // ApplyResult is the result of applying a delta.
 type ApplyResult struct {
-	// Accepted is false if the delta was rejected, because it leaves a gap after the
-	// list's version or is older than the list.
-	Accepted bool
+	Rejection Rejection
 	// StoreRecovered is true if the delta is the first read after an outage of the store.
 	StoreRecovered bool
 	// Changes holds the changes that affect how targets are used.
 	Changes []Change
 }
 
+// Accepted reports whether the delta was applied.
+func (r ApplyResult) Accepted() bool {
+	return r.Rejection == ""
+}
+
 // Apply applies a delta unless it leaves a gap after the list's version or is older
 // than the list.
 func (l *List) Apply(now time.Time, d Delta) ApplyResult {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if d.Since > l.version || d.Version < l.version {
-		return ApplyResult{}
+	switch {
+	case d.Version < l.version:
+		return ApplyResult{Rejection: Outdated}
+	case d.Since > l.version:
+		return ApplyResult{Rejection: Gap}
 	}
 	asOf := now.Add(-d.Age)
-	out := ApplyResult{Accepted: true, StoreRecovered: !l.asOf.IsZero() && asOf.Sub(l.asOf) > outageThreshold}
+	out := ApplyResult{StoreRecovered: !l.asOf.IsZero() && asOf.Sub(l.asOf) > outageThreshold}
 	if out.StoreRecovered {
 		l.graceEnd = now.Add(missingGrace)
 	}
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -78,8 +78,8 @@
 	g := NewWithT(t)
 	l := watch.NewList()
 	l.Apply(startTime, fullRead(5, watch.Change{ID: "a", Entry: entry(1, 1)}))
-	g.Expect(l.Apply(startTime, watch.Delta{Since: 7, Version: 8, Changes: []watch.Change{{ID: "a"}}}).Accepted).To(BeFalse())
-	g.Expect(l.Apply(startTime, watch.Delta{Since: 2, Version: 4, Changes: []watch.Change{{ID: "a"}}}).Accepted).To(BeFalse())
+	g.Expect(l.Apply(startTime, watch.Delta{Since: 7, Version: 8, Changes: []watch.Change{{ID: "a"}}}).Accepted()).To(BeFalse())
+	g.Expect(l.Apply(startTime, watch.Delta{Since: 2, Version: 4, Changes: []watch.Change{{ID: "a"}}}).Accepted()).To(BeFalse())
 	g.Expect(targetIDs(l)).To(ConsistOf("a"))
 }
 
@@ -90,7 +90,7 @@
 	l := watch.NewList()
 	l.Apply(startTime, fullRead(1, watch.Change{ID: "a", Entry: entry(1, 1)}))
 	out := l.Apply(startTime, watch.Delta{Since: 1, Version: 2, Changes: []watch.Change{{ID: "a", Entry: entry(1, 2)}}})
-	g.Expect(out.Accepted).To(BeTrue())
+	g.Expect(out.Accepted()).To(BeTrue())
 	g.Expect(out.Changes).To(BeEmpty())
 }
 
