Grant waiting requests only to targets that belong to the pool

What callers saw: while more requests came than a service had room for, requests reached a target seconds after it had said that it leaves; once it had exited they ended with 502.

Cause: the holder of a grant keeps a pointer to its target's state, and Grant.Complete offered the freed slot of that target to the queue although the target had been removed from the pool meanwhile. The request that got it did the same at its end, so a removed target stayed in use for as long as requests waited. Before all targets of the pool were considered after each event; since then, between two scans 25 ms apart, only the target of the event is, and nothing checked that it still belongs to the pool. The same happened after Remove, when another target had answered at the address.

Class: a decision on a stale reference, after its object has left the set from which it may be chosen.

Change: grantWaiting takes the target's key and looks it up among the pool's present targets, so a target that is not in the pool cannot be granted at all.

--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -151,7 +151,7 @@
 	g.member.ownLoad--
 	p.recordOwn(g.member, now, r, took)
 	p.emit(Event{Service: p.service, Target: g.Target.Key, InFlight: g.member.ownLoad, Result: r, Latency: took})
-	p.grantWaiting(g.member, now)
+	p.grantWaiting(g.Target.Key, now)
 }
 
 // SinceRemoval returns how long ago the target was removed from the pool, and false if
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -252,7 +252,7 @@
 	if e.Result != judge.Unreached {
 		p.record(m, now, e.Result, e.Latency)
 	}
-	p.grantWaiting(m, now)
+	p.grantWaiting(e.Target, now)
 }
 
 // ServiceTime returns the mean latency of a request.
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -57,11 +57,12 @@
 	maxMisses = 2
 )
 
-// grantWaiting grants free capacity of the target to waiters after an event at that
-// target. When all targets are full and hundreds of requests wait, the events of the
+// grantWaiting grants free capacity of a target to waiters after an event at that
+// target. It takes a key, because the holder of a grant may still refer to a target that
+// was removed from the pool. When all targets are full and hundreds of requests wait, the events of the
 // whole fleet arrive thousands of times per second. Each of them changes one target
 // only, so evaluating all targets for all waiters each time would be too expensive.
-func (p *Pool) grantWaiting(m *member, now time.Time) {
+func (p *Pool) grantWaiting(k Key, now time.Time) {
 	if len(p.queue.waiters) == 0 {
 		return
 	}
@@ -69,9 +70,13 @@
 		p.scanQueue(now)
 		return
 	}
+	m := p.members[k]
+	if m == nil {
+		return
+	}
 	for m.load(now) < m.target.Slots+targetQueueDepth {
 		rate := m.failRate(p.model, now)
-		at := p.queue.firstFor(m.target.Key)
+		at := p.queue.firstFor(k)
 		if at < 0 || rate >= failRateLimit {
 			return
 		}
