Keep deleted targets only after an outage of the store itself

What callers saw: a daemon that could not read the store for some time, while its peers could, sent requests to targets whose entries had been deleted meanwhile, for up to 2.2 s after its own first read.

Cause: a gap of 2.5 s in the daemon's own list was taken for an outage of the store, and the grace period counted from that daemon's own first read.

Class: a local symptom (no news for a while) taken for a fact about another system.

Change: a delta states how long the store is known to have been readable before the read. A daemon joins what it reads itself with what all deltas of its peers show, those that it rejects for a gap too, and keeps deleted targets only if nobody could read the store for 2.5 s; the grace period counts from the first read of anybody after that.

Evidence: TestDeletedTargetIsNotKeptAfterGapOfOneDaemon and TestGracePeriodStartsWithFirstReadOfAnyDaemon failed before (the deleted target is still in use) and pass.

--- a/core/node/target_list.go
+++ b/core/node/target_list.go
@@ -53,6 +53,7 @@
 	applied := f.applyList(fromStore, delta)
 	if applied.Accepted() && delta.Since != 0 && f.sendsList(now) {
 		delta.Changes = applied.Changes
+		delta.Uptime = f.targetList.Uptime()
 		f.gossip.SendListChanges(delta)
 	}
 }
--- a/core/watch/entry.go
+++ b/core/watch/entry.go
@@ -52,6 +52,9 @@
 	// Age is the time since the read was started.
 	Age     time.Duration `cbor:"3,keyasint"`
 	Changes []Change      `cbor:"4,keyasint,omitempty"`
+	// Uptime is how long before that the store is known to have been readable without
+	// an outage.
+	Uptime time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // Part is one part of a delta that is sent to peers in several messages.
--- a/core/watch/list.go
+++ b/core/watch/list.go
@@ -7,23 +7,13 @@
 	"wisteriarelay.example/core/sched"
 )
 
-const (
-	// outageThreshold is the time between two reads from which the store counts as
-	// having been unavailable. Entries that are missing afterwards may have expired
-	// only because live targets could not renew them.
-	outageThreshold = 2500 * time.Millisecond
-	// missingGrace is how long targets with missing entries are kept after the store
-	// is available again. It gives live targets time to write their entries anew.
-	missingGrace = 2200 * time.Millisecond
-)
-
 // record is a target in the list with its latest entry.
 type record struct {
 	entry     Entry
 	updatedAt time.Time
-	// removeAt is when a target whose entry is missing is removed from the list;
-	// zero if the entry is present.
-	removeAt time.Time
+	// missing is true if the store does not hold the entry, which may have expired
+	// only because of an outage.
+	missing bool
 }
 
 // List is a local copy of the store's target list. It is safe for concurrent use.
@@ -34,8 +24,7 @@
 	asOf    time.Time
 	// renewedAt is when a delta from a peer or from the store was last applied.
 	renewedAt time.Time
-	// graceEnd is when the grace period after the last outage of the store ends.
-	graceEnd time.Time
+	store     availability
 }
 
 // NewList returns an empty list.
@@ -69,21 +58,19 @@
 }
 
 // Apply applies a delta unless it leaves a gap after the list's version or is older
-// than the list.
+// than the list. Even then the delta shows that the store could be read.
 func (l *List) Apply(now time.Time, d Delta) ApplyResult {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	asOf := now.Add(-d.Age)
+	l.store.observe(asOf.Add(-d.Uptime), asOf)
 	switch {
 	case d.Version < l.version:
 		return ApplyResult{Rejection: Outdated}
 	case d.Since > l.version:
 		return ApplyResult{Rejection: Gap}
 	}
-	asOf := now.Add(-d.Age)
 	out := ApplyResult{StoreRecovered: !l.asOf.IsZero() && asOf.Sub(l.asOf) > outageThreshold}
-	if out.StoreRecovered {
-		l.graceEnd = now.Add(missingGrace)
-	}
 	for _, c := range d.Changes {
 		if l.applyChange(now, c) {
 			out.Changes = append(out.Changes, c)
@@ -112,7 +99,7 @@
 	case c.Entry.isOlderThan(&r.entry):
 		return false
 	}
-	relevant := !r.entry.equivalentTo(c.Entry) || !r.removeAt.IsZero()
+	relevant := !r.entry.equivalentTo(c.Entry) || r.missing
 	*r = record{entry: *c.Entry, updatedAt: now}
 	return relevant
 }
@@ -125,10 +112,8 @@
 	if r == nil {
 		return false
 	}
-	if now.Before(l.graceEnd) {
-		if r.removeAt.IsZero() {
-			r.removeAt = l.graceEnd
-		}
+	if now.Before(l.store.graceEnd()) {
+		r.missing = true
 		return true
 	}
 	delete(l.records, id)
@@ -156,9 +141,12 @@
 func (l *List) Expire(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !now.After(l.store.graceEnd()) {
+		return false
+	}
 	expired := false
 	for id, r := range l.records {
-		if !r.removeAt.IsZero() && now.After(r.removeAt) {
+		if r.missing {
 			delete(l.records, id)
 			expired = true
 		}
@@ -181,14 +169,26 @@
 	return l.renewedAt
 }
 
+// Uptime returns how long before the latest read the store is known to have been
+// readable without an outage.
+func (l *List) Uptime() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.uptime()
+}
+
+func (l *List) uptime() time.Duration {
+	return max(l.asOf.Sub(l.store.since), 0)
+}
+
 // Snapshot returns the whole list as a delta, as a read of the store would. Targets
 // whose entries are missing are left out.
 func (l *List) Snapshot(now time.Time) Delta {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := Delta{Version: l.version, Age: max(now.Sub(l.asOf), 0)}
+	d := Delta{Version: l.version, Age: max(now.Sub(l.asOf), 0), Uptime: l.uptime()}
 	for id, r := range l.records {
-		if !r.removeAt.IsZero() {
+		if r.missing {
 			continue
 		}
 		entry := r.entry
