Hand on all changes of the target list since a version, not only those new to the sender

What callers saw: possibly, requests to a leaving target from a daemon that never learned that it leaves.

Cause: after its own read, the first reader sent the changes that were new to its own list, under the versions of the whole read. If another daemon had told it of a leaving target while the read was under way, the target was left out; a peer that had missed the other daemon's message accepted the delta, moved its version on and kept the target until its entry was deleted.

Class: a message that claims more than it holds, because it was built from the sender's state instead of the receiver's.

Change: each record holds the store version of its last change, removed targets are kept (4,096 at most) and what is sent is List.ChangesSince(version of the read's start), so it is complete whatever the sender knew.

The settings that daemons pass on were looked at for the same cause: configurations travel as whole documents with a version and a hash, members and estimates as the sender's present state without a claim to be complete.

--- a/core/node/target_list.go
+++ b/core/node/target_list.go
@@ -52,9 +52,16 @@
 	delta.Age = time.Since(began)
 	applied := f.applyList(fromStore, delta)
 	if applied.Accepted() && delta.Since != 0 && f.sendsList(now) {
-		delta.Changes = applied.Changes
-		delta.Uptime = f.targetList.Uptime()
-		f.gossip.SendListChanges(delta)
+		f.sendChanges(delta.Since)
+	}
+}
+
+// sendChanges sends the changes since a version to the daemons of the local data
+// centre. They include those that came from a peer while this daemon was reading: the
+// others may have missed them.
+func (f *targetListFollower) sendChanges(since int64) {
+	if d, ok := f.targetList.ChangesSince(time.Now(), since); ok {
+		f.gossip.SendListChanges(d)
 	}
 }
 
--- a/core/node/targets_test.go
+++ b/core/node/targets_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -9,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriarelay.example/core/gossip"
+	"wisteriarelay.example/core/roster"
 	"wisteriarelay.example/core/watch"
 )
 
@@ -76,3 +79,35 @@
 		g.Expect(first.sendsList(time.Now())).To(BeTrue())
 	})
 }
+
+// Guards against a peer that keeps using a leaving target: its entry came from another
+// daemon while this one was reading the list, and was left out of what this one sends.
+func TestSentListHoldsChangesReceivedDuringRead(t *testing.T) {
+	g := NewWithT(t)
+	peer, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer peer.Close()
+	n := newTestNode(g, highShare, &configWriter{start: time.Now()})
+	defer n.gossipConn.Close()
+	n.roster.Add(roster.Member{VM: "vm-1", DataCentre: n.self.DataCentre, PeerAddress: peer.LocalAddr().String(), StartMillis: 1})
+	list := testTargetList(0)
+	list.Changes = list.Changes[:2]
+	n.applyList(fromStore, list)
+	n.refresh()
+	leave := watch.Delta{Since: list.Version, Version: list.Version + 1, Changes: []watch.Change{{ID: "t0"}}}
+	n.platform.ReadTargetChanges = func(context.Context, int64) (watch.Delta, []error, error) {
+		n.applyList("vm-2", leave)
+		return leave, nil, nil
+	}
+	f := &targetListFollower{Node: n}
+	f.read(t.Context(), list.Version)
+
+	g.Expect(peer.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	buffer := make([]byte, 2048)
+	size, _, err := peer.ReadFrom(buffer)
+	g.Expect(err).NotTo(HaveOccurred())
+	report, err := gossip.Decode(buffer[:size])
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.ListPart.Version).To(Equal(leave.Version))
+	g.Expect(report.ListPart.Changes).To(ConsistOf(HaveField("ID", "t0")))
+}
--- a/core/watch/entry.go
+++ b/core/watch/entry.go
@@ -39,6 +39,8 @@
 	ID string `cbor:"1,keyasint"`
 	// Entry is nil if the store holds no entry for the target, or an invalid one.
 	Entry *Entry `cbor:"2,keyasint,omitempty"`
+	// Version is the store version of the change; 0 if it is not known.
+	Version int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Delta is the result of one read of the store: the whole target list, or the
@@ -57,6 +59,15 @@
 	Uptime time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
+// versionOf returns the store version of one of the delta's changes, or a later one if
+// it is not known.
+func (d *Delta) versionOf(c Change) int64 {
+	if c.Version == 0 {
+		return d.Version
+	}
+	return c.Version
+}
+
 // Part is one part of a delta that is sent to peers in several messages.
 type Part struct {
 	Delta
--- a/core/watch/list.go
+++ b/core/watch/list.go
@@ -1,6 +1,8 @@
 package watch
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,17 +13,39 @@
 type record struct {
 	entry     Entry
 	updatedAt time.Time
-	// missing is true if the store does not hold the entry, which may have expired
-	// only because of an outage.
-	missing bool
+	// version is the store version of the last change that affects how the target is
+	// used.
+	version int64
+	// state says whether the store still holds the entry.
+	state recordState
 }
 
+// recordState is the state of a target's entry in the store.
+type recordState uint8
+
+const (
+	// present means that the store holds the entry.
+	present recordState = iota
+	// missing means that the entry may have expired only because of an outage. The
+	// target is still used.
+	missing
+	// removed means that the target is gone. The record is kept to tell peers.
+	removed
+)
+
+// maxRemoved is the largest number of removed targets that are kept.
+const maxRemoved = 4096
+
 // List is a local copy of the store's target list. It is safe for concurrent use.
 type List struct {
 	mu      sync.Mutex
 	records map[string]*record
-	version int64
-	asOf    time.Time
+	// removedCount is the number of records with the state removed.
+	removedCount int
+	version      int64
+	// historyStart is the version from which on all changes are known.
+	historyStart int64
+	asOf         time.Time
 	// renewedAt is when a delta from a peer or from the store was last applied.
 	renewedAt time.Time
 	store     availability
@@ -72,70 +96,113 @@
 	}
 	out := ApplyResult{StoreRecovered: !l.asOf.IsZero() && asOf.Sub(l.asOf) > outageThreshold}
 	for _, c := range d.Changes {
-		if l.applyChange(now, c) {
+		if l.applyChange(now, c, d.versionOf(c)) {
 			out.Changes = append(out.Changes, c)
 		}
 	}
 	if d.Since == 0 {
 		out.Changes = append(out.Changes, l.removeMissing(now, d)...)
 	}
+	if l.version == 0 {
+		l.historyStart = d.Version
+	}
 	l.version = d.Version
 	l.renewedAt = now
 	if asOf.After(l.asOf) {
 		l.asOf = asOf
 	}
+	l.pruneRemoved()
 	return out
 }
 
-// applyChange applies one change and reports whether it affects how the target is used.
-func (l *List) applyChange(now time.Time, c Change) bool {
+// applyChange applies one change, which the store made at the version, and reports
+// whether it affects how the target is used.
+func (l *List) applyChange(now time.Time, c Change, version int64) bool {
 	r := l.records[c.ID]
 	switch {
 	case c.Entry == nil:
-		return l.removeOrDefer(now, c.ID)
+		return l.removeOrDefer(now, c.ID, version)
 	case r == nil:
-		l.records[c.ID] = &record{entry: *c.Entry, updatedAt: now}
+		l.records[c.ID] = &record{entry: *c.Entry, updatedAt: now, version: version}
 		return true
-	case c.Entry.isOlderThan(&r.entry):
+	case r.state != removed && c.Entry.isOlderThan(&r.entry):
 		return false
 	}
-	relevant := !r.entry.equivalentTo(c.Entry) || r.missing
-	*r = record{entry: *c.Entry, updatedAt: now}
+	relevant := !r.entry.equivalentTo(c.Entry) || r.state != present
+	if !relevant {
+		version = r.version
+	}
+	l.setState(r, present)
+	*r = record{entry: *c.Entry, updatedAt: now, version: version}
 	return relevant
 }
 
-// removeOrDefer removes a target whose entry is missing from the store, or schedules
-// its removal if the grace period after an outage has not ended. It reports whether
-// the target was in the list.
-func (l *List) removeOrDefer(now time.Time, id string) bool {
+// setState changes the state of a record.
+func (l *List) setState(r *record, s recordState) {
+	if r.state == removed {
+		l.removedCount--
+	}
+	if s == removed {
+		l.removedCount++
+	}
+	r.state = s
+}
+
+// removeOrDefer removes a target whose entry is missing from the store, or defers its
+// removal if the grace period after an outage has not ended. It reports whether the
+// target was in use.
+func (l *List) removeOrDefer(now time.Time, id string, version int64) bool {
 	r := l.records[id]
 	if r == nil {
 		return false
 	}
+	r.version = max(r.version, version)
+	if r.state == removed {
+		return false
+	}
 	if now.Before(l.store.graceEnd()) {
-		r.missing = true
-		return true
+		l.setState(r, missing)
+	} else {
+		l.setState(r, removed)
 	}
-	delete(l.records, id)
 	return true
 }
 
 // removeMissing calls removeOrDefer for the targets that are missing from a read of
 // the whole list, and returns them as changes.
 func (l *List) removeMissing(now time.Time, d Delta) []Change {
-	present := make(map[string]bool, len(d.Changes))
+	listed := make(map[string]bool, len(d.Changes))
 	for _, c := range d.Changes {
-		present[c.ID] = true
+		listed[c.ID] = true
 	}
 	var changes []Change
-	for id := range l.records {
-		if !present[id] && l.removeOrDefer(now, id) {
+	for id, r := range l.records {
+		if !listed[id] && r.state != removed && l.removeOrDefer(now, id, d.Version) {
 			changes = append(changes, Change{ID: id})
 		}
 	}
 	return changes
 }
 
+// pruneRemoved forgets the older half of the removed targets if there are too many.
+func (l *List) pruneRemoved() {
+	if l.removedCount <= maxRemoved {
+		return
+	}
+	var ids []string
+	for id, r := range l.records {
+		if r.state == removed {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(l.records[a].version, l.records[b].version) })
+	for _, id := range ids[:len(ids)/2] {
+		l.historyStart = max(l.historyStart, l.records[id].version)
+		delete(l.records, id)
+		l.removedCount--
+	}
+}
+
 // Expire removes the targets whose entries are still missing at the end of the grace
 // period, and reports whether there were any.
 func (l *List) Expire(now time.Time) bool {
@@ -145,9 +212,9 @@
 		return false
 	}
 	expired := false
-	for id, r := range l.records {
-		if r.missing {
-			delete(l.records, id)
+	for _, r := range l.records {
+		if r.state == missing {
+			l.setState(r, removed)
 			expired = true
 		}
 	}
@@ -169,35 +236,53 @@
 	return l.renewedAt
 }
 
-// Uptime returns how long before the latest read the store is known to have been
-// readable without an outage.
-func (l *List) Uptime() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.uptime()
-}
-
-func (l *List) uptime() time.Duration {
-	return max(l.asOf.Sub(l.store.since), 0)
-}
-
 // Snapshot returns the whole list as a delta, as a read of the store would. Targets
 // whose entries are missing are left out.
 func (l *List) Snapshot(now time.Time) Delta {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	d := Delta{Version: l.version, Age: max(now.Sub(l.asOf), 0), Uptime: l.uptime()}
+	d := l.emptyDelta(now)
 	for id, r := range l.records {
-		if r.missing {
-			continue
+		if r.state == present {
+			d.Changes = append(d.Changes, r.change(id, now))
 		}
-		entry := r.entry
-		entry.WarmupLeft = max(entry.WarmupLeft-now.Sub(r.updatedAt), 0)
-		d.Changes = append(d.Changes, Change{ID: id, Entry: &entry})
 	}
 	return d
 }
 
+// ChangesSince returns the changes after a version, whether this daemon read them or
+// received them from a peer. It returns false if not all of them are known.
+func (l *List) ChangesSince(now time.Time, version int64) (Delta, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if version < l.historyStart || version == 0 {
+		return Delta{}, false
+	}
+	d := l.emptyDelta(now)
+	d.Since = version
+	for id, r := range l.records {
+		if r.version > version {
+			d.Changes = append(d.Changes, r.change(id, now))
+		}
+	}
+	return d, true
+}
+
+// emptyDelta returns a delta that leads to the list's version, without changes.
+func (l *List) emptyDelta(now time.Time) Delta {
+	return Delta{Version: l.version, Age: max(now.Sub(l.asOf), 0), Uptime: max(l.asOf.Sub(l.store.since), 0)}
+}
+
+// change returns the record as a change.
+func (r *record) change(id string, now time.Time) Change {
+	if r.state != present {
+		return Change{ID: id, Version: r.version}
+	}
+	entry := r.entry
+	entry.WarmupLeft = max(entry.WarmupLeft-now.Sub(r.updatedAt), 0)
+	return Change{ID: id, Entry: &entry, Version: r.version}
+}
+
 // Targets returns the targets that may receive requests, by service. Draining targets
 // are left out.
 func (l *List) Targets() map[string][]sched.Target {
@@ -206,7 +291,7 @@
 	out := map[string][]sched.Target{}
 	for id, r := range l.records {
 		e := &r.entry
-		if e.Draining {
+		if e.Draining || r.state == removed {
 			continue
 		}
 		out[e.Service] = append(out[e.Service], sched.Target{
