Do not take a target back for a heartbeat that the store performs late

What callers saw: possibly, requests to a target that had left.

Cause: the order of two entries was judged against the present one only. Once the entry of a leaving target was deleted nothing was left to judge by, so an earlier heartbeat that the store performed late added the target again. In the other direction, a target whose clock was set back before it started again was judged older for as long as it ran, and so were its reports that it leaves.

Class: a judgement on order that is forgotten too early in one case and never ends in the other.

Change: the list remembers the last entry of a target that is gone. An entry that appears older is set aside; if the store still holds it after 6 s it is the current one: a live target replaces it with its next heartbeat, and the store deletes that of a dead one after three. Entries set aside are handed on too, so that every daemon decides alike.

--- a/core/watch/list.go
+++ b/core/watch/list.go
@@ -18,8 +18,25 @@
 	version int64
 	// state says whether the store still holds the entry.
 	state recordState
+	// late is an entry that is older than entry although the store accepted it later;
+	// nil if there is none.
+	late *lateEntry
 }
 
+// lateEntry is an entry that appears to be older than the one known before. Either the
+// store performed an earlier call late, or the clock of the target was set back before
+// it started again.
+type lateEntry struct {
+	entry   Entry
+	seenAt  time.Time
+	version int64
+}
+
+// lateEntryTTL is how long a late entry is ignored. A target that runs replaces it with
+// its next heartbeat, and the store deletes that of another one after three heartbeats;
+// one that is still there after that is current.
+const lateEntryTTL = 6 * time.Second
+
 // recordState is the state of a target's entry in the store.
 type recordState uint8
 
@@ -29,7 +46,8 @@
 	// missing means that the entry may have expired only because of an outage. The
 	// target is still used.
 	missing
-	// removed means that the target is gone. The record is kept to tell peers.
+	// removed means that the target is gone. The record is kept to tell peers, and to
+	// recognize late entries.
 	removed
 )
 
@@ -125,15 +143,22 @@
 	case r == nil:
 		l.records[c.ID] = &record{entry: *c.Entry, updatedAt: now, version: version}
 		return true
-	case r.state != removed && c.Entry.isOlderThan(&r.entry):
+	case c.Entry.isOlderThan(&r.entry):
+		r.late = &lateEntry{entry: *c.Entry, seenAt: now, version: version}
 		return false
 	}
-	relevant := !r.entry.equivalentTo(c.Entry) || r.state != present
+	return l.setEntry(now, r, *c.Entry, version)
+}
+
+// setEntry replaces the entry of a record and reports whether this affects how the
+// target is used.
+func (l *List) setEntry(now time.Time, r *record, entry Entry, version int64) bool {
+	relevant := !r.entry.equivalentTo(&entry) || r.state != present
 	if !relevant {
 		version = r.version
 	}
 	l.setState(r, present)
-	*r = record{entry: *c.Entry, updatedAt: now, version: version}
+	*r = record{entry: entry, updatedAt: now, version: version}
 	return relevant
 }
 
@@ -157,6 +182,7 @@
 		return false
 	}
 	r.version = max(r.version, version)
+	r.late = nil
 	if r.state == removed {
 		return false
 	}
@@ -177,7 +203,8 @@
 	}
 	var changes []Change
 	for id, r := range l.records {
-		if !listed[id] && r.state != removed && l.removeOrDefer(now, id, d.Version) {
+		known := r.state != removed || r.late != nil
+		if !listed[id] && known && l.removeOrDefer(now, id, d.Version) {
 			changes = append(changes, Change{ID: id})
 		}
 	}
@@ -204,21 +231,23 @@
 }
 
 // Expire removes the targets whose entries are still missing at the end of the grace
-// period, and reports whether there were any.
+// period, and accepts late entries that the store still holds after lateEntryTTL. It
+// reports whether there were any.
 func (l *List) Expire(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !now.After(l.store.graceEnd()) {
-		return false
-	}
-	expired := false
+	graceOver := now.After(l.store.graceEnd())
+	changed := false
 	for _, r := range l.records {
-		if r.state == missing {
+		if r.state == missing && graceOver {
 			l.setState(r, removed)
-			expired = true
+			changed = true
+		}
+		if late := r.late; late != nil && now.Sub(late.seenAt) >= lateEntryTTL {
+			changed = l.setEntry(now, r, late.entry, late.version) || changed
 		}
 	}
-	return expired
+	return changed
 }
 
 // Position returns the store version of the list and the start time of the latest
@@ -245,6 +274,7 @@
 	for id, r := range l.records {
 		if r.state == present {
 			d.Changes = append(d.Changes, r.change(id, now))
+			d.Changes = append(d.Changes, r.lateChange(id, 0)...)
 		}
 	}
 	return d
@@ -264,6 +294,7 @@
 		if r.version > version {
 			d.Changes = append(d.Changes, r.change(id, now))
 		}
+		d.Changes = append(d.Changes, r.lateChange(id, version)...)
 	}
 	return d, true
 }
@@ -283,6 +314,16 @@
 	return Change{ID: id, Entry: &entry, Version: r.version}
 }
 
+// lateChange returns the late entry of the record as a change if it was written after
+// the version.
+func (r *record) lateChange(id string, version int64) []Change {
+	if r.late == nil || r.late.version <= version {
+		return nil
+	}
+	entry := r.late.entry
+	return []Change{{ID: id, Entry: &entry, Version: r.late.version}}
+}
+
 // Targets returns the targets that may receive requests, by service. Draining targets
 // are left out.
 func (l *List) Targets() map[string][]sched.Target {
