Do not send a request to a target removed since it was chosen

What callers saw: nothing yet.

Cause: a request kept its target while it waited for its turn to run and while the connection was opened (250 ms at most), without another look at whether the target had left. A relay that had closed the target's connection pool even opened a new one for it.

Change: the attempt looks again after it has its connection pool, and the pool after it has opened a connection. The request goes to another target; since no byte was sent, that costs neither an attempt nor a retry. The line 'sent to a removed target' becomes 'target removed before the request was sent'.

Also looked at: core/limit of the own interface grants slots over a view of the present targets only and has a test for changes in flight (TestUpdateInFlight).

--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -91,8 +91,8 @@
 	return Stats{Open: p.open.Load(), Idle: p.idle.len(), Dials: p.dials.Load(), Discards: p.discards.Load()}
 }
 
-// Close closes the idle connections. Exchanges in progress continue, and their
-// connections are closed afterwards.
+// Close closes the idle connections. Exchanges whose requests were sent continue, and
+// their connections are closed afterwards; those that wait for a connection fail.
 func (p *Pool) Close() {
 	p.closed.Store(true)
 	for _, c := range p.idle.removeIf(func(*conn) bool { return true }) {
@@ -166,6 +166,10 @@
 	if err != nil {
 		return nil, newError(ctx, StageDial, err)
 	}
+	if p.closed.Load() {
+		_ = n.Close()
+		return nil, newError(ctx, StageDial, errPoolClosed)
+	}
 	p.open.Add(1)
 	return newConn(n), nil
 }
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -58,7 +58,6 @@
 	t.sentAt = time.Now()
 	t.exchange.granted <- t
 	t.exchange.relay.recordWait(t)
-	t.exchange.relay.recordSend(t)
 	r := t.send()
 	r.duration = time.Since(t.sentAt)
 	if r.response == nil || r.response.rest == nil {
@@ -84,10 +83,17 @@
 	return time.Since(t.sentAt)
 }
 
+// errTargetRemoved is the error of an attempt whose target was removed before the
+// request was sent.
+var errTargetRemoved = errors.New("target was removed before the request was sent")
+
 // send forwards the request to the acquired target and classifies what comes back.
 func (t *attempt) send() *result {
 	x := t.exchange
 	pool := x.relay.connPools.get(t.grant.Target)
+	if t.removedBeforeSend() {
+		return &result{attempt: t, unsent: true, notRun: true, kind: fault.NoTarget, observation: judge.Nothing, err: errTargetRemoved}
+	}
 	resp, err := pool.Forward(t.ctx, t.buildMessage(), x.maxIdle())
 	if err != nil {
 		return t.classifyError(err)
--- a/core/relay/record.go
+++ b/core/relay/record.go
@@ -39,17 +39,18 @@
 		"target", t.grant.Target.ID, "fail-rate", t.grant.FailRate, "load", t.grant.Load)
 }
 
-// recordSend counts and logs an attempt that is about to be sent to a target that was
-// removed from the pool.
-func (r *Relay) recordSend(t *attempt) {
+// removedBeforeSend reports whether the target of the attempt was removed from the pool
+// after it was acquired, and counts and logs it.
+func (t *attempt) removedBeforeSend() bool {
 	since, removed := t.grant.SinceRemoval()
 	if !removed {
-		return
+		return false
 	}
 	x := t.exchange
-	r.metrics.Counter(stats.Label("relay_sends_to_removed_targets", "service", x.service)).Inc(1)
-	_ = r.logger.Log("msg", "sent to a removed target", "id", x.id, "service", x.service,
+	x.relay.metrics.Counter(stats.Label("relay_targets_removed_before_send", "service", x.service)).Inc(1)
+	_ = x.relay.logger.Log("msg", "target removed before the request was sent", "id", x.id, "service", x.service,
 		"target", t.grant.Target.ID, "since-removal", since, "reason", t.grant.Reason)
+	return true
 }
 
 // recordResponse records and logs the response to a caller; a non-empty reason says
