Let backup readers go by the age of the target list, not only by news

What callers saw: nothing known; found by reading. Requests could reach a leaving target up to 2.45 s after the store accepted its update, without the time of the backup's own read, where the first reader of a data centre takes nearly as long for each read as a call may take (1.5 s). The bound is 2.0 s on the small deployments.

Cause: backups counted from the last update that arrived, however old it was, and did not pass on what they read while updates arrived.

Class: recent arrival taken for recent content.

Change: at an age of 1.6 s (1.8 s from rank 3 on) a backup reads in any case, and it passes the list on if what arrives is 1.5 s old.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -41,8 +41,8 @@
 	leaving   atomic.Bool
 	// listReadAt is when the daemon last read the target list from the store itself.
 	listReadAt atomic.Pointer[time.Time]
-	// listPartAt is when a peer last sent a part of the target list.
-	listPartAt atomic.Pointer[time.Time]
+	// lastListPart is the last part of the target list from a peer.
+	lastListPart atomic.Pointer[listPartTimes]
 	// listLoaded says that the target list was loaded once, from the store or a peer.
 	listLoaded atomic.Bool
 	// staleList is an outdated target list from a peer that may not be able to read the
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -226,7 +226,7 @@
 // once it is complete. Only the goroutine that receives datagrams calls it.
 func (n *Node) handleListPart(peer string, p watch.Part) {
 	now := time.Now()
-	n.listPartAt.Store(&now)
+	n.lastListPart.Store(&listPartTimes{arrivedAt: now, asOf: now.Add(-p.Age)})
 	abandoned := n.listAssembly.Abandoned()
 	d, complete := n.listAssembly.Add(p)
 	n.metrics.Counter("list_deltas_incomplete").Inc(n.listAssembly.Abandoned() - abandoned)
--- a/core/node/target_list.go
+++ b/core/node/target_list.go
@@ -72,13 +72,24 @@
 	return f.platform.ReadTargetChanges(ctx, version)
 }
 
-// listSenderTimeout is the time without a part of the target list from a peer after
-// which any daemon that reads the list also sends it to the others, whatever its
-// rank.
-const listSenderTimeout = time.Second
+const (
+	// listSenderTimeout is the time without a part of the target list from a peer after
+	// which any daemon that reads the list also sends it to the others, whatever its
+	// rank.
+	listSenderTimeout = time.Second
+	// listSenderMaxAge is the age of what a peer sends from which the same holds.
+	listSenderMaxAge = 1500 * time.Millisecond
+)
+
+// listPartTimes is when a part of the target list arrived, and when its sender began to
+// read the list.
+type listPartTimes struct {
+	arrivedAt time.Time
+	asOf      time.Time
+}
 
 // sendsList reports whether this daemon sends the changes that it has read to its
-// peers: the first in rank does, and another one if no peer seems to. When hundreds
+// peers: the first in rank does, and another one if no peer seems to, or only late. When hundreds
 // of targets change at once, parts of the changes are lost, and every daemon that
 // misses one reads the store itself; if each of these also sent its changes to all
 // the others, traffic would grow with the square of the number of daemons.
@@ -86,6 +97,6 @@
 	if n.roster.ReaderRank(now) == 0 {
 		return true
 	}
-	lastPart := n.listPartAt.Load()
-	return lastPart == nil || now.Sub(*lastPart) >= listSenderTimeout
+	last := n.lastListPart.Load()
+	return last == nil || now.Sub(last.arrivedAt) >= listSenderTimeout || now.Sub(last.asOf) >= listSenderMaxAge
 }
--- a/core/watch/schedule.go
+++ b/core/watch/schedule.go
@@ -12,6 +12,12 @@
 	rankDelay = 250 * time.Millisecond
 	// maxRankDelay is the upper bound of the delay by rank.
 	maxRankDelay = 700 * time.Millisecond
+	// maxListAge is the age of the list at which the daemon with rank 1 reads it even if
+	// updates arrive: the daemon with rank 0 may take long for each read.
+	maxListAge = 1600 * time.Millisecond
+	// maxListAgeStep is added to maxListAge per further rank, up to maxListAgeSteps times.
+	maxListAgeStep  = 100 * time.Millisecond
+	maxListAgeSteps = 2
 	// maxBackoff is the upper bound of the delay after failed reads.
 	maxBackoff = 2 * time.Second
 	// initialBackoff is the delay after the first failed read; it doubles with each
@@ -31,7 +37,8 @@
 // reads as soon as the list is too old. The other ranks are backups: they read only if
 // the list has not been updated for some time. A read of thousands of targets takes
 // half a second; if the age of the list counted for all ranks, every daemon of the data
-// centre would read too while the result of rank 0 is still being sent to them.
+// centre would read too while the result of rank 0 is still being sent to them. Only a
+// list that is close to the bound for leaving targets is read regardless of updates.
 func (s *Schedule) Due(asOf, renewedAt time.Time, rank int) time.Time {
 	if asOf.IsZero() {
 		return s.retryAt
@@ -39,6 +46,10 @@
 	due := asOf.Add(readInterval)
 	if rank > 0 {
 		due = renewedAt.Add(readInterval + min(time.Duration(rank)*rankDelay, maxRankDelay))
+		steps := min(rank-1, maxListAgeSteps)
+		if limit := asOf.Add(maxListAge + time.Duration(steps)*maxListAgeStep); limit.Before(due) {
+			due = limit
+		}
 	}
 	if due.Before(s.retryAt) {
 		return s.retryAt
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -153,3 +153,17 @@
 	s.Succeeded()
 	g.Expect(s.Due(last, last, 0).Sub(last)).To(BeNumerically("<", time.Second))
 }
+
+// The daemon with rank 0 takes almost as long as a call may take for each read. Guards
+// against a list older than the 2 s after which a leaving target must receive no
+// requests, on daemons whose updates arrive in time but are old.
+func TestSlowReaderDoesNotKeepBackupsFromReading(t *testing.T) {
+	g := NewWithT(t)
+	var s watch.Schedule
+	renewedAt := startTime.Add(1400 * time.Millisecond)
+	for rank := 1; rank < 60; rank++ {
+		due := s.Due(startTime, renewedAt, rank)
+		g.Expect(due.Sub(startTime)).To(BeNumerically("<=", 1800*time.Millisecond))
+	}
+	g.Expect(s.Due(startTime, renewedAt, 1)).To(BeTemporally("<", s.Due(startTime, renewedAt, 3)), "the first backup sends the list to the others")
+}
