Read the target list at once when a peer's change shows that the store is back

What callers saw: nothing known; found while looking for the cause of the incident. A daemon that could not read the store and missed a change of the list meanwhile read it up to 3.5 s after it could again: a call of 1.5 s without an answer, then 2 s of backoff.

Cause: the backoff ran on although what peers sent, and was rejected for the gap, showed that the store could be read. And all daemons of a data centre backed off alike, also the first two, from which the others learn.

Change: a rejected gap ends the backoff; the first two ranks back off to 0.5 s.

TestFailedReadsBackOff now states both limits: 2 s as before from the third rank on, 0.5 s for the first two.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -65,7 +65,9 @@
 	newestPeerConfig atomic.Int64
 	// configReadRequests cancels the long poll for a configuration.
 	configReadRequests chan struct{}
-	listAssembly       watch.Assembler
+	// listReadRequests ends the backoff after failed reads of the target list.
+	listReadRequests chan struct{}
+	listAssembly     watch.Assembler
 	// healthQueries asks peers about the targets of services that this daemon does not
 	// carry.
 	healthQueries *healthQueries
@@ -95,6 +97,7 @@
 		stateDump:          stats.NewStateDump(),
 		targetList:         watch.NewList(),
 		configReadRequests: make(chan struct{}, 1),
+		listReadRequests:   make(chan struct{}, 1),
 
 		startedAt: time.Now(),
 	}
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -230,8 +230,11 @@
 	abandoned := n.listAssembly.Abandoned()
 	d, complete := n.listAssembly.Add(p)
 	n.metrics.Counter("list_deltas_incomplete").Inc(n.listAssembly.Abandoned() - abandoned)
-	if complete {
-		n.applyList(peer, d)
+	if !complete {
+		return
+	}
+	if n.applyList(peer, d).Rejection == watch.Gap {
+		n.requestListRead()
 	}
 }
 
--- a/core/node/target_list.go
+++ b/core/node/target_list.go
@@ -23,19 +23,40 @@
 		version, asOf := f.targetList.Position()
 		due := f.schedule.Due(asOf, f.targetList.RenewedAt(), f.roster.ReaderRank(time.Now()))
 		if wait := time.Until(due); wait > 0 {
-			sleep(ctx, wait)
+			f.wait(ctx, wait)
 			continue
 		}
 		f.read(ctx, version)
 	}
 }
 
+// wait waits for the duration, or until a peer sends changes of a list that this daemon
+// cannot apply.
+func (f *targetListFollower) wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.listReadRequests:
+		f.schedule.EndBackoff()
+	}
+}
+
+// requestListRead ends the backoff after failed reads of the target list.
+func (n *Node) requestListRead() {
+	select {
+	case n.listReadRequests <- struct{}{}:
+	default:
+	}
+}
+
 func (f *targetListFollower) read(ctx context.Context, version int64) {
 	began := time.Now()
 	delta, problems, err := f.fetch(ctx, version)
 	if err != nil {
 		f.full = f.full || fault.Is(err, fault.HistoryGone)
-		f.schedule.Failed(time.Now())
+		f.schedule.Failed(time.Now(), f.roster.ReaderRank(time.Now()))
 		f.applyStaleList()
 		if ctx.Err() == nil {
 			_ = f.logger.Log("msg", "target list not read", "err", err, "version", version)
--- a/core/watch/schedule.go
+++ b/core/watch/schedule.go
@@ -18,8 +18,12 @@
 	// maxListAgeStep is added to maxListAge per further rank, up to maxListAgeSteps times.
 	maxListAgeStep  = 100 * time.Millisecond
 	maxListAgeSteps = 2
-	// maxBackoff is the upper bound of the delay after failed reads.
-	maxBackoff = 2 * time.Second
+	// maxBackoff is the upper bound of the delay after failed reads, maxReaderBackoff
+	// that of the first readerCount ranks: the others learn from these that the store can
+	// be read again.
+	maxBackoff       = 2 * time.Second
+	maxReaderBackoff = 500 * time.Millisecond
+	readerCount      = 2
 	// initialBackoff is the delay after the first failed read; it doubles with each
 	// further one.
 	initialBackoff = 200 * time.Millisecond
@@ -63,9 +67,18 @@
 	s.retryAt = time.Time{}
 }
 
-// Failed records a failed read and extends the backoff.
-func (s *Schedule) Failed(now time.Time) {
-	backoff := min(initialBackoff<<min(s.failures, 8), maxBackoff)
+// Failed records a failed read of the daemon with the given rank and extends the backoff.
+func (s *Schedule) Failed(now time.Time, rank int) {
+	limit := maxBackoff
+	if rank < readerCount {
+		limit = maxReaderBackoff
+	}
+	backoff := min(initialBackoff<<min(s.failures, 8), limit)
 	s.failures++
 	s.retryAt = now.Add(backoff)
 }
+
+// EndBackoff allows the next read at once: a peer could read the store.
+func (s *Schedule) EndBackoff() {
+	s.retryAt = time.Time{}
+}
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -144,12 +144,14 @@
 	var s watch.Schedule
 	now := startTime
 	for range 10 {
-		s.Failed(now)
-		now = s.Due(startTime, startTime, 0)
+		s.Failed(now, 2)
+		now = s.Due(startTime, startTime, 2)
 	}
 	last := now
-	s.Failed(now)
-	g.Expect(s.Due(startTime, startTime, 0).Sub(last)).To(Equal(2 * time.Second))
+	s.Failed(now, 2)
+	g.Expect(s.Due(startTime, startTime, 2).Sub(last)).To(Equal(2 * time.Second))
+	s.Failed(now, 0)
+	g.Expect(s.Due(startTime, startTime, 0).Sub(last)).To(Equal(500*time.Millisecond), "the first ranks find out for the others")
 	s.Succeeded()
 	g.Expect(s.Due(last, last, 0).Sub(last)).To(BeNumerically("<", time.Second))
 }
