Send the changes of the target list on after a read of the whole list too

What callers saw: nothing known. After the store has dropped its history, only the first reader of a data centre knew at once which targets had left; each of the others found a gap 0.8 s later, waited for its rank, was refused with 410 and read the whole list.

Cause: what is sent on was limited to reads of changes, since a whole list could not be told as changes.

Change: the first reader sends the changes since the version that it had before the read, which the list knows since it keeps them.

Evidence: TestListIsSentAfterHistoryIsGone failed before (nothing is sent) and passes.

--- a/core/node/target_list.go
+++ b/core/node/target_list.go
@@ -72,8 +72,8 @@
 	}
 	delta.Age = time.Since(began)
 	applied := f.applyList(fromStore, delta)
-	if applied.Accepted() && delta.Since != 0 && f.sendsList(now) {
-		f.sendChanges(delta.Since)
+	if applied.Accepted() && version != 0 && f.sendsList(now) {
+		f.sendChanges(version)
 	}
 }
 
--- a/core/node/targets_test.go
+++ b/core/node/targets_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"wisteriarelay.example/core/fault"
 	"wisteriarelay.example/core/gossip"
 	"wisteriarelay.example/core/roster"
 	"wisteriarelay.example/core/watch"
@@ -84,34 +85,75 @@
 	})
 }
 
-// Guards against a peer that keeps using a leaving target: its entry came from another
-// daemon while this one was reading the list, and was left out of what this one sends.
-func TestSentListHoldsChangesReceivedDuringRead(t *testing.T) {
-	g := NewWithT(t)
-	peer, err := net.ListenPacket("udp4", "127.0.0.1:0")
+// listPeer is a peer to which a daemon sends its target list.
+type listPeer struct {
+	conn net.PacketConn
+}
+
+// newListSender returns a daemon that is the first reader, with two targets in its list,
+// and its only peer.
+func newListSender(t *testing.T, g *WithT) (*Node, *listPeer) {
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	defer peer.Close()
 	n := newTestNode(g, highShare, &configWriter{start: time.Now()})
-	defer n.gossipConn.Close()
-	n.roster.Add(roster.Member{VM: "vm-1", DataCentre: n.self.DataCentre, PeerAddress: peer.LocalAddr().String(), StartMillis: 1})
+	t.Cleanup(func() {
+		_ = conn.Close()
+		_ = n.gossipConn.Close()
+	})
+	n.roster.Add(roster.Member{VM: "vm-1", DataCentre: n.self.DataCentre, PeerAddress: conn.LocalAddr().String(), StartMillis: 1})
 	list := testTargetList(0)
 	list.Changes = list.Changes[:2]
 	n.applyList(fromStore, list)
 	n.refresh()
-	leave := watch.Delta{Since: list.Version, Version: list.Version + 1, Changes: []watch.Change{{ID: "t0"}}}
+	return n, &listPeer{conn: conn}
+}
+
+// receive returns the next part of the target list.
+func (p *listPeer) receive(g *WithT) *watch.Part {
+	g.Expect(p.conn.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	buffer := make([]byte, 2048)
+	size, _, err := p.conn.ReadFrom(buffer)
+	g.Expect(err).NotTo(HaveOccurred())
+	report, err := gossip.Decode(buffer[:size])
+	g.Expect(err).NotTo(HaveOccurred())
+	return report.ListPart
+}
+
+// Guards against a peer that keeps using a leaving target: its entry came from another
+// daemon while this one was reading the list, and was left out of what this one sends.
+func TestSentListHoldsChangesReceivedDuringRead(t *testing.T) {
+	g := NewWithT(t)
+	n, peer := newListSender(t, g)
+	version, _ := n.targetList.Position()
+	leave := watch.Delta{Since: version, Version: version + 1, Changes: []watch.Change{{ID: "t0"}}}
 	n.platform.ReadTargetChanges = func(context.Context, int64) (watch.Delta, []error, error) {
 		n.applyList("vm-2", leave)
 		return leave, nil, nil
 	}
 	f := &targetListFollower{Node: n}
-	f.read(t.Context(), list.Version)
+	f.read(t.Context(), version)
+	part := peer.receive(g)
+	g.Expect(part.Version).To(Equal(leave.Version))
+	g.Expect(part.Changes).To(ConsistOf(HaveField("ID", "t0")))
+}
 
-	g.Expect(peer.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
-	buffer := make([]byte, 2048)
-	size, _, err := peer.ReadFrom(buffer)
-	g.Expect(err).NotTo(HaveOccurred())
-	report, err := gossip.Decode(buffer[:size])
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(report.ListPart.Version).To(Equal(leave.Version))
-	g.Expect(report.ListPart.Changes).To(ConsistOf(HaveField("ID", "t0")))
+// Guards against every daemon of a data centre reading the whole list, and learning late
+// of leaving targets, after the store has dropped its history of changes.
+func TestListIsSentAfterHistoryIsGone(t *testing.T) {
+	g := NewWithT(t)
+	n, peer := newListSender(t, g)
+	version, _ := n.targetList.Position()
+	n.platform.ReadTargetChanges = func(context.Context, int64) (watch.Delta, []error, error) {
+		return watch.Delta{}, nil, fault.New(fault.HistoryGone, "history dropped")
+	}
+	n.platform.ReadTargets = func(context.Context) (watch.Delta, []error, error) {
+		return watch.Delta{Version: version + 5, Changes: testTargetList(0).Changes[1:2]}, nil, nil
+	}
+	f := &targetListFollower{Node: n}
+	f.read(t.Context(), version)
+	f.read(t.Context(), version)
+	part := peer.receive(g)
+	g.Expect(part.Since).To(Equal(version))
+	g.Expect(part.Version).To(Equal(version + 5))
+	g.Expect(part.Changes).To(ConsistOf(HaveField("ID", "t0")))
 }
