--- /dev/null
+++ b/core/node/list_follower.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/watch"
+)
+
+// targetListFollower keeps the target list up to date with the store.
+type targetListFollower struct {
+	*Node
+	schedule watch.Schedule
+	// full requests the full list instead of its changes.
+	full bool
+}
+
+func (f *targetListFollower) loop(ctx context.Context) {
+	f.waitForPeers(ctx, f.listLoaded.Load)
+	f.full = !f.listLoaded.Load()
+	for ctx.Err() == nil {
+		version, asOf := f.targetList.Position()
+		due := f.schedule.Due(asOf, f.targetList.RenewedAt(), f.roster.ReaderRank(time.Now()))
+		if wait := time.Until(due); wait > 0 {
+			f.wait(ctx, wait)
+			continue
+		}
+		f.read(ctx, version)
+	}
+}
+
+// wait waits for the duration, or until a peer sends changes of a list that this daemon
+// cannot apply.
+func (f *targetListFollower) wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.listReadRequests:
+		f.schedule.EndBackoff()
+	}
+}
+
+// requestListRead ends the backoff after failed reads of the target list.
+func (n *Node) requestListRead() {
+	select {
+	case n.listReadRequests <- struct{}{}:
+	default:
+	}
+}
+
+// read reads the changes after the version, or the whole list, applies them and sends
+// them to the peers if this is up to this daemon.
+func (f *targetListFollower) read(ctx context.Context, version int64) {
+	began := time.Now()
+	delta, problems, err := f.fetch(ctx, version)
+	if err != nil {
+		f.full = f.full || fault.Is(err, fault.HistoryGone)
+		f.schedule.Failed(time.Now(), f.roster.ReaderRank(time.Now()))
+		f.applyStaleList()
+		if ctx.Err() == nil {
+			_ = f.logger.Log("msg", "target list not read", "err", err, "version", version)
+		}
+		return
+	}
+	f.full = false
+	f.schedule.Succeeded()
+	now := time.Now()
+	f.listReadAt.Store(&now)
+	for _, p := range problems {
+		_ = f.logger.Log("msg", "target entry ignored", "err", p)
+	}
+	delta.Age = time.Since(began)
+	applied := f.applyList(fromStore, delta)
+	if applied.Accepted() && version != 0 && f.sendsList(now) {
+		f.sendChanges(version)
+	}
+}
+
+// sendChanges sends the changes since a version to the daemons of the local data
+// centre. They include those that came from a peer while this daemon was reading: the
+// others may have missed them.
+func (f *targetListFollower) sendChanges(since int64) {
+	if d, ok := f.targetList.ChangesSince(time.Now(), since); ok {
+		f.gossip.SendListChanges(d)
+	}
+}
+
+// fetch reads the changes after the version from the store, or the whole list if they
+// cannot be had.
+func (f *targetListFollower) fetch(ctx context.Context, version int64) (watch.Delta, []error, error) {
+	if f.full || version == 0 {
+		return f.platform.ReadTargets(ctx)
+	}
+	return f.platform.ReadTargetChanges(ctx, version)
+}
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -7,7 +7,6 @@
 	"wisteriarelay.example/core/gossip"
 	"wisteriarelay.example/core/roster"
 	"wisteriarelay.example/core/sched"
-	"wisteriarelay.example/core/watch"
 )
 
 // minRequestsForEvents is the number of requests for a service, within the window
@@ -192,25 +191,6 @@
 	}
 }
 
-// updateTargets copies the targets of the target list to the relay. Calls are
-// serialized, so that one that is overtaken cannot restore a target that has been
-// removed since.
-func (n *Node) updateTargets() {
-	n.targetsMu.Lock()
-	defer n.targetsMu.Unlock()
-	targets := n.targetList.Targets()
-	index := gossip.NewTargetIndex(targets)
-	n.index.Store(&index)
-	n.relay.SetTargets(targets)
-}
-
-func (n *Node) targetIndex() gossip.TargetIndex {
-	if index := n.index.Load(); index != nil {
-		return *index
-	}
-	return nil
-}
-
 func (n *Node) handleEvent(peer string, e sched.Event) {
 	n.relay.TargetPool(e.Service).ApplyPeerEvent(peer, e)
 }
@@ -222,61 +202,6 @@
 	}
 }
 
-// handleListPart adds a part of a change of the target list, and applies the change
-// once it is complete. Only the goroutine that receives datagrams calls it.
-func (n *Node) handleListPart(peer string, p watch.Part) {
-	now := time.Now()
-	n.lastListPart.Store(&listPartTimes{arrivedAt: now, asOf: now.Add(-p.Age)})
-	abandoned := n.listAssembly.Abandoned()
-	d, complete := n.listAssembly.Add(p)
-	n.metrics.Counter("list_deltas_incomplete").Inc(n.listAssembly.Abandoned() - abandoned)
-	if !complete {
-		return
-	}
-	if n.applyList(peer, d).Rejection == watch.Gap {
-		n.requestListRead()
-	}
-}
-
-// The sources of a delta that is not a peer's change of the target list.
-const (
-	// fromStore stands for a read of the store by this daemon.
-	fromStore = "store"
-	// fromSnapshot stands for the whole list of a peer.
-	fromSnapshot = "snapshot"
-)
-
-// applyList applies changes to the target list and returns those that affect the
-// use of targets. The source is for the log: the VM of a peer, fromStore or fromSnapshot.
-func (n *Node) applyList(source string, d watch.Delta) watch.ApplyResult {
-	known, _ := n.targetList.Position()
-	out := n.targetList.Apply(time.Now(), d)
-	if !out.Accepted() {
-		n.recordRejectedDelta(source, known, d, out.Rejection)
-		return out
-	}
-	if out.StoreRecovered {
-		_ = n.logger.Log("msg", "store can be read again", "list-version", d.Version)
-		if n.isConfigReader() {
-			n.requestConfigRead()
-		}
-	}
-	first := !n.listLoaded.Load()
-	if first || len(out.Changes) > 0 {
-		n.updateTargets()
-	}
-	if first {
-		// The targets must be in place before this, because refresh makes the daemon
-		// ready.
-		n.listLoaded.Store(true)
-		n.refresh()
-	}
-	for _, c := range out.Changes {
-		n.logTargetChange(source, d, c)
-	}
-	return out
-}
-
 // lookup returns the addresses to which a caller in the data centre connects for
 // the host, and how long it may cache them.
 func (n *Node) lookup(host, dataCentre string) ([]string, time.Duration) {
--- a/core/node/target_list.go
+++ b/core/node/target_list.go
@@ -1,98 +1,12 @@
 package node
 
 import (
-	"context"
 	"time"
 
-	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/gossip"
 	"wisteriarelay.example/core/watch"
 )
 
-// targetListFollower keeps the target list up to date with the store.
-type targetListFollower struct {
-	*Node
-	schedule watch.Schedule
-	// full requests the full list instead of its changes.
-	full bool
-}
-
-func (f *targetListFollower) loop(ctx context.Context) {
-	f.waitForPeers(ctx, f.listLoaded.Load)
-	f.full = !f.listLoaded.Load()
-	for ctx.Err() == nil {
-		version, asOf := f.targetList.Position()
-		due := f.schedule.Due(asOf, f.targetList.RenewedAt(), f.roster.ReaderRank(time.Now()))
-		if wait := time.Until(due); wait > 0 {
-			f.wait(ctx, wait)
-			continue
-		}
-		f.read(ctx, version)
-	}
-}
-
-// wait waits for the duration, or until a peer sends changes of a list that this daemon
-// cannot apply.
-func (f *targetListFollower) wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-f.listReadRequests:
-		f.schedule.EndBackoff()
-	}
-}
-
-// requestListRead ends the backoff after failed reads of the target list.
-func (n *Node) requestListRead() {
-	select {
-	case n.listReadRequests <- struct{}{}:
-	default:
-	}
-}
-
-func (f *targetListFollower) read(ctx context.Context, version int64) {
-	began := time.Now()
-	delta, problems, err := f.fetch(ctx, version)
-	if err != nil {
-		f.full = f.full || fault.Is(err, fault.HistoryGone)
-		f.schedule.Failed(time.Now(), f.roster.ReaderRank(time.Now()))
-		f.applyStaleList()
-		if ctx.Err() == nil {
-			_ = f.logger.Log("msg", "target list not read", "err", err, "version", version)
-		}
-		return
-	}
-	f.full = false
-	f.schedule.Succeeded()
-	now := time.Now()
-	f.listReadAt.Store(&now)
-	for _, p := range problems {
-		_ = f.logger.Log("msg", "target entry ignored", "err", p)
-	}
-	delta.Age = time.Since(began)
-	applied := f.applyList(fromStore, delta)
-	if applied.Accepted() && version != 0 && f.sendsList(now) {
-		f.sendChanges(version)
-	}
-}
-
-// sendChanges sends the changes since a version to the daemons of the local data
-// centre. They include those that came from a peer while this daemon was reading: the
-// others may have missed them.
-func (f *targetListFollower) sendChanges(since int64) {
-	if d, ok := f.targetList.ChangesSince(time.Now(), since); ok {
-		f.gossip.SendListChanges(d)
-	}
-}
-
-func (f *targetListFollower) fetch(ctx context.Context, version int64) (watch.Delta, []error, error) {
-	if f.full || version == 0 {
-		return f.platform.ReadTargets(ctx)
-	}
-	return f.platform.ReadTargetChanges(ctx, version)
-}
-
 const (
 	// listSenderTimeout is the time without a part of the target list from a peer after
 	// which any daemon that reads the list also sends it to the others, whatever its
@@ -110,10 +24,10 @@
 }
 
 // sendsList reports whether this daemon sends the changes that it has read to its
-// peers: the first in rank does, and another one if no peer seems to, or only late. When hundreds
-// of targets change at once, parts of the changes are lost, and every daemon that
-// misses one reads the store itself; if each of these also sent its changes to all
-// the others, traffic would grow with the square of the number of daemons.
+// peers: the first in rank does, and another one if no peer seems to, or only late.
+// When hundreds of targets change at once, parts of the changes are lost, and every
+// daemon that misses one reads the store itself; if each of these also sent its changes
+// to all the others, traffic would grow with the square of the number of daemons.
 func (n *Node) sendsList(now time.Time) bool {
 	if n.roster.ReaderRank(now) == 0 {
 		return true
@@ -121,3 +35,77 @@
 	last := n.lastListPart.Load()
 	return last == nil || now.Sub(last.arrivedAt) >= listSenderTimeout || now.Sub(last.asOf) >= listSenderMaxAge
 }
+
+// handleListPart adds a part of a change of the target list, and applies the change
+// once it is complete. Only the goroutine that receives datagrams calls it.
+func (n *Node) handleListPart(peer string, p watch.Part) {
+	now := time.Now()
+	n.lastListPart.Store(&listPartTimes{arrivedAt: now, asOf: now.Add(-p.Age)})
+	abandoned := n.listAssembly.Abandoned()
+	d, complete := n.listAssembly.Add(p)
+	n.metrics.Counter("list_deltas_incomplete").Inc(n.listAssembly.Abandoned() - abandoned)
+	if !complete {
+		return
+	}
+	if n.applyList(peer, d).Rejection == watch.Gap {
+		n.requestListRead()
+	}
+}
+
+// The sources of a delta that is not a peer's change of the target list.
+const (
+	// fromStore stands for a read of the store by this daemon.
+	fromStore = "store"
+	// fromSnapshot stands for the whole list of a peer.
+	fromSnapshot = "snapshot"
+)
+
+// applyList applies changes to the target list and returns those that affect the
+// use of targets. The source is for the log: the VM of a peer, fromStore or fromSnapshot.
+func (n *Node) applyList(source string, d watch.Delta) watch.ApplyResult {
+	known, _ := n.targetList.Position()
+	out := n.targetList.Apply(time.Now(), d)
+	if !out.Accepted() {
+		n.recordRejectedDelta(source, known, d, out.Rejection)
+		return out
+	}
+	if out.StoreRecovered {
+		_ = n.logger.Log("msg", "store can be read again", "list-version", d.Version)
+		if n.isConfigReader() {
+			n.requestConfigRead()
+		}
+	}
+	first := !n.listLoaded.Load()
+	if first || len(out.Changes) > 0 {
+		n.updateTargets()
+	}
+	if first {
+		// The targets must be in place before this, because refresh makes the daemon
+		// ready.
+		n.listLoaded.Store(true)
+		n.refresh()
+	}
+	for _, c := range out.Changes {
+		n.logTargetChange(source, d, c)
+	}
+	return out
+}
+
+// updateTargets copies the targets of the target list to the relay. Calls are
+// serialized, so that one that is overtaken cannot restore a target that has been
+// removed since.
+func (n *Node) updateTargets() {
+	n.targetsMu.Lock()
+	defer n.targetsMu.Unlock()
+	targets := n.targetList.Targets()
+	index := gossip.NewTargetIndex(targets)
+	n.index.Store(&index)
+	n.relay.SetTargets(targets)
+}
+
+func (n *Node) targetIndex() gossip.TargetIndex {
+	if index := n.index.Load(); index != nil {
+		return *index
+	}
+	return nil
+}
