Join the parts of a target list delta by their sender

What callers saw: possibly, requests to a leaving target from an undisturbed daemon that never learned that it leaves.

Cause: parts were joined by the version of their delta alone. If two daemons sent the same version in different parts, which happens when the first readers are refused by the store and all others read at the same time, the receiver took some parts of the one and some of the other, held the delta for complete and moved its version on. What stood in the parts that were replaced was lost. Deltas of more than 8 changes have parts, as when targets are released ten at a time.

Whole lists and configurations were looked at for the same cause: their fragments carry a hash of the whole.

--- a/core/node/target_list.go
+++ b/core/node/target_list.go
@@ -42,7 +42,7 @@
 	now := time.Now()
 	n.lastListPart.Store(&listPartTimes{arrivedAt: now, asOf: now.Add(-p.Age)})
 	abandoned := n.listAssembly.Abandoned()
-	d, complete := n.listAssembly.Add(p)
+	d, complete := n.listAssembly.Add(peer, p)
 	n.metrics.Counter("list_deltas_incomplete").Inc(n.listAssembly.Abandoned() - abandoned)
 	if !complete {
 		return
--- a/core/watch/entry.go
+++ b/core/watch/entry.go
@@ -1,6 +1,10 @@
 package watch
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Entry is a target's registration in the store, as written by the target.
 type Entry struct {
@@ -68,6 +72,13 @@
 	return c.Version
 }
 
+// sortChanges sorts the changes in the order in which the store made them.
+func (d *Delta) sortChanges() {
+	slices.SortStableFunc(d.Changes, func(a, b Change) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.ID, b.ID))
+	})
+}
+
 // Part is one part of a delta that is sent to peers in several messages.
 type Part struct {
 	Delta
@@ -88,50 +99,3 @@
 	}
 	return parts
 }
-
-// maxParts is the largest number of parts that an [Assembler] accepts for one delta.
-const maxParts = 256
-
-// Assembler joins the parts of the delta with the highest version. If a part is lost,
-// the delta never becomes complete, and the receiver reads the list from the store
-// itself.
-type Assembler struct {
-	version int64
-	parts   map[int][]Change
-	// abandoned counts the deltas that were given up for a newer one.
-	abandoned int64
-}
-
-// Abandoned returns the number of deltas of which a part was missing when the first
-// part of a newer one arrived.
-func (a *Assembler) Abandoned() int64 {
-	return a.abandoned
-}
-
-// Add adds a part. It returns the delta and true once all parts have arrived.
-func (a *Assembler) Add(p Part) (Delta, bool) {
-	if p.Count <= 1 {
-		return p.Delta, true
-	}
-	if p.Version < a.version || p.Count > maxParts || p.Index < 0 || p.Index >= p.Count {
-		return Delta{}, false
-	}
-	if p.Version > a.version && a.parts != nil {
-		a.abandoned++
-	}
-	if p.Version > a.version || a.parts == nil {
-		a.version = p.Version
-		a.parts = make(map[int][]Change, p.Count)
-	}
-	a.parts[p.Index] = p.Changes
-	if len(a.parts) < p.Count {
-		return Delta{}, false
-	}
-	joined := p.Delta
-	joined.Changes = nil
-	for i := range p.Count {
-		joined.Changes = append(joined.Changes, a.parts[i]...)
-	}
-	a.parts = nil
-	return joined, true
-}
--- a/core/watch/list.go
+++ b/core/watch/list.go
@@ -277,6 +277,7 @@
 			d.Changes = append(d.Changes, r.lateChange(id, 0)...)
 		}
 	}
+	d.sortChanges()
 	return d
 }
 
@@ -296,6 +297,7 @@
 		}
 		d.Changes = append(d.Changes, r.lateChange(id, version)...)
 	}
+	d.sortChanges()
 	return d, true
 }
 
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -105,10 +105,10 @@
 	g.Expect(parts).To(HaveLen(3))
 	var a watch.Assembler
 	for _, i := range []int{2, 0} {
-		_, ok := a.Add(parts[i])
+		_, ok := a.Add("vm-1", parts[i])
 		g.Expect(ok).To(BeFalse())
 	}
-	got, ok := a.Add(parts[1])
+	got, ok := a.Add("vm-1", parts[1])
 	g.Expect(ok).To(BeTrue())
 	g.Expect(got).To(Equal(d))
 	g.Expect(watch.Delta{Version: 4}.Split(8)).To(HaveLen(1))
