Start a new sender of the target list with the last version that was sent

What callers saw: requests reached targets that had left 11 s before, from daemons that the store had refused for ten seconds, and still did 3 s after it answered them again.

Cause: peers pass the target list on to daemons that the store refuses. A daemon that took over as sender began with its own version; changes that it had read before without sending them, because another was sending then, were never sent by anybody.

Class: as with the other messages on the list: what is sent was derived from the sender's state, not from what the receivers were sent.

Change: each daemon remembers the version to which the last changes sent in its data centre lead, whoever sent them, and starts from there.

Evidence: TestNewSenderSendsChangesThatNobodySent failed before and passes.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -41,6 +41,9 @@
 	leaving   atomic.Bool
 	// listReadAt is when the daemon last read the target list from the store itself.
 	listReadAt atomic.Pointer[time.Time]
+	// sentListVersion is the version of the target list to which the changes that were
+	// last sent in the data centre lead, by this daemon or by a peer; 0 if none were.
+	sentListVersion atomic.Int64
 	// lastListPart is the last part of the target list from a peer.
 	lastListPart atomic.Pointer[listPartTimes]
 	// listLoaded says that the target list was loaded once, from the store or a peer.
--- a/core/node/target_list.go
+++ b/core/node/target_list.go
@@ -47,6 +47,7 @@
 	if !complete {
 		return
 	}
+	n.sentListVersion.Store(max(n.sentListVersion.Load(), d.Version))
 	if n.applyList(peer, d).Rejection == watch.Gap {
 		n.requestListRead()
 	}
--- a/core/node/targets_test.go
+++ b/core/node/targets_test.go
@@ -157,3 +157,29 @@
 	g.Expect(part.Version).To(Equal(version + 5))
 	g.Expect(part.Changes).To(ConsistOf(HaveField("ID", "t0")))
 }
+
+// Guards against daemons that stay behind for as long as they cannot read the store: the
+// daemon that takes over as sender has read changes before that nobody sent them.
+func TestNewSenderSendsChangesThatNobodySent(t *testing.T) {
+	g := NewWithT(t)
+	n, peer := newListSender(t, g)
+	version, _ := n.targetList.Position()
+	n.hearPeers("vm-2")
+	n.handleListPart("vm-2", watch.Part{Delta: watch.Delta{Since: version, Version: version + 1}, Count: 1})
+	reads := []watch.Delta{
+		{Since: version + 1, Version: version + 4, Changes: []watch.Change{{ID: "t0", Version: version + 3}}},
+		{Since: version + 4, Version: version + 6, Changes: []watch.Change{{ID: "t1", Version: version + 5}}},
+	}
+	n.platform.ReadTargetChanges = func(context.Context, int64) (watch.Delta, []error, error) {
+		d := reads[0]
+		reads = reads[1:]
+		return d, nil, nil
+	}
+	f := &targetListFollower{Node: n}
+	f.read(t.Context(), version+1)
+	n.lastListPart.Store(nil)
+	f.read(t.Context(), version+4)
+	part := peer.receive(g)
+	g.Expect(part.Since).To(Equal(version + 1))
+	g.Expect(part.Changes).To(HaveLen(2))
+}
