--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -59,9 +59,10 @@
 
 // grantWaiting grants free capacity of a target to waiters after an event at that
 // target. It takes a key, because the holder of a grant may still refer to a target that
-// was removed from the pool. When all targets are full and hundreds of requests wait, the events of the
-// whole fleet arrive thousands of times per second. Each of them changes one target
-// only, so evaluating all targets for all waiters each time would be too expensive.
+// was removed from the pool. When all targets are full and hundreds of requests wait,
+// the events of the whole fleet arrive thousands of times per second. Each of them
+// changes one target only, so evaluating all targets for all waiters each time would be
+// too expensive.
 func (p *Pool) grantWaiting(k Key, now time.Time) {
 	if len(p.queue.waiters) == 0 {
 		return
--- a/core/watch/entry.go
+++ b/core/watch/entry.go
@@ -58,8 +58,8 @@
 	// Age is the time since the read was started.
 	Age     time.Duration `cbor:"3,keyasint"`
 	Changes []Change      `cbor:"4,keyasint,omitempty"`
-	// Uptime is how long before that the store is known to have been readable without
-	// an outage.
+	// Uptime is how long the store is known to have been readable without an outage when
+	// the read was started; 0 if only the read itself shows it.
 	Uptime time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
--- a/core/watch/list.go
+++ b/core/watch/list.go
@@ -63,10 +63,12 @@
 	version      int64
 	// historyStart is the version from which on all changes are known.
 	historyStart int64
-	asOf         time.Time
+	// asOf is the start of the latest read that the list is based on.
+	asOf time.Time
 	// renewedAt is when a delta from a peer or from the store was last applied.
 	renewedAt time.Time
-	store     availability
+	// store is when the store is known to have been readable.
+	store availability
 }
 
 // NewList returns an empty list.
