Log where a configuration comes from and how old it is

Change: each call to the store for the configuration is logged with its duration and positions, each configuration with its source, each sending with the number of peers. The age of the configuration is a gauge (config_age_ms), part of the state dump, and logged above 2 s. It counts what the daemon itself learned from the store, or a peer's document when it arrives. No change to what is read, sent or put in force.

--- a/core/gossip/node.go
+++ b/core/gossip/node.go
@@ -54,7 +54,7 @@
 	Snapshot func(d watch.Delta)
 	Members  func(sender string, members []roster.Member)
 	// Config is called with a configuration that a peer read from the store.
-	Config func(d Document)
+	Config func(peer string, d Document)
 	// Estimates is called with a peer's health estimates of targets of a service; left is
 	// the number of reports on the service that follow.
 	Estimates func(service string, targets []sched.TargetEstimate, left int)
--- a/core/gossip/receiver.go
+++ b/core/gossip/receiver.go
@@ -65,7 +65,7 @@
 		return
 	}
 	if d != nil {
-		r.handlers.Config(*d)
+		r.handlers.Config(report.VM, *d)
 	}
 }
 
--- a/core/node/config.go
+++ b/core/node/config.go
@@ -47,9 +47,11 @@
 				continue
 			}
 		}
+		began := time.Now()
 		read, err := f.read(ctx, position)
+		f.logRead(began, position, read, err)
 		if err == nil {
-			f.applyAndSend(read)
+			f.applyAndSend(read, answeredAt(began, position, read))
 			if position != 0 && (read.Config != nil || read.Err != nil) {
 				sleep(ctx, minConfigInterval)
 			}
@@ -69,13 +71,36 @@
 	}
 }
 
-// applyAndSend applies a configuration that was read from the store, and sends it
-// to the daemons of the local data centre if this daemon is one of its config
-// readers.
-func (f *configFollower) applyAndSend(read ConfigResult) {
-	newer := f.apply(read, false)
+// answeredAt returns a time before the store's answer to a call that began then. A
+// long poll that returns a configuration was answered when it was written.
+func answeredAt(began time.Time, position int64, read ConfigResult) time.Time {
+	if position != 0 && (read.Config != nil || read.Err != nil) {
+		return time.Now()
+	}
+	return began
+}
+
+// logRead logs a call to the store for the configuration. position is 0 for a full read.
+func (f *configFollower) logRead(began time.Time, position int64, read ConfigResult, err error) {
+	fields := []any{"msg", "configuration read", "duration", time.Since(began), "after", position, "position", read.StoreVersion}
+	if read.Config != nil {
+		fields = append(fields, "version", read.Config.Version)
+	}
+	if err != nil {
+		fields = append(fields, "err", err)
+	}
+	_ = f.logger.Log(fields...)
+}
+
+// applyAndSend applies a configuration that was read from the store, which answered
+// after asOf, and sends it to the daemons of the local data centre if this daemon is
+// one of its config readers.
+func (f *configFollower) applyAndSend(read ConfigResult, asOf time.Time) {
+	newer := f.apply(fromStore, read, asOf)
 	if newer && f.isConfigReader() {
-		f.gossip.SendConfig(*f.configDocument.Load(), f.roster.LocalPeers())
+		peers := f.roster.LocalPeers()
+		_ = f.logger.Log("msg", "configuration sent", "version", read.Config.Version, "peers", len(peers))
+		f.gossip.SendConfig(*f.configDocument.Load(), peers)
 	}
 }
 
@@ -159,11 +184,20 @@
 }
 
 // apply puts a configuration in force unless one of the same or a higher version is
-// in force, and reports whether it did. fromPeer says that the configuration was
-// received from a peer.
-func (f *configFollower) apply(read ConfigResult, fromPeer bool) bool {
+// in force, and reports whether it did. The source is for the log: the VM of a peer or
+// fromStore. No newer configuration existed at asOf.
+func (f *configFollower) apply(source string, read ConfigResult, asOf time.Time) bool {
 	f.configMu.Lock()
 	defer f.configMu.Unlock()
+	newer := f.putInForce(source, read)
+	if t := f.relay.Table(); t != nil && (newer || source == fromStore) {
+		f.configAge.confirm(t.Version, asOf)
+	}
+	return newer
+}
+
+// putInForce is apply without recording the age. f.configMu is held.
+func (f *configFollower) putInForce(source string, read ConfigResult) bool {
 	if read.Err != nil {
 		_ = f.logger.Log("msg", "configuration refused", "err", read.Err, "position", read.StoreVersion)
 		return false
@@ -188,7 +222,7 @@
 	for _, p := range problems {
 		_ = f.logger.Log("msg", "part of the configuration cannot be used", "version", read.Config.Version, "err", p)
 	}
-	_ = f.logger.Log("msg", "configuration in force", "version", read.Config.Version, "position", read.StoreVersion, "from-peer", fromPeer)
+	_ = f.logger.Log("msg", "configuration in force", "version", read.Config.Version, "position", read.StoreVersion, "from-peer", source != fromStore, "source", source)
 	return true
 }
 
--- /dev/null
+++ b/core/node/config_age.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"wisteriarelay.example/core/route"
+)
+
+// configAge records when the configuration in force was last known to be the newest. It
+// is safe for concurrent use.
+type configAge struct {
+	mu      sync.Mutex
+	version route.Version
+	asOf    time.Time
+}
+
+// confirm records that no configuration newer than the version existed at the time.
+// Claims about versions older than the one recorded are ignored.
+func (a *configAge) confirm(v route.Version, at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case v < a.version:
+	case v > a.version:
+		a.version, a.asOf = v, at
+	case at.After(a.asOf):
+		a.asOf = at
+	}
+}
+
+// lastConfirmed returns when the configuration in force was last known to be the
+// newest; zero if it never was.
+func (a *configAge) lastConfirmed() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.asOf
+}
+
+// oldConfigAge is the age from which a configuration is reported as old. A change must
+// be in force 2 s after the store accepted it.
+const oldConfigAge = 2 * time.Second
+
+// configAgeMonitor logs when the configuration becomes old and when it is current again.
+type configAgeMonitor struct {
+	*Node
+	old bool
+}
+
+func (m *configAgeMonitor) check(now time.Time) {
+	asOf := m.configAge.lastConfirmed()
+	age := now.Sub(asOf)
+	old := !asOf.IsZero() && age > oldConfigAge
+	if old != m.old {
+		msg := "configuration is current again"
+		if old {
+			msg = "configuration is old"
+		}
+		_ = m.logger.Log("msg", msg, "version", m.relay.Table().Version, "age", age, "rank", m.roster.ReaderRank(now))
+	}
+	m.old = old
+}
--- a/core/node/config_readers_test.go
+++ b/core/node/config_readers_test.go
@@ -104,7 +104,7 @@
 				for v := int64(1); v <= 3; v++ {
 					time.Sleep(time.Minute)
 					if !reads {
-						n.handleConfig(gossip.Document{Version: v + 1, Data: []byte(fmt.Sprint(v + 1))})
+						n.handleConfig("vm-0", gossip.Document{Version: v + 1, Data: []byte(fmt.Sprint(v + 1))})
 					}
 				}
 				time.Sleep(time.Second)
@@ -150,8 +150,8 @@
 	g := NewWithT(t)
 	n := newTestNode(g, lowShare, &configWriter{start: time.Now()})
 	defer n.gossipConn.Close()
-	n.handleConfig(gossip.Document{Version: 5, Data: []byte("5")})
-	n.handleConfig(gossip.Document{Version: 4, Data: []byte("4")})
-	n.handleConfig(gossip.Document{Version: 6, Data: []byte("not a configuration")})
+	n.handleConfig("vm-0", gossip.Document{Version: 5, Data: []byte("5")})
+	n.handleConfig("vm-0", gossip.Document{Version: 4, Data: []byte("4")})
+	n.handleConfig("vm-0", gossip.Document{Version: 6, Data: []byte("not a configuration")})
 	g.Expect(n.relay.Table().Version).To(Equal(route.Version(5)))
 }
--- a/core/node/maintenance.go
+++ b/core/node/maintenance.go
@@ -21,9 +21,11 @@
 func (m *maintenance) loop(ctx context.Context) {
 	tick := time.NewTicker(maintenanceInterval)
 	defer tick.Stop()
-	age := &listAgeMonitor{Node: m.Node}
+	listAge := &listAgeMonitor{Node: m.Node}
+	configAge := &configAgeMonitor{Node: m.Node}
 	for {
-		age.check(time.Now())
+		listAge.check(time.Now())
+		configAge.check(time.Now())
 		if m.targetList.Expire(time.Now()) {
 			m.updateTargets()
 		}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -55,6 +55,7 @@
 	membersKnown atomic.Bool
 	// configDocument is the configuration in force in the encoding of the store.
 	configDocument atomic.Pointer[gossip.Document]
+	configAge      configAge
 	startupSender  *startupSender
 	// configMu serializes changes of the configuration.
 	configMu sync.Mutex
--- a/core/node/readers.go
+++ b/core/node/readers.go
@@ -33,11 +33,11 @@
 }
 
 // handleConfig applies a configuration that was received from a peer.
-func (n *Node) handleConfig(d gossip.Document) {
+func (n *Node) handleConfig(peer string, d gossip.Document) {
 	if t := n.relay.Table(); t != nil && d.Version <= int64(t.Version) {
 		return
 	}
 	config, err := n.platform.DecodeConfig(d.Data)
 	f := &configFollower{n}
-	f.apply(ConfigResult{Config: config, Raw: d.Data, Err: err}, true)
+	f.apply(peer, ConfigResult{Config: config, Raw: d.Data, Err: err}, time.Now())
 }
--- a/core/node/startup_test.go
+++ b/core/node/startup_test.go
@@ -74,7 +74,7 @@
 	}
 	t.Cleanup(func() { _ = n.gossipConn.Close() })
 	n.gossip.Start(t.Context())
-	n.handleConfig(gossip.Document{Version: 7, Data: []byte("seven")})
+	n.handleConfig("vm-0", gossip.Document{Version: 7, Data: []byte("seven")})
 	n.applyList(fromStore, testTargetList(age))
 	return n
 }
--- a/core/node/state.go
+++ b/core/node/state.go
@@ -11,6 +11,7 @@
 // storeState is what the daemon knows from the store, for the state dump.
 type storeState struct {
 	Config      route.Version `json:"config"`
+	ConfigAge   time.Duration `json:"config-age-ns"`
 	ListVersion int64         `json:"list-version"`
 	ListAge     time.Duration `json:"list-age-ns"`
 	Ready       bool          `json:"ready"`
@@ -23,6 +24,7 @@
 	n.stateDump.Add("targets", func() any { return n.targetState() })
 	n.stateDump.Add("budget", func() any { return n.budgetState() })
 	n.metrics.Gauge("gossip_events_dropped", n.gossip.Dropped)
+	n.metrics.Gauge("config_age_ms", func() int64 { return n.storeState().ConfigAge.Milliseconds() })
 	n.metrics.Gauge("list_age_ms", func() int64 { return n.storeState().ListAge.Milliseconds() })
 	n.metrics.Gauge("caller_connections", func() int64 { return int64(n.callerServer.OpenConnections()) })
 	n.metrics.Gauge("caller_requests_open", func() int64 { return int64(n.callerServer.PendingRequests()) })
@@ -33,6 +35,7 @@
 	s := storeState{ListVersion: version, ListAge: time.Since(asOf), Ready: n.Ready()}
 	if t := n.relay.Table(); t != nil {
 		s.Config = t.Version
+		s.ConfigAge = time.Since(n.configAge.lastConfirmed())
 	}
 	return s
 }
