--- a/core/gossip/document_test.go
+++ b/core/gossip/document_test.go
@@ -95,3 +95,21 @@
 	_, err := d.split()
 	g.Expect(err).To(HaveOccurred())
 }
+
+// Guards against one fragment with a version that does not exist, after which a daemon
+// dropped every configuration that its peers sent.
+func TestWrongVersionDoesNotBlockDocuments(t *testing.T) {
+	g := NewWithT(t)
+	var r reassembler
+	wrong := mustSplit(g, randomDocument(1<<40, 3000))
+	_, err := r.add(&wrong[0])
+	g.Expect(err).NotTo(HaveOccurred())
+	fragments := mustSplit(g, randomDocument(8, 3000))
+	var got *Document
+	for i := range fragments {
+		got, err = r.add(&fragments[i])
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(got).NotTo(BeNil())
+	g.Expect(got.Version).To(Equal(int64(8)))
+}
--- /dev/null
+++ b/core/node/config_age_test.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/gossip"
+	"wisteriarelay.example/core/roster"
+	"wisteriarelay.example/core/route"
+)
+
+// configBound is how long after the store accepted a configuration it must be in force.
+const configBound = 2 * time.Second
+
+// silentPolls simulates a store whose reads return the newest configuration and whose
+// long polls for a change tell nothing.
+type silentPolls struct {
+	mu      sync.Mutex
+	version int64
+	// hang holds each long poll until its context ends or its time is over. Otherwise a
+	// long poll returns empty in time, from a position behind the change.
+	hang  bool
+	reads int
+}
+
+func (s *silentPolls) write(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = version
+}
+
+func (s *silentPolls) read(context.Context) (ConfigResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	return configVersion(s.version), nil
+}
+
+func (s *silentPolls) poll(ctx context.Context, _ int64, wait time.Duration) (ConfigResult, error) {
+	if s.hang {
+		wait += 1500 * time.Millisecond
+	}
+	sleep(ctx, wait)
+	if ctx.Err() != nil || s.hang {
+		return ConfigResult{}, fault.New(fault.StoreUnavailable, "no answer")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ConfigResult{StoreVersion: s.version}, nil
+}
+
+// Guards against a change that is not in force for 20 s or more because the long polls
+// of the readers hear nothing of it. Neither a reader nor, if all readers are silent
+// about it, any other daemon may rely on them.
+func TestChangeIsInForceAlthoughPollsHearNothing(t *testing.T) {
+	for _, share := range []float64{highShare, lowShare} {
+		for _, hang := range []bool{true, false} {
+			t.Run(fmt.Sprintf("share %v, hang %v", share, hang), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					store := &silentPolls{version: 1, hang: hang}
+					n := newTestNode(g, share, &configWriter{start: time.Now()})
+					defer n.gossipConn.Close()
+					n.platform.ReadConfig, n.platform.LongPollConfig = store.read, store.poll
+					ctx, cancel := context.WithCancel(t.Context())
+					reports := &peerReports{node: n, config: func() int64 { return 1 }}
+					go reports.loop(ctx)
+					f := &configFollower{n}
+					go f.loop(ctx)
+					time.Sleep(10 * time.Second)
+					store.write(2)
+					time.Sleep(configBound)
+					version := n.relay.Table().Version
+					cancel()
+					synctest.Wait()
+					g.Expect(version).To(Equal(route.Version(2)))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a data centre that keeps an old configuration for as long as the store
+// refuses its daemons, although those of another data centre have the new one.
+func TestConfigReachesDataCentreThatStoreRefuses(t *testing.T) {
+	g := NewWithT(t)
+	addresses := newLoopbackRange()
+	var nodes []*Node
+	for i, dataCentre := range []string{"a", "b", "b"} {
+		s := addresses.settings(i+1, highShare)
+		s.DataCentre = dataCentre
+		n, err := New(s, unreachableStore())
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { _ = n.gossipConn.Close() })
+		n.platform.DecodeConfig = decodeVersion
+		nodes = append(nodes, n)
+	}
+	store := &silentPolls{version: 1}
+	nodes[0].platform.ReadConfig, nodes[0].platform.LongPollConfig = store.read, store.poll
+	for _, n := range nodes {
+		n.applyList(fromStore, testTargetList(0))
+		n.handleConfig("vm-0", gossip.Document{Version: 1, Data: []byte("1")})
+		n.gossip.Start(t.Context())
+		for _, m := range nodes {
+			n.roster.Add(m.self)
+		}
+		f := &configFollower{n}
+		go f.loop(t.Context())
+	}
+	exchangeReports(nodes...)
+	time.Sleep(readerStartupDelay)
+	store.write(2)
+	for _, n := range nodes {
+		g.Eventually(n.relay.Table).WithTimeout(10 * time.Second).Should(HaveField("Version", route.Version(2)))
+	}
+}
+
+// Guards against one wrong version in a heartbeat, which made a daemon read the
+// configuration twice a second for as long as it ran.
+func TestWrongVersionOfPeerCausesFewReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		writer := &configWriter{start: time.Now()}
+		n := newTestNode(g, lowShare, writer)
+		defer n.gossipConn.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		reports := &peerReports{node: n, config: func() int64 { return 1 }}
+		go reports.loop(ctx)
+		f := &configFollower{n}
+		go f.loop(ctx)
+		time.Sleep(5 * time.Second)
+		before := writer.reads
+		n.handleHeartbeat(
+			roster.Member{VM: "vm-0", DataCentre: "a", PeerAddress: "127.0.0.1:1", CallerAddress: "127.0.0.1:2", StartMillis: 1},
+			&gossip.Report{VM: "vm-0", DataCentre: "a", Ready: true, ConfigVersion: 1 << 40})
+		time.Sleep(30 * time.Second)
+		reads := writer.reads - before
+		cancel()
+		synctest.Wait()
+		g.Expect(reads).To(BeNumerically("<=", 5))
+	})
+}
+
+// Guards against a daemon that reads the whole configuration as fast as the store
+// answers while the store discards its history again and again, and so takes the calls
+// that the other daemons need.
+func TestDroppedHistoryIsReadAtPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := &silentPolls{version: 1}
+		n := newTestNode(g, highShare, &configWriter{start: time.Now()})
+		defer n.gossipConn.Close()
+		n.platform.ReadConfig = func(ctx context.Context) (ConfigResult, error) {
+			sleep(ctx, 4*time.Millisecond)
+			return store.read(ctx)
+		}
+		n.platform.LongPollConfig = func(ctx context.Context, _ int64, _ time.Duration) (ConfigResult, error) {
+			sleep(ctx, 4*time.Millisecond)
+			return ConfigResult{}, fault.New(fault.HistoryGone, "history was discarded")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &configFollower{n}
+		go f.loop(ctx)
+		time.Sleep(10 * time.Second)
+		reads := store.reads
+		cancel()
+		synctest.Wait()
+		g.Expect(reads).To(BeNumerically("<=", 10*int(time.Second/minConfigInterval)+1))
+	})
+}
