Do not let one wrong version block the documents of peers

What callers saw: nothing proven; a daemon that got one datagram with a version that does not exist dropped every configuration that its peers sent from then on, and had only the store.

Cause: the reassembly kept one document, that with the highest version ever named, and dropped all fragments of lower ones. Datagrams bear no proof of their sender.

Change: fragments of the last four documents are kept apart, by version, hash and number of fragments. Whether a document is newer is decided when it is whole and decoded, as before.

Tests: TestWrongVersionDoesNotBlockDocuments failed before. TestFragmentsOfDifferentDocumentsDoNotMix asserted that interleaved fragments restart each other, which was the fault; it now asserts that each of the three documents comes out once and byte for byte. go test -race ./core/gossip passes.

--- a/core/gossip/document.go
+++ b/core/gossip/document.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -71,50 +72,73 @@
 	return fragments, nil
 }
 
-// reassembler reassembles a document from its fragments. It keeps the fragments of one
-// document only, the one with the highest version.
+// maxAssemblies is the largest number of documents whose fragments a [reassembler] keeps.
+// One that never becomes complete must not keep the others from being reassembled.
+const maxAssemblies = 4
+
+// reassembler reassembles documents from their fragments. Fragments of the same document
+// may come from several senders.
 type reassembler struct {
+	// assemblies are in the order in which a fragment of each last arrived.
+	assemblies []*documentAssembly
+}
+
+// documentAssembly is a document of which fragments have arrived.
+type documentAssembly struct {
 	version   int64
 	hash      uint64
 	fragments [][]byte
-	missing   int
+	// missing is the number of fragments that have not arrived; once it is 0, the
+	// document was returned and fragments holds no data.
+	missing int
 }
 
-// add adds a fragment and returns the document once all fragments have arrived.
-// Fragments of an older version are ignored; one of a newer version, or of another
-// document with the same version, starts a new reassembly.
+// add adds a fragment and returns the document once all fragments have arrived. A
+// document is returned once for as long as it is among the last maxAssemblies.
 func (r *reassembler) add(f *Fragment) (*Document, error) {
 	if f.Count <= 0 || f.Count > maxFragments || f.Index < 0 || f.Index >= f.Count || len(f.Data) > maxFragmentBytes {
 		return nil, fault.New(fault.MessageInvalid, "fragment %d of %d is invalid", f.Index, f.Count)
 	}
-	if f.Version < r.version {
+	a := r.assemblyFor(f)
+	if a.missing == 0 || a.fragments[f.Index] != nil {
 		return nil, nil
 	}
-	if f.Version > r.version || f.Hash != r.hash || f.Count != len(r.fragments) {
-		*r = reassembler{version: f.Version, hash: f.Hash, fragments: make([][]byte, f.Count), missing: f.Count}
-	}
-	if r.fragments[f.Index] != nil {
+	a.fragments[f.Index] = f.Data
+	if a.missing--; a.missing > 0 {
 		return nil, nil
 	}
-	r.fragments[f.Index] = f.Data
-	if r.missing--; r.missing > 0 {
-		return nil, nil
+	return a.decompress()
+}
+
+// assemblyFor returns the assembly of the fragment's document as the most recent one,
+// and forgets the least recent one if there are too many.
+func (r *reassembler) assemblyFor(f *Fragment) *documentAssembly {
+	i := slices.IndexFunc(r.assemblies, func(a *documentAssembly) bool {
+		return a.version == f.Version && a.hash == f.Hash && len(a.fragments) == f.Count
+	})
+	if i < 0 {
+		r.assemblies = append(r.assemblies, &documentAssembly{version: f.Version, hash: f.Hash, fragments: make([][]byte, f.Count), missing: f.Count})
+		r.assemblies = r.assemblies[max(len(r.assemblies)-maxAssemblies, 0):]
+		return r.assemblies[len(r.assemblies)-1]
 	}
-	return r.decompress()
+	a := r.assemblies[i]
+	r.assemblies = append(slices.Delete(r.assemblies, i, i+1), a)
+	return a
 }
 
-// decompress joins and decompresses the fragments, and checks size and hash of the
-// document.
-func (r *reassembler) decompress() (*Document, error) {
-	reader := flate.NewReader(bytes.NewReader(bytes.Join(r.fragments, nil)))
+// decompress joins and decompresses the fragments, releases them, and checks size and
+// hash of the document.
+func (a *documentAssembly) decompress() (*Document, error) {
+	reader := flate.NewReader(bytes.NewReader(bytes.Join(a.fragments, nil)))
+	clear(a.fragments)
 	data, err := io.ReadAll(io.LimitReader(reader, maxDocumentBytes+1))
 	if err != nil {
 		return nil, fault.Wrap(err, fault.MessageInvalid, "document cannot be decompressed")
 	}
-	if len(data) > maxDocumentBytes || xxhash.Sum64(data) != r.hash {
+	if len(data) > maxDocumentBytes || xxhash.Sum64(data) != a.hash {
 		return nil, fault.New(fault.MessageInvalid, "document of %d bytes does not match its hash", len(data))
 	}
-	return &Document{Version: r.version, Data: data}, nil
+	return &Document{Version: a.version, Data: data}, nil
 }
 
 // SendConfig sends the operators' configuration to peers, in the form in which the
