Let a daemon ask its peers for a configuration that it lacks

What callers saw: in a data centre whose daemons the store refuses, or whose readers it refuses, requests handled by an old configuration until the refusal ended, although all other daemons had the new one.

Cause: readers send a configuration to their own data centre only, once. A daemon that heard of a newer version could do nothing but try the store.

Change: a daemon asks a peer that reports the newer version: one of its data centre, or else, if it is among the first two readers, one of another data centre; it then sends the configuration on to its own. Who reads a new configuration tells the first two readers of each other data centre at once. Transmissions are limited per daemon, as startup data was already; that logic now stands once (resendLimiter).

--- a/core/gossip/document.go
+++ b/core/gossip/document.go
@@ -153,3 +153,8 @@
 		n.sendReport(&Report{VM: n.self.VM, StartMillis: n.self.StartMillis, ConfigFragment: &fragments[i], ConfigAge: d.Age}, to)
 	}
 }
+
+// RequestConfig asks a peer for its configuration, if that is newer than the version.
+func (n *Transport) RequestConfig(version int64, to roster.Member) {
+	n.sendReport(&Report{VM: n.self.VM, StartMillis: n.self.StartMillis, WantsConfig: true, ConfigVersion: version}, []roster.Member{to})
+}
--- a/core/gossip/node.go
+++ b/core/gossip/node.go
@@ -55,6 +55,9 @@
 	Members  func(sender string, members []roster.Member)
 	// Config is called with a configuration that a peer read from the store.
 	Config func(peer string, d Document)
+	// ConfigRequest is called if a peer, which has the given version of the configuration
+	// in force, asks for a newer one.
+	ConfigRequest func(peer roster.Member, version int64)
 	// Estimates is called with a peer's health estimates of targets of a service; left is
 	// the number of reports on the service that follow.
 	Estimates func(service string, targets []sched.TargetEstimate, left int)
--- a/core/gossip/receiver.go
+++ b/core/gossip/receiver.go
@@ -54,6 +54,9 @@
 	if report.ConfigFragment != nil {
 		r.handleConfigFragment(report)
 	}
+	if report.WantsConfig {
+		r.handlers.ConfigRequest(report.Sender(from), report.ConfigVersion)
+	}
 }
 
 // handleConfigFragment adds a fragment of a configuration and calls the handler once
--- a/core/gossip/report.go
+++ b/core/gossip/report.go
@@ -43,6 +43,9 @@
 	// ConfigAge is the time since the sender's configuration was last known to be the
 	// newest, or that of ConfigFragment; 0 if it is not known.
 	ConfigAge time.Duration `cbor:"24,keyasint,omitempty"`
+	// WantsConfig asks the receiver for its configuration if that is newer than
+	// ConfigVersion.
+	WantsConfig bool `cbor:"25,keyasint,omitempty"`
 	// ReducedRate is true if the sender sends heartbeats at a reduced rate, because it is
 	// not monitored.
 	ReducedRate bool `cbor:"16,keyasint,omitempty"`
--- a/core/node/catch_up.go
+++ b/core/node/catch_up.go
@@ -46,11 +46,11 @@
 
 // step makes the attempts that are due.
 func (c *configCatchUp) step(now time.Time) {
-	t := c.relay.Table()
-	if t == nil {
+	inForce := c.configVersion()
+	if inForce == 0 {
 		return
 	}
-	holders := c.roster.ConfigHolders(now, int64(t.Version))
+	holders := c.roster.ConfigHolders(now, inForce)
 	for version := range c.missing {
 		if holders[version] == nil {
 			delete(c.missing, version)
@@ -76,6 +76,7 @@
 	m.attempts++
 	m.next = now.Add(m.delay())
 	_ = c.logger.Log("msg", "peers have a newer configuration", "version", version, "peers", len(members), "attempt", m.attempts)
+	c.askForConfig(members, m.attempts)
 	if m.attempts > 1 {
 		c.requestConfigRead()
 	}
--- a/core/node/config.go
+++ b/core/node/config.go
@@ -110,16 +110,17 @@
 	newer := f.apply(fromStore, read, asOf)
 	if newer && f.isConfigReader() {
 		f.sendToLocalPeers()
+		f.notifyRemoteReaders()
 	}
 }
 
 // sendToLocalPeers sends the configuration in force to the daemons of the local data
 // centre.
-func (f *configFollower) sendToLocalPeers() {
-	peers := f.roster.LocalPeers()
-	doc := f.currentDocument()
-	_ = f.logger.Log("msg", "configuration sent", "version", doc.Version, "peers", len(peers))
-	f.gossip.SendConfig(doc, peers)
+func (n *Node) sendToLocalPeers() {
+	peers := n.roster.LocalPeers()
+	doc := n.currentDocument()
+	_ = n.logger.Log("msg", "configuration sent", "version", doc.Version, "peers", len(peers))
+	n.gossip.SendConfig(doc, peers)
 }
 
 // currentDocument returns the configuration in force with its age.
--- a/core/node/config_check.go
+++ b/core/node/config_check.go
@@ -71,7 +71,8 @@
 	}
 	c.succeeded(began, position, read)
 	if f.apply(fromStore, read, began) && rank <= configBackups {
-		f.sendToLocalPeers()
+		c.sendToLocalPeers()
+		c.notifyRemoteReaders()
 	}
 	c.gossip.SendHeartbeatTo(addressesOf(c.roster.LocalPeers()))
 }
--- a/core/node/config_readers_test.go
+++ b/core/node/config_readers_test.go
@@ -47,14 +47,6 @@
 	return configVersion(w.newest()), nil
 }
 
-// configInForce returns the version in force, or 0.
-func (n *Node) configInForce() int64 {
-	if t := n.relay.Table(); t != nil {
-		return int64(t.Version)
-	}
-	return 0
-}
-
 func decodeVersion(raw []byte) (*route.Config, error) {
 	var v route.Version
 	_, err := fmt.Sscan(string(raw), &v)
@@ -106,7 +98,7 @@
 				n := newTestNode(g, share, writer)
 				defer n.gossipConn.Close()
 				ctx, cancel := context.WithCancel(t.Context())
-				reports := &peerReports{node: n, config: n.configInForce}
+				reports := &peerReports{node: n, config: n.configVersion}
 				go reports.loop(ctx)
 				f := &configFollower{n}
 				go f.loop(ctx)
--- a/core/node/help.go
+++ b/core/node/help.go
@@ -22,23 +22,20 @@
 	// daemon that does not get the full list for it. It learns of the others from these
 	// members.
 	maxMembersPerDataCentre = 8
-	// maxTrackedReceivers limits the number of daemons whose last transmission is
-	// remembered.
-	maxTrackedReceivers = 4096
 )
 
 // startupSender sends the configuration, the target list and the members to daemons
 // that have just started. Only the goroutine that receives datagrams calls it.
 type startupSender struct {
 	*Node
+	resends    *resendLimiter
 	mu         sync.Mutex
-	lastSent   map[string]time.Time
 	snapshot   *gossip.Snapshot
 	snapshotAt time.Time
 }
 
 func newStartupSender(n *Node) *startupSender {
-	return &startupSender{Node: n, lastSent: map[string]time.Time{}}
+	return &startupSender{Node: n, resends: newResendLimiter(startupResendInterval)}
 }
 
 // sendIfStarting sends startup data to the sender of a heartbeat if that daemon has
@@ -70,17 +67,8 @@
 // transmission: parts of two lists that arrive at the same time would prevent each
 // other's reassembly.
 func (s *startupSender) allow(vm string, backup bool, now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	last, known := s.lastSent[vm]
-	if now.Sub(last) < startupResendInterval {
-		return false
-	}
-	if len(s.lastSent) >= maxTrackedReceivers {
-		clear(s.lastSent)
-	}
-	s.lastSent[vm] = now
-	return known || !backup
+	allowed, known := s.resends.allow(vm, now)
+	return allowed && (known || !backup)
 }
 
 // sendMembers sends members to a daemon. With full set, these are all members of
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -56,6 +56,7 @@
 	// configDocument is the configuration in force in the encoding of the store.
 	configDocument atomic.Pointer[gossip.Document]
 	configAge      configAge
+	configResends  *resendLimiter
 	startupSender  *startupSender
 	// configMu serializes changes of the configuration.
 	configMu sync.Mutex
@@ -106,6 +107,7 @@
 	n.settings.Store(settings)
 	n.healthQueries = newHealthQueries(n)
 	n.startupSender = newStartupSender(n)
+	n.configResends = newResendLimiter(configResendInterval)
 	n.initialized = newLatch()
 	for _, o := range opts {
 		o(n)
@@ -170,7 +172,7 @@
 
 func (n *Node) newGossipTransport(conn *net.UDPConn) *gossip.Transport {
 	sources := gossip.Sources{Heartbeat: n.heartbeat, Targets: n.targetIndex, LocalPeers: func() []roster.Member { return n.roster.LocalPeers() }, Monitored: n.monitored, Recipients: n.eventRecipients, GroupPeers: n.coCarriers, RemoteCarriers: n.remoteCarriers}
-	handlers := gossip.Handlers{Heartbeat: n.handleHeartbeat, Event: n.handleEvent, ListPart: n.handleListPart, RemoteCarriers: n.handleRemoteCarriers, Config: n.handleConfig, Estimates: n.handleEstimates, EstimateRequest: n.handleHealthQuery, Snapshot: n.handleSnapshot, Members: n.handleMembers}
+	handlers := gossip.Handlers{Heartbeat: n.handleHeartbeat, Event: n.handleEvent, ListPart: n.handleListPart, RemoteCarriers: n.handleRemoteCarriers, Config: n.handleConfig, ConfigRequest: n.handleConfigRequest, Estimates: n.handleEstimates, EstimateRequest: n.handleHealthQuery, Snapshot: n.handleSnapshot, Members: n.handleMembers}
 	return gossip.NewTransport(n.self, conn, sources, handlers, n.logger)
 }
 
--- a/core/node/readers.go
+++ b/core/node/readers.go
@@ -32,12 +32,16 @@
 	return n.roster.ReaderRank(now) < configReaderCount || lastRead != nil && now.Sub(*lastRead) < recentReadWindow
 }
 
-// handleConfig applies a configuration that was received from a peer.
+// handleConfig applies a configuration that was received from a peer. One from another
+// data centre, for which this daemon has asked, is sent to the local one.
 func (n *Node) handleConfig(peer string, d gossip.Document) {
 	if t := n.relay.Table(); t != nil && d.Version <= int64(t.Version) {
 		return
 	}
 	config, err := n.platform.DecodeConfig(d.Data)
 	f := &configFollower{n}
-	f.apply(peer, ConfigResult{Config: config, Raw: d.Data, Err: err}, time.Now().Add(-d.Age))
+	newer := f.apply(peer, ConfigResult{Config: config, Raw: d.Data, Err: err}, time.Now().Add(-d.Age))
+	if newer && n.roster.IsRemote(peer) {
+		n.sendToLocalPeers()
+	}
 }
--- a/core/roster/config.go
+++ b/core/roster/config.go
@@ -19,3 +19,11 @@
 	}
 	return out
 }
+
+// IsRemote reports whether the VM is known to be in another data centre.
+func (r *Roster) IsRemote(vm string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[vm]
+	return e != nil && e.DataCentre != r.self.DataCentre
+}
