Do not take a refusal without an id for the answer on a kept connection

What callers saw, by the report of another operator: told 'not run' for requests that ran, when a target wrote an earlier refusal once more.

Cause: a failure without a request id counted as the answer to whatever request was waiting, also on a connection that had carried another one. With Not-Executed, or as 421, it said that the request had not run.

Change: on a reused connection a response needs the id of the request. Others are discarded and the next one is read, as those with a wrong id already were. On a new connection there is no earlier refusal.

Tests: TestRepeatedRefusalIsNotTheNextAnswer failed before for the copy without an id (503 for a request that ran). Its other cases, and that a refused request is never sent to the same target again, so that no copy can have its id (TestRefusedRequestIsNotSentToTheSameTargetAgain), passed before.

--- a/core/link/endless_test.go
+++ b/core/link/endless_test.go
@@ -61,7 +61,7 @@
 			p := NewPool("target", WithDial(f.dial))
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer cancel()
-			m := &RawRequest{Method: http.MethodGet, RequestURI: "/", Host: "h", Matches: func(r *http.Response) bool { return r.Header.Get("Request-Id") == "own" }}
+			m := &RawRequest{Method: http.MethodGet, RequestURI: "/", Host: "h", Matches: func(r *http.Response, _ bool) bool { return r.Header.Get("Request-Id") == "own" }}
 			_, err := p.Forward(ctx, m, time.Minute)
 			g.Expect(err).To(HaveOccurred())
 			g.Expect(ctx.Err()).NotTo(HaveOccurred(), "the exchange lasts until the deadline")
@@ -80,7 +80,7 @@
 	own := "HTTP/1.1 200 OK\r\nRequest-Id: own\r\nContent-Length: 2\r\n\r\nok"
 	s := newScriptedTarget(false, lateCopy+own)
 	p := NewPool("target", WithDial(s.dial))
-	m := &RawRequest{Method: http.MethodGet, RequestURI: "/", Host: "h", Matches: func(r *http.Response) bool { return r.Header.Get("Request-Id") == "own" }}
+	m := &RawRequest{Method: http.MethodGet, RequestURI: "/", Host: "h", Matches: func(r *http.Response, _ bool) bool { return r.Header.Get("Request-Id") == "own" }}
 	resp, err := p.Forward(t.Context(), m, time.Minute)
 	g.Expect(err).NotTo(HaveOccurred())
 	data, err := io.ReadAll(resp.Body)
--- a/core/link/forward.go
+++ b/core/link/forward.go
@@ -27,10 +27,10 @@
 	Host       string
 	Header     http.Header
 	Body       []byte
-	// Matches reports whether a response belongs to this request. Others are read and
-	// discarded, and the next response is read. If Matches is nil, the first response is
-	// returned.
-	Matches func(*http.Response) bool
+	// Matches reports whether a response belongs to this request; reused says that the
+	// connection carried another exchange before. Other responses are read and discarded,
+	// and the next one is read. If Matches is nil, the first response is returned.
+	Matches func(r *http.Response, reused bool) bool
 }
 
 // write writes the message in the format of HTTP/1.1.
@@ -117,7 +117,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if m.Matches != nil && !m.Matches(resp) {
+		if m.Matches != nil && !m.Matches(resp, x.conn.reused) {
 			if bytesLeft, err = x.discardResponse(resp, bytesLeft); err != nil {
 				return nil, err
 			}
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -117,13 +117,18 @@
 		Host:       x.request.Host,
 		Header:     h,
 		Body:       x.request.Body,
-		Matches: func(r *http.Response) bool {
-			id := r.Header.Get(names.RequestID)
-			return id == x.id || id == "" && r.StatusCode >= http.StatusBadRequest
-		},
+		Matches:    x.matches,
 	}
 }
 
+// matches reports whether a response is the answer to this request. Targets return its
+// id. Only a failure may lack it, on a connection that carried no other request: on a
+// reused one it may be a copy of an earlier refusal.
+func (x *exchange) matches(r *http.Response, reused bool) bool {
+	id := r.Header.Get(x.relay.headers.RequestID)
+	return id == x.id || id == "" && !reused && r.StatusCode >= http.StatusBadRequest
+}
+
 // classifyError returns the result of an attempt that got no usable response. It
 // separates requests that were certainly not sent from those that a target may run.
 func (t *attempt) classifyError(err error) *result {
