Ignore entries of the target list with values that no target has

What callers saw, by the report of another operator: daemons that end or stop following the list because of one odd entry. Here one entry with 10^15 slots was enough: every daemon that read it never became ready.

Cause: the entry decoded, and the plan of groups grows with the sum of all slots: each daemon looped over 5 x 10^11 groups, holding a lock, several times a second. Port 0, the address 0.0.0.0, negative or overflowing warm-up times, heartbeats and starts were taken as well.

The number of groups is bounded as well, so that no sum of slots can keep a daemon busy.

TestPlanOfAbsurdDemandIsSmall did not end within 8 s before. go test -race ./core/watch ./core/node ./core/roster ./platform passes.

--- a/core/roster/plan.go
+++ b/core/roster/plan.go
@@ -17,6 +17,9 @@
 	// result of a request is sent to all carriers of the group, so groups must not
 	// grow without bound.
 	coresPerGroup = 4
+	// maxGroups bounds the time to assign a service, whatever number of slots the targets
+	// claim to have.
+	maxGroups = 64
 )
 
 // Demand is the input of a plan.
@@ -40,11 +43,11 @@
 // NewPlan returns the plan for the demand.
 func NewPlan(d Demand) *Plan {
 	p := &Plan{groups: map[string]string{}, cores: map[string]float64{}}
-	total := 0
+	total := 0.0
 	for _, n := range d.Slots {
-		total += n
+		total += float64(n)
 	}
-	groupCount := int(math.Ceil(float64(total) / (slotsPerCore * coresPerGroup)))
+	groupCount := int(min(math.Ceil(total/(slotsPerCore*coresPerGroup)), maxGroups))
 	for service, representative := range representatives(d) {
 		group := assignGroup(representative, max(groupCount, 1))
 		p.groups[service] = group
--- a/core/roster/plan_test.go
+++ b/core/roster/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -119,3 +120,15 @@
 	g.Expect(moved).To(BeNumerically(">", 0))
 	g.Expect(moved).To(BeNumerically("<", 200/3))
 }
+
+// Guards against a daemon that does nothing but assign groups, because targets claim to
+// have more slots than any fleet has.
+func TestPlanOfAbsurdDemandIsSmall(t *testing.T) {
+	g := NewWithT(t)
+	for _, slots := range []map[string]int{{"orders": 1e15}, {"orders": math.MaxInt, "stock": math.MaxInt}} {
+		p := roster.NewPlan(roster.Demand{Slots: slots, DataCentres: 3})
+		group, cores := p.Group("orders")
+		g.Expect(group).NotTo(BeEmpty())
+		g.Expect(cores).To(BeNumerically(">", 0))
+	}
+}
--- a/core/watch/entry.go
+++ b/core/watch/entry.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
+
+	"wisteriarelay.example/core/fault"
 )
 
 // Entry is a target's registration in the store, as written by the target.
@@ -22,6 +25,37 @@
 	Seq int64 `cbor:"8,keyasint"`
 }
 
+const (
+	// maxSlots is the largest number of slots of a target. Numbers beyond it come from
+	// other writers; the plan of groups grows with the sum of all slots.
+	maxSlots = 1 << 16
+	// maxWarmup is the longest remaining warm-up time.
+	maxWarmup = 24 * time.Hour
+	// maxStartMillis is the latest start time, in the year 5138.
+	maxStartMillis = int64(1e14)
+)
+
+// Validate fails with fault.MessageInvalid if no target could have written the entry, so
+// that it names none to use.
+func (e *Entry) Validate() error {
+	address, err := netip.ParseAddrPort(e.Address)
+	switch {
+	case err != nil:
+		return fault.Wrap(err, fault.MessageInvalid, "address is not an IP address with a port")
+	case address.Port() == 0 || address.Addr().IsUnspecified():
+		return fault.New(fault.MessageInvalid, "address %q cannot be connected to", e.Address)
+	case e.Service == "":
+		return fault.New(fault.MessageInvalid, "service is empty")
+	case e.Slots <= 0 || e.Slots > maxSlots:
+		return fault.New(fault.MessageInvalid, "slots %d are not between 1 and %d", e.Slots, maxSlots)
+	case e.WarmupLeft < 0 || e.WarmupLeft > maxWarmup:
+		return fault.New(fault.MessageInvalid, "warm-up time %s is not between 0 and %s", e.WarmupLeft, maxWarmup)
+	case e.StartMillis < 0 || e.StartMillis > maxStartMillis || e.Seq < 0:
+		return fault.New(fault.MessageInvalid, "start %d or heartbeat %d is out of range", e.StartMillis, e.Seq)
+	}
+	return nil
+}
+
 // isOlderThan reports whether the target wrote the entry before other: in an earlier
 // run, or with an earlier heartbeat of the same run.
 func (e *Entry) isOlderThan(other *Entry) bool {
--- a/core/watch/list.go
+++ b/core/watch/list.go
@@ -116,6 +116,9 @@
 	}
 	out := ApplyResult{StoreRecovered: !l.asOf.IsZero() && asOf.Sub(l.asOf) > outageThreshold}
 	for _, c := range d.Changes {
+		if c.Entry != nil && c.Entry.Validate() != nil {
+			c.Entry = nil
+		}
 		if l.applyChange(now, c, d.versionOf(c)) {
 			out.Changes = append(out.Changes, c)
 		}
