Bound the numbers of a configuration and of a caller's time limit

What callers saw: nothing proven; the store accepts only valid configurations. Found while looking for the cause of the odd entries of the target list elsewhere: numbers that decode but are too large.

Change: more than 100 attempts count as 100, which is reported as a problem of the configuration; a weight beyond 2^31 makes its route unusable; times that do not fit in a duration are the longest one.

--- a/core/relay/error_test.go
+++ b/core/relay/error_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"strconv"
 	"testing"
 	"time"
@@ -25,3 +26,13 @@
 	}
 	g.Expect(len(waits)).To(BeNumerically(">", 20))
 }
+
+// Guards against a caller's time limit that does not fit in a duration and becomes one
+// that has passed.
+func TestTooLargeDeadlineStaysLong(t *testing.T) {
+	g := NewWithT(t)
+	names := Headers{Deadline: "Deadline"}
+	left, ok := names.timeLeft(http.Header{"Deadline": {"9223372036854775807"}})
+	g.Expect(ok).To(BeTrue())
+	g.Expect(left).To(BeNumerically(">", time.Hour))
+}
--- a/core/relay/headers.go
+++ b/core/relay/headers.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -53,5 +54,6 @@
 	if err != nil || ms < 0 {
 		return 0, false
 	}
+	ms = min(ms, math.MaxInt64/int64(time.Millisecond))
 	return time.Duration(ms) * time.Millisecond, true
 }
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -120,3 +121,21 @@
 	g.Expect(r.Problem).NotTo(HaveOccurred())
 	g.Expect(r.Idempotent()).To(BeFalse())
 }
+
+// Guards against numbers that are too large to work with: a request of such a route made
+// the daemon end, or went to a service outside the split.
+func TestTooLargeNumbersAreLimited(t *testing.T) {
+	g := NewWithT(t)
+	c := config()
+	c.Hosts[0].Routes[0].MaxAttempts = math.MaxInt
+	problems, err := c.Validate()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(problems).To(HaveLen(1))
+	r := route.Compile(c).Match("shop.example", "/x/1")
+	g.Expect(r.Problem).NotTo(HaveOccurred())
+	g.Expect(r.MaxAttempts).To(BeNumerically("<=", 100))
+	c.Hosts[0].Routes[0].Split[0].Weight = math.MaxInt
+	_, err = c.Validate()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(route.Compile(c).Match("shop.example", "/x/1").Problem).To(HaveOccurred())
+}
--- a/core/route/validate.go
+++ b/core/route/validate.go
@@ -7,6 +7,14 @@
 	"wisteriarelay.example/core/fault"
 )
 
+const (
+	// maxAttempts is the largest number of attempts for one request. A larger one in a
+	// configuration is replaced by it.
+	maxAttempts = 100
+	// maxWeight is the largest weight of a service in a traffic split.
+	maxWeight = 1 << 31
+)
+
 // Validate sets Problem on each route that cannot be served. It returns these problems
 // and all others that leave the rest of the configuration usable. It fails with
 // fault.SettingsInvalid if the configuration must not be applied: if it has no valid
@@ -97,6 +105,10 @@
 		if r.Problem != nil {
 			problems = append(problems, fault.Wrap(r.Problem, fault.SettingsInvalid, "host %q, route %q, prefix %q", h.Name, r.Name, r.Prefix))
 		}
+		if r.MaxAttempts > maxAttempts {
+			problems = append(problems, fault.New(fault.SettingsInvalid, "host %q, route %q: %d attempts are limited to %d", h.Name, r.Name, r.MaxAttempts, maxAttempts))
+			r.MaxAttempts = maxAttempts
+		}
 		if r.Idempotency == UnknownIdempotency {
 			problems = append(problems, fault.New(fault.SettingsInvalid,
 				"host %q, route %q: kind %q is unknown; requests run at most once", h.Name, r.Name, r.IdempotencyText))
@@ -130,8 +142,8 @@
 		if !services[s.Service] {
 			return fault.New(fault.SettingsInvalid, "service %q does not exist", s.Service)
 		}
-		if s.Weight < 0 {
-			return fault.New(fault.SettingsInvalid, "weight %d is negative", s.Weight)
+		if s.Weight < 0 || s.Weight > maxWeight {
+			return fault.New(fault.SettingsInvalid, "weight %d is not between 0 and %d", s.Weight, maxWeight)
 		}
 		total += s.Weight
 	}
