Report only ages of the configuration that come from the store

A daemon reported the age that it had heard from peers. Each datagram makes the age younger by its delay, and two daemons that confirm each other keep it young: with delays near the interval of heartbeats, or after a freeze with datagrams waiting, nobody would have checked for much longer than intended.

Change: heartbeats and configurations carry the age by the sender's own calls to the store, or none. The first reader of a data centre sends to all of it, so one hop is enough.

Tests: TestReportedConfigAgeIsNotPassedOn fails on the code before.

--- a/core/node/config.go
+++ b/core/node/config.go
@@ -195,8 +195,13 @@
 	f.configMu.Lock()
 	defer f.configMu.Unlock()
 	newer := f.putInForce(source, read)
-	if t := f.relay.Table(); t != nil && (newer || source == fromStore) {
-		f.configAge.confirm(t.Version, asOf)
+	t := f.relay.Table()
+	switch {
+	case t == nil:
+	case source == fromStore:
+		f.configAge.confirmRead(t.Version, asOf)
+	case newer:
+		f.configAge.confirmReport(t.Version, asOf)
 	}
 	return newer
 }
--- a/core/node/config_age_test.go
+++ b/core/node/config_age_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -184,3 +185,81 @@
 		g.Expect(store.reads).To(BeNumerically("<=", 10*int(time.Second/minConfigInterval)+1))
 	})
 }
+
+// Guards against ages that become younger with each message and never let a daemon check:
+// what a peer reported is not reported on.
+func TestReportedConfigAgeIsNotPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := newTestNode(g, lowShare, &configWriter{start: time.Now()})
+		defer n.gossipConn.Close()
+		n.handleConfig("vm-0", gossip.Document{Version: 1, Data: []byte("1"), Age: time.Millisecond})
+		n.confirmConfig(1, time.Millisecond)
+		g.Expect(n.storeState().ConfigAge).To(Equal(time.Millisecond))
+		g.Expect(n.heartbeat().ConfigAge).To(BeZero())
+		g.Expect(n.currentDocument().Age).To(BeZero())
+		f := &configFollower{n}
+		f.apply(fromStore, configVersion(1), time.Now())
+		time.Sleep(100 * time.Millisecond)
+		g.Expect(n.heartbeat().ConfigAge).To(Equal(100 * time.Millisecond))
+	})
+}
+
+// Guards against a change that a daemon never learns of because an answer of the store was
+// older than the position that it claimed: the change lies before the position.
+func TestOutdatedAnswerIsCorrected(t *testing.T) {
+	for _, size := range []int{1, fullCheckBytesPerSecond / 2} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				store := &outdatedStore{changeAt: time.Now().Add(5*time.Second + 300*time.Millisecond), size: size}
+				n := newTestNode(g, highShare, &configWriter{start: time.Now()})
+				defer n.gossipConn.Close()
+				n.platform.ReadConfig, n.platform.LongPollConfig = store.read, store.poll
+				ctx, cancel := context.WithCancel(t.Context())
+				f := &configFollower{n}
+				go f.loop(ctx)
+				time.Sleep(time.Until(store.changeAt) + configBound)
+				version := n.relay.Table().Version
+				cancel()
+				synctest.Wait()
+				g.Expect(version).To(Equal(route.Version(2)))
+			})
+		})
+	}
+}
+
+// outdatedStore discards its history as version 2 is written, and answers the first full
+// read after that with version 1, though with the position after the change.
+type outdatedStore struct {
+	changeAt time.Time
+	size     int
+	outdated atomic.Int64
+}
+
+func (s *outdatedStore) read(context.Context) (ConfigResult, error) {
+	out := configVersion(1)
+	if time.Now().After(s.changeAt) {
+		out.StoreVersion = 2
+		if s.outdated.Add(1) > 1 {
+			out = configVersion(2)
+		}
+	}
+	out.Raw = append(out.Raw, make([]byte, s.size)...)
+	return out, nil
+}
+
+func (s *outdatedStore) poll(ctx context.Context, after int64, wait time.Duration) (ConfigResult, error) {
+	changed := time.Now().After(s.changeAt)
+	sleep(ctx, min(wait, max(time.Until(s.changeAt), 0)))
+	if changed && after == 2 {
+		sleep(ctx, wait)
+	}
+	if ctx.Err() != nil {
+		return ConfigResult{}, ctx.Err()
+	}
+	if after == 1 && !time.Now().Before(s.changeAt) {
+		return ConfigResult{}, fault.New(fault.HistoryGone, "history was discarded")
+	}
+	return ConfigResult{StoreVersion: after}, nil
+}
--- a/core/node/readers.go
+++ b/core/node/readers.go
@@ -39,8 +39,12 @@
 		return
 	}
 	config, err := n.platform.DecodeConfig(d.Data)
+	age := d.Age
+	if age == 0 {
+		age = unknownConfigAge
+	}
 	f := &configFollower{n}
-	newer := f.apply(peer, ConfigResult{Config: config, Raw: d.Data, Err: err}, time.Now().Add(-d.Age))
+	newer := f.apply(peer, ConfigResult{Config: config, Raw: d.Data, Err: err}, time.Now().Add(-age))
 	if newer && n.roster.IsRemote(peer) {
 		n.sendToLocalPeers()
 	}
