Do not rely on an answer that is older than the configuration in force

Cause: found in reading. A full read that returned an older version than a daemon had from a peer counted as proof that its configuration was the newest, and its position was polled from, although the answer contradicts itself. A document of a peer could have another version than it claimed.

Change: such an answer is a failed read, with backoff; such a document is refused. The reading, the applying and the sending of the configuration stand in a file each (config.go had all three in one type), and the loop of the follower is split into steps; its behaviour is the same otherwise.

Tests: TestAnswerOlderThanConfigInForceProvesNothing and the new case of TestOldOrInvalidPeerConfigIsIgnored are new with the change; the latter's document was put in force before by reading of the code, not run. go test -race ./core/node passes.

--- a/core/node/catch_up.go
+++ b/core/node/catch_up.go
@@ -31,6 +31,10 @@
 	next     time.Time
 }
 
+func newConfigCatchUp(n *Node) *configCatchUp {
+	return &configCatchUp{Node: n, missing: map[int64]*missingConfig{}}
+}
+
 func (c *configCatchUp) loop(ctx context.Context) {
 	tick := time.NewTicker(catchUpInterval)
 	defer tick.Stop()
--- a/core/node/config.go
+++ b/core/node/config.go
@@ -7,8 +7,6 @@
 	"github.com/cockroachdb/errors"
 
 	"wisteriarelay.example/core/fault"
-	"wisteriarelay.example/core/gossip"
-	"wisteriarelay.example/core/route"
 )
 
 const (
@@ -31,103 +29,77 @@
 )
 
 // configFollower keeps the newest configuration in force.
-type configFollower struct{ *Node }
+type configFollower struct {
+	*Node
+	// position is the store version after which changes are read; 0 requests a full read.
+	position int64
+	// backoff is the delay after the next failed read.
+	backoff       time.Duration
+	historyLostAt time.Time
+}
+
+func newConfigFollower(n *Node) *configFollower {
+	return &configFollower{Node: n, backoff: minConfigBackoff}
+}
 
 func (f *configFollower) loop(ctx context.Context) {
 	f.waitForPeers(ctx, func() bool { return f.relay.Table() != nil })
 	c := &configChecker{Node: f.Node}
 	go c.loop(ctx)
-	u := &configCatchUp{Node: f.Node, missing: map[int64]*missingConfig{}}
+	u := newConfigCatchUp(f.Node)
 	go u.loop(ctx)
-	// A position of 0 requests a full read, any other one a long poll for newer
-	// versions.
-	position := int64(0)
-	wait := minConfigBackoff
-	var historyLostAt time.Time
 	for ctx.Err() == nil {
 		if f.relay.Table() != nil && !f.isConfigReader() {
-			position = 0
+			f.position = 0
 			if !f.waitUntilReadNeeded(ctx) {
 				continue
 			}
 		}
-		began := time.Now()
-		read, err := f.read(ctx, position)
-		f.logRead(began, position, read, err)
-		if err == nil {
-			f.applyAndSend(read, answeredAt(began, position, read))
-			if position != 0 && (read.Config != nil || read.Err != nil) {
-				sleep(ctx, minConfigInterval)
-			}
-			position = read.StoreVersion
-			wait = minConfigBackoff
-			continue
-		}
-		// Continue with a full read: it does not need the store's change history, nor
-		// a long poll, whose dead connection would go unnoticed.
-		position = 0
-		if ctx.Err() != nil || errors.Is(err, errReread) {
-			continue
-		}
-		if fault.Is(err, fault.HistoryGone) {
-			// The first time, a change may lie in the lost part of the history. A store
-			// that loses it again and again is read at a pace.
-			sleep(ctx, time.Until(historyLostAt.Add(minHistoryLossInterval)))
-			historyLostAt = time.Now()
-			continue
-		}
-		_ = f.logger.Log("msg", "configuration not read", "err", err, "next", wait)
-		sleep(ctx, wait)
-		wait = min(2*wait, maxConfigBackoff)
+		f.step(ctx)
 	}
 }
 
-// answeredAt returns a time before the store's answer to a call that began then. A
-// long poll that returns a configuration was answered when it was written.
-func answeredAt(began time.Time, position int64, read ConfigResult) time.Time {
-	if position != 0 && (read.Config != nil || read.Err != nil) {
-		return time.Now()
+// step makes one call to the store and waits until the next one may begin.
+func (f *configFollower) step(ctx context.Context) {
+	began := time.Now()
+	read, err := f.read(ctx)
+	f.logConfigRead(began, f.position, read, err)
+	if err != nil {
+		f.failed(ctx, err)
+		return
 	}
-	return began
-}
-
-// logRead logs a call to the store for the configuration. position is 0 for a full read.
-func (f *configFollower) logRead(began time.Time, position int64, read ConfigResult, err error) {
-	fields := []any{"msg", "configuration read", "duration", time.Since(began), "after", position, "position", read.StoreVersion}
-	if read.Config != nil {
-		fields = append(fields, "version", read.Config.Version)
+	changed := f.position != 0 && (read.Config != nil || read.Err != nil)
+	asOf := began
+	if changed {
+		// A long poll is answered when the configuration is written.
+		asOf = time.Now()
 	}
-	if err != nil {
-		fields = append(fields, "err", err)
+	if f.applyConfig(fromStore, read, asOf) && f.isConfigReader() {
+		f.distributeConfig()
 	}
-	_ = f.logger.Log(fields...)
-}
-
-// applyAndSend applies a configuration that was read from the store, which answered
-// after asOf, and sends it to the daemons of the local data centre if this daemon is
-// one of its config readers.
-func (f *configFollower) applyAndSend(read ConfigResult, asOf time.Time) {
-	newer := f.apply(fromStore, read, asOf)
-	if newer && f.isConfigReader() {
-		f.sendToLocalPeers()
-		f.notifyRemoteReaders()
+	f.position = read.StoreVersion
+	f.backoff = minConfigBackoff
+	if changed {
+		sleep(ctx, minConfigInterval)
 	}
 }
 
-// sendToLocalPeers sends the configuration in force to the daemons of the local data
-// centre.
-func (n *Node) sendToLocalPeers() {
-	peers := n.roster.LocalPeers()
-	doc := n.currentDocument()
-	_ = n.logger.Log("msg", "configuration sent", "version", doc.Version, "peers", len(peers))
-	n.gossip.SendConfig(doc, peers)
-}
-
-// currentDocument returns the configuration in force with its age.
-func (n *Node) currentDocument() gossip.Document {
-	doc := *n.configDocument.Load()
-	doc.Age = n.reportedConfigAge()
-	return doc
+// failed prepares a full read and waits until it may begin. A full read needs neither the
+// store's change history nor a long poll, whose dead connection would go unnoticed.
+func (f *configFollower) failed(ctx context.Context, err error) {
+	f.position = 0
+	switch {
+	case ctx.Err() != nil || errors.Is(err, errReread):
+	case fault.Is(err, fault.HistoryGone):
+		// A change may lie in the lost part of the history, so the first read begins at
+		// once. A store that loses it again and again is read at a pace.
+		sleep(ctx, time.Until(f.historyLostAt.Add(minHistoryLossInterval)))
+		f.historyLostAt = time.Now()
+	default:
+		_ = f.logger.Log("msg", "configuration not read", "err", err, "next", f.backoff)
+		sleep(ctx, f.backoff)
+		f.backoff = min(2*f.backoff, maxConfigBackoff)
+	}
 }
 
 // waitUntilReadNeeded waits until a reread is requested. It returns false once the
@@ -153,15 +125,16 @@
 // configuration is reread.
 var errReread = errors.New("configuration must be reread immediately")
 
-func (f *configFollower) read(ctx context.Context, position int64) (ConfigResult, error) {
-	if position == 0 {
-		return f.platform.ReadConfig(ctx)
+// read reads the configuration, or waits for one that is written after the position.
+func (f *configFollower) read(ctx context.Context) (ConfigResult, error) {
+	if f.position == 0 {
+		return f.readConfig(ctx)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := &rereadWatcher{f.Node}
 	go w.run(ctx, cancel)
-	read, err := f.platform.LongPollConfig(ctx, position, configPollTimeout)
+	read, err := f.platform.LongPollConfig(ctx, f.position, configPollTimeout)
 	if err != nil && errors.Is(context.Cause(ctx), errReread) {
 		return read, errReread
 	}
@@ -188,54 +161,6 @@
 	}
 }
 
-// apply puts a configuration in force unless one of the same or a higher version is
-// in force, and reports whether it did. The source is for the log: the VM of a peer or
-// fromStore. No newer configuration existed at asOf.
-func (f *configFollower) apply(source string, read ConfigResult, asOf time.Time) bool {
-	f.configMu.Lock()
-	defer f.configMu.Unlock()
-	newer := f.putInForce(source, read)
-	t := f.relay.Table()
-	switch {
-	case t == nil:
-	case source == fromStore:
-		f.configAge.confirmRead(t.Version, asOf)
-	case newer:
-		f.configAge.confirmReport(t.Version, asOf)
-	}
-	return newer
-}
-
-// putInForce is apply without recording the age. f.configMu is held.
-func (f *configFollower) putInForce(source string, read ConfigResult) bool {
-	if read.Err != nil {
-		_ = f.logger.Log("msg", "configuration refused", "err", read.Err, "position", read.StoreVersion)
-		return false
-	}
-	if read.Config == nil {
-		return false
-	}
-	problems, err := read.Config.Validate()
-	if err != nil {
-		_ = f.logger.Log("msg", "configuration refused", "version", read.Config.Version, "err", err)
-		return false
-	}
-	if old := f.relay.Table(); old != nil && read.Config.Version <= old.Version {
-		_ = f.logger.Log("msg", "configuration is not newer", "version", read.Config.Version, "in-force", old.Version)
-		return false
-	}
-	f.configDocument.Store(&gossip.Document{Version: int64(read.Config.Version), Data: read.Raw})
-	f.relay.SetTable(route.Compile(read.Config))
-	f.updateTargets()
-	f.refresh()
-	f.metrics.Counter("config_problems").Inc(int64(len(problems)))
-	for _, p := range problems {
-		_ = f.logger.Log("msg", "part of the configuration cannot be used", "version", read.Config.Version, "err", p)
-	}
-	_ = f.logger.Log("msg", "configuration in force", "version", read.Config.Version, "position", read.StoreVersion, "from-peer", source != fromStore, "source", source)
-	return true
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/core/node/config_age_test.go
+++ b/core/node/config_age_test.go
@@ -79,7 +79,7 @@
 					defer n.gossipConn.Close()
 					n.platform.ReadConfig, n.platform.LongPollConfig = store.read, store.poll
 					ctx, cancel := context.WithCancel(t.Context())
-					f := &configFollower{n}
+					f := newConfigFollower(n)
 					go f.loop(ctx)
 					n.hearFor(10*time.Second, readers)
 					store.write(2)
@@ -118,7 +118,7 @@
 		for _, m := range nodes {
 			n.roster.Add(m.self)
 		}
-		f := &configFollower{n}
+		f := newConfigFollower(n)
 		go f.loop(t.Context())
 	}
 	exchangeReports(nodes...)
@@ -143,7 +143,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				reports := &peerReports{node: n, config: func() int64 { return 1 }}
 				go reports.loop(ctx)
-				f := &configFollower{n}
+				f := newConfigFollower(n)
 				go f.loop(ctx)
 				time.Sleep(5 * time.Second)
 				before := writer.reads.Load()
@@ -177,7 +177,7 @@
 			return ConfigResult{}, fault.New(fault.HistoryGone, "history was discarded")
 		}
 		ctx, cancel := context.WithCancel(t.Context())
-		f := &configFollower{n}
+		f := newConfigFollower(n)
 		go f.loop(ctx)
 		time.Sleep(10 * time.Second)
 		cancel()
@@ -198,8 +198,7 @@
 		g.Expect(n.storeState().ConfigAge).To(Equal(time.Millisecond))
 		g.Expect(n.heartbeat().ConfigAge).To(BeZero())
 		g.Expect(n.currentDocument().Age).To(BeZero())
-		f := &configFollower{n}
-		f.apply(fromStore, configVersion(1), time.Now())
+		n.applyConfig(fromStore, configVersion(1), time.Now())
 		time.Sleep(100 * time.Millisecond)
 		g.Expect(n.heartbeat().ConfigAge).To(Equal(100 * time.Millisecond))
 	})
@@ -217,7 +216,7 @@
 				defer n.gossipConn.Close()
 				n.platform.ReadConfig, n.platform.LongPollConfig = store.read, store.poll
 				ctx, cancel := context.WithCancel(t.Context())
-				f := &configFollower{n}
+				f := newConfigFollower(n)
 				go f.loop(ctx)
 				time.Sleep(time.Until(store.changeAt) + configBound)
 				version := n.relay.Table().Version
@@ -263,3 +262,20 @@
 	}
 	return ConfigResult{StoreVersion: after}, nil
 }
+
+// Guards against an answer that is older than the configuration in force and counts as
+// proof that there is nothing newer.
+func TestAnswerOlderThanConfigInForceProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := newTestNode(g, highShare, &configWriter{start: time.Now()})
+		defer n.gossipConn.Close()
+		n.handleConfig("vm-0", gossip.Document{Version: 5, Data: []byte("5")})
+		time.Sleep(time.Minute)
+		n.platform.ReadConfig = func(context.Context) (ConfigResult, error) { return configVersion(4), nil }
+		c := &configChecker{Node: n}
+		c.check(t.Context(), 0)
+		g.Expect(n.storeState().ConfigAge).To(BeNumerically(">=", time.Minute))
+		g.Expect(c.schedule.Due(time.Now().Add(-time.Minute), time.Now(), 0)).To(BeTemporally(">", time.Now()))
+	})
+}
--- a/core/node/config_check.go
+++ b/core/node/config_check.go
@@ -63,16 +63,14 @@
 	began := time.Now()
 	position := c.nextPosition(began)
 	read, err := c.read(ctx, position)
-	f := &configFollower{c.Node}
-	f.logRead(began, position, read, err)
+	c.logConfigRead(began, position, read, err)
 	if err != nil {
 		c.failed(err, rank)
 		return
 	}
 	c.succeeded(began, position, read)
-	if f.apply(fromStore, read, began) && rank <= configBackups {
-		c.sendToLocalPeers()
-		c.notifyRemoteReaders()
+	if c.applyConfig(fromStore, read, began) && rank <= configBackups {
+		c.distributeConfig()
 	}
 	c.gossip.SendHeartbeatTo(addressesOf(c.roster.LocalPeers()))
 }
@@ -95,7 +93,7 @@
 	ctx, cancel := context.WithTimeout(ctx, configCheckTimeout<<min(c.failures, maxCheckDoublings))
 	defer cancel()
 	if position == 0 {
-		return c.platform.ReadConfig(ctx)
+		return c.readConfig(ctx)
 	}
 	return c.platform.LongPollConfig(ctx, position, 0)
 }
--- a/core/node/config_readers_test.go
+++ b/core/node/config_readers_test.go
@@ -100,7 +100,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				reports := &peerReports{node: n, config: n.configVersion}
 				go reports.loop(ctx)
-				f := &configFollower{n}
+				f := newConfigFollower(n)
 				go f.loop(ctx)
 				for v := int64(1); v <= 3; v++ {
 					time.Sleep(time.Minute)
@@ -134,7 +134,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		reports := &peerReports{node: n, config: writer.newest}
 		go reports.loop(ctx)
-		f := &configFollower{n}
+		f := newConfigFollower(n)
 		go f.loop(ctx)
 		time.Sleep(time.Minute + 2*time.Second)
 		version := n.relay.Table().Version
@@ -154,5 +154,6 @@
 	n.handleConfig("vm-0", gossip.Document{Version: 5, Data: []byte("5")})
 	n.handleConfig("vm-0", gossip.Document{Version: 4, Data: []byte("4")})
 	n.handleConfig("vm-0", gossip.Document{Version: 6, Data: []byte("not a configuration")})
+	n.handleConfig("vm-0", gossip.Document{Version: 7, Data: []byte("8")})
 	g.Expect(n.relay.Table().Version).To(Equal(route.Version(5)))
 }
--- a/core/node/config_request.go
+++ b/core/node/config_request.go
@@ -52,14 +52,6 @@
 	}
 }
 
-// configVersion returns the version of the configuration in force, or 0.
-func (n *Node) configVersion() int64 {
-	if t := n.relay.Table(); t != nil {
-		return int64(t.Version)
-	}
-	return 0
-}
-
 // notifyRemoteReaders sends a heartbeat with the new configuration version to the first
 // readers of each other data centre, so that they ask for the configuration if they
 // cannot read it.
--- a/core/node/config_test.go
+++ b/core/node/config_test.go
@@ -62,7 +62,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		defer n.gossipConn.Close()
 		ctx, cancel := context.WithCancel(t.Context())
-		f := &configFollower{n}
+		f := newConfigFollower(n)
 		go f.loop(ctx)
 		time.Sleep(burstVersions*burstInterval + time.Second)
 		cancel()
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -198,7 +198,7 @@
 	n.auxServers = servers
 	n.gossip.Start(ctx)
 	n.discoverPeers()
-	c := &configFollower{n}
+	c := newConfigFollower(n)
 	go c.loop(ctx)
 	l := &targetListFollower{Node: n}
 	go l.loop(ctx)
--- a/core/node/readers.go
+++ b/core/node/readers.go
@@ -1,10 +1,6 @@
 package node
 
-import (
-	"time"
-
-	"wisteriarelay.example/core/gossip"
-)
+import "time"
 
 const (
 	// configReaderCount is the number of daemons of a data centre that poll the store
@@ -31,21 +27,3 @@
 	lastRead := n.listReadAt.Load()
 	return n.roster.ReaderRank(now) < configReaderCount || lastRead != nil && now.Sub(*lastRead) < recentReadWindow
 }
-
-// handleConfig applies a configuration that was received from a peer. One from another
-// data centre, for which this daemon has asked, is sent to the local one.
-func (n *Node) handleConfig(peer string, d gossip.Document) {
-	if t := n.relay.Table(); t != nil && d.Version <= int64(t.Version) {
-		return
-	}
-	config, err := n.platform.DecodeConfig(d.Data)
-	age := d.Age
-	if age == 0 {
-		age = unknownConfigAge
-	}
-	f := &configFollower{n}
-	newer := f.apply(peer, ConfigResult{Config: config, Raw: d.Data, Err: err}, time.Now().Add(-age))
-	if newer && n.roster.IsRemote(peer) {
-		n.sendToLocalPeers()
-	}
-}
--- a/core/node/ready_test.go
+++ b/core/node/ready_test.go
@@ -70,12 +70,12 @@
 	}}
 	sequences := map[string]func(n *Node){
 		"list last": func(n *Node) {
-			(&configFollower{n}).apply(fromStore, ConfigResult{Config: config}, time.Now())
+			n.applyConfig(fromStore, ConfigResult{Config: config}, time.Now())
 			n.applyList(fromStore, list)
 		},
 		"configuration last": func(n *Node) {
 			n.applyList(fromStore, list)
-			(&configFollower{n}).apply(fromStore, ConfigResult{Config: config}, time.Now())
+			n.applyConfig(fromStore, ConfigResult{Config: config}, time.Now())
 		},
 	}
 	for name, apply := range sequences {
