Let the target list cross data centres while the store refuses one

What callers saw: as long as the store refused all daemons of a data centre, its callers met targets that had gone.

Cause: the same as for the configuration: readers send the changes to their own data centre only, and nobody asks elsewhere.

Change: when the list is 1.7 s old, the first two readers of a data centre ask a daemon of another one for the changes since their version, every 0.4 s, and send them on. It answers if its list is at most 1.5 s old and it knows all changes, so that two data centres without the store do not take each other's lists for current ones.

Test: TestTargetListReachesDataCentreThatStoreRefuses fails without the requests (600 targets after 10 s) and passes with them. go test -race ./core/... passes.

--- a/core/gossip/node.go
+++ b/core/gossip/node.go
@@ -47,6 +47,9 @@
 	Event func(peer string, e sched.Event)
 	// ListPart is called with each part of a change of the target list.
 	ListPart func(peer string, p watch.Part)
+	// ListRequest is called if a peer asks for the changes of the target list since a
+	// version.
+	ListRequest func(peer roster.Member, since int64)
 	// RemoteCarriers is called with carriers of a group in other data centres.
 	RemoteCarriers func(g GroupCarriers)
 	// Snapshot is called with the whole target list, Members with members of the
@@ -191,15 +194,18 @@
 	return int64(n.dropped)
 }
 
-// SendListChanges sends a change of the target list to the members of the local data
-// centre.
-func (n *Transport) SendListChanges(d watch.Delta) {
-	local := n.sources.LocalPeers()
+// SendListChanges sends a change of the target list to peers.
+func (n *Transport) SendListChanges(d watch.Delta, to []roster.Member) {
 	for _, part := range d.Split(maxChanges) {
-		n.sendReport(&Report{VM: n.self.VM, StartMillis: n.self.StartMillis, ListPart: &part}, local)
+		n.sendReport(&Report{VM: n.self.VM, StartMillis: n.self.StartMillis, ListPart: &part}, to)
 	}
 }
 
+// RequestListChanges asks a peer for the changes of the target list since a version.
+func (n *Transport) RequestListChanges(since int64, to roster.Member) {
+	n.sendReport(&Report{VM: n.self.VM, StartMillis: n.self.StartMillis, WantsListSince: since}, []roster.Member{to})
+}
+
 // SendHeartbeat sends a heartbeat to the members of the local data centre and to
 // carriers in others at once, for example when the daemon starts or leaves.
 func (n *Transport) SendHeartbeat() {
--- a/core/gossip/receiver.go
+++ b/core/gossip/receiver.go
@@ -54,6 +54,9 @@
 	if report.ConfigFragment != nil {
 		r.handleConfigFragment(report)
 	}
+	if report.WantsListSince > 0 {
+		r.handlers.ListRequest(report.Sender(from), report.WantsListSince)
+	}
 	if report.WantsConfig {
 		r.handlers.ConfigRequest(report.Sender(from), report.ConfigVersion)
 	}
--- a/core/gossip/report.go
+++ b/core/gossip/report.go
@@ -46,6 +46,9 @@
 	// WantsConfig asks the receiver for its configuration if that is newer than
 	// ConfigVersion.
 	WantsConfig bool `cbor:"25,keyasint,omitempty"`
+	// WantsListSince asks the receiver for the changes of the target list since the
+	// version; 0 if the sender does not ask.
+	WantsListSince int64 `cbor:"26,keyasint,omitempty"`
 	// ReducedRate is true if the sender sends heartbeats at a reduced rate, because it is
 	// not monitored.
 	ReducedRate bool `cbor:"16,keyasint,omitempty"`
--- a/core/node/config_age_test.go
+++ b/core/node/config_age_test.go
@@ -15,6 +15,7 @@
 	"wisteriarelay.example/core/gossip"
 	"wisteriarelay.example/core/roster"
 	"wisteriarelay.example/core/route"
+	"wisteriarelay.example/core/watch"
 )
 
 // configBound is how long after the store accepted a configuration it must be in force.
@@ -94,9 +95,10 @@
 	}
 }
 
-// Guards against a data centre that keeps an old configuration for as long as the store
-// refuses its daemons, although those of another data centre have the new one.
-func TestConfigReachesDataCentreThatStoreRefuses(t *testing.T) {
+// newRefusedDataCentre returns three connected daemons: the first, in data centre a, can
+// read the store, the other two, in b, cannot.
+func newRefusedDataCentre(t *testing.T, store *silentPolls) []*Node {
+	t.Helper()
 	g := NewWithT(t)
 	addresses := newLoopbackRange()
 	var nodes []*Node
@@ -109,7 +111,6 @@
 		n.platform.DecodeConfig = decodeVersion
 		nodes = append(nodes, n)
 	}
-	store := &silentPolls{version: 1}
 	nodes[0].platform.ReadConfig, nodes[0].platform.LongPollConfig = store.read, store.poll
 	for _, n := range nodes {
 		n.applyList(fromStore, testTargetList(0))
@@ -118,10 +119,21 @@
 		for _, m := range nodes {
 			n.roster.Add(m.self)
 		}
+	}
+	exchangeReports(nodes...)
+	return nodes
+}
+
+// Guards against a data centre that keeps an old configuration for as long as the store
+// refuses its daemons, although those of another data centre have the new one.
+func TestConfigReachesDataCentreThatStoreRefuses(t *testing.T) {
+	g := NewWithT(t)
+	store := &silentPolls{version: 1}
+	nodes := newRefusedDataCentre(t, store)
+	for _, n := range nodes {
 		f := newConfigFollower(n)
 		go f.loop(t.Context())
 	}
-	exchangeReports(nodes...)
 	time.Sleep(readerStartupDelay)
 	store.write(2)
 	for _, n := range nodes {
@@ -129,6 +141,27 @@
 	}
 }
 
+// Guards against a data centre that keeps sending requests to targets that have left for
+// as long as the store refuses its daemons.
+func TestTargetListReachesDataCentreThatStoreRefuses(t *testing.T) {
+	g := NewWithT(t)
+	nodes := newRefusedDataCentre(t, &silentPolls{version: 1})
+	leaving := []watch.Change{{ID: "t0", Version: 20}}
+	nodes[0].platform.ReadTargetChanges = func(_ context.Context, since int64) (watch.Delta, []error, error) {
+		return watch.Delta{Since: since, Version: 20, Changes: leaving}, nil, nil
+	}
+	for _, n := range nodes {
+		f := &targetListFollower{Node: n}
+		go f.loop(t.Context())
+		m := &maintenance{n}
+		go m.loop(t.Context())
+	}
+	size := func(n *Node) func() int { return func() int { return n.relay.TargetPool("orders").Size() } }
+	for _, n := range nodes {
+		g.Eventually(size(n)).WithTimeout(10 * time.Second).Should(Equal(599))
+	}
+}
+
 // Guards against a wrong version in the heartbeats of a peer, which made a daemon read
 // the configuration twice a second for as long as it ran, even after one heartbeat.
 func TestWrongVersionOfPeerCausesFewReads(t *testing.T) {
--- a/core/node/config_request.go
+++ b/core/node/config_request.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// configResendInterval is the shortest time between two transmissions of the
-	// configuration to the same daemon that asks for it.
-	configResendInterval = 150 * time.Millisecond
+	// peerResendInterval is the shortest time between two transmissions of the
+	// configuration, or of the target list, to the same daemon that asks for it.
+	peerResendInterval = 150 * time.Millisecond
 	// remoteAskers is the number of daemons of a data centre, from the first in the order
 	// of readers, that ask other data centres for a configuration at once. They send it
 	// to the others, which ask only if it does not arrive.
--- a/core/node/list_follower.go
+++ b/core/node/list_follower.go
@@ -75,26 +75,10 @@
 	delta.Age = time.Since(began)
 	applied := f.applyList(fromStore, delta)
 	if applied.Accepted() && version != 0 && f.sendsList(now) {
-		f.sendChanges(version)
+		f.sendListChanges(version)
 	}
 }
 
-// sendChanges sends the changes since a version to the daemons of the local data
-// centre. They include those that came from a peer while this daemon was reading, which
-// the others may have missed, and those that it read before without sending them.
-func (f *targetListFollower) sendChanges(since int64) {
-	now := time.Now()
-	d, ok := f.targetList.ChangesSince(now, min(since, f.sentListVersion.Load()))
-	if !ok {
-		d, ok = f.targetList.ChangesSince(now, since)
-	}
-	if !ok {
-		return
-	}
-	f.gossip.SendListChanges(d)
-	f.sentListVersion.Store(d.Version)
-}
-
 // fetch reads the changes after the version from the store, or the whole list if they
 // cannot be had.
 func (f *targetListFollower) fetch(ctx context.Context, version int64) (watch.Delta, []error, error) {
--- a/core/node/maintenance.go
+++ b/core/node/maintenance.go
@@ -23,9 +23,11 @@
 	defer tick.Stop()
 	listAge := &listAgeMonitor{Node: m.Node}
 	configAge := &configAgeMonitor{Node: m.Node}
+	requester := &listRequester{Node: m.Node}
 	for {
 		listAge.check(time.Now())
 		configAge.check(time.Now())
+		requester.check(time.Now())
 		if m.targetList.Expire(time.Now()) {
 			m.updateTargets()
 		}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -57,6 +57,7 @@
 	configDocument atomic.Pointer[gossip.Document]
 	configAge      configAge
 	configResends  *resendLimiter
+	listResends    *resendLimiter
 	startupSender  *startupSender
 	// configMu serializes changes of the configuration.
 	configMu sync.Mutex
@@ -107,7 +108,8 @@
 	n.settings.Store(settings)
 	n.healthQueries = newHealthQueries(n)
 	n.startupSender = newStartupSender(n)
-	n.configResends = newResendLimiter(configResendInterval)
+	n.configResends = newResendLimiter(peerResendInterval)
+	n.listResends = newResendLimiter(peerResendInterval)
 	n.initialized = newLatch()
 	for _, o := range opts {
 		o(n)
@@ -172,7 +174,7 @@
 
 func (n *Node) newGossipTransport(conn *net.UDPConn) *gossip.Transport {
 	sources := gossip.Sources{Heartbeat: n.heartbeat, Targets: n.targetIndex, LocalPeers: func() []roster.Member { return n.roster.LocalPeers() }, Monitored: n.monitored, Recipients: n.eventRecipients, GroupPeers: n.coCarriers, RemoteCarriers: n.remoteCarriers}
-	handlers := gossip.Handlers{Heartbeat: n.handleHeartbeat, Event: n.handleEvent, ListPart: n.handleListPart, RemoteCarriers: n.handleRemoteCarriers, Config: n.handleConfig, ConfigRequest: n.handleConfigRequest, Estimates: n.handleEstimates, EstimateRequest: n.handleHealthQuery, Snapshot: n.handleSnapshot, Members: n.handleMembers}
+	handlers := gossip.Handlers{Heartbeat: n.handleHeartbeat, Event: n.handleEvent, ListPart: n.handleListPart, ListRequest: n.handleListRequest, RemoteCarriers: n.handleRemoteCarriers, Config: n.handleConfig, ConfigRequest: n.handleConfigRequest, Estimates: n.handleEstimates, EstimateRequest: n.handleHealthQuery, Snapshot: n.handleSnapshot, Members: n.handleMembers}
 	return gossip.NewTransport(n.self, conn, sources, handlers, n.logger)
 }
 
--- a/core/node/target_list.go
+++ b/core/node/target_list.go
@@ -39,20 +39,43 @@
 // handleListPart adds a part of a change of the target list, and applies the change
 // once it is complete. Only the goroutine that receives datagrams calls it.
 func (n *Node) handleListPart(peer string, p watch.Part) {
-	now := time.Now()
-	n.lastListPart.Store(&listPartTimes{arrivedAt: now, asOf: now.Add(-p.Age)})
+	remote := n.roster.IsRemote(peer)
+	if !remote {
+		now := time.Now()
+		n.lastListPart.Store(&listPartTimes{arrivedAt: now, asOf: now.Add(-p.Age)})
+	}
 	abandoned := n.listAssembly.Abandoned()
 	d, complete := n.listAssembly.Add(peer, p)
 	n.metrics.Counter("list_deltas_incomplete").Inc(n.listAssembly.Abandoned() - abandoned)
 	if !complete {
 		return
 	}
+	if remote {
+		n.applyRemoteList(peer, d)
+		return
+	}
 	n.sentListVersion.Store(max(n.sentListVersion.Load(), d.Version))
 	if n.applyList(peer, d).Rejection == watch.Gap {
 		n.requestListRead()
 	}
 }
 
+// sendListChanges sends the changes since a version to the daemons of the local data
+// centre. They include those that came from a peer while this daemon was reading, which
+// the others may have missed, and those that it read before without sending them.
+func (n *Node) sendListChanges(since int64) {
+	now := time.Now()
+	d, ok := n.targetList.ChangesSince(now, min(since, n.sentListVersion.Load()))
+	if !ok {
+		d, ok = n.targetList.ChangesSince(now, since)
+	}
+	if !ok {
+		return
+	}
+	n.gossip.SendListChanges(d, n.roster.LocalPeers())
+	n.sentListVersion.Store(d.Version)
+}
+
 // The sources of a delta that is not a peer's change of the target list.
 const (
 	// fromStore stands for a read of the store by this daemon.
