Let every daemon that hears of a newer configuration elsewhere ask for it

Cause: only the first two readers of a data centre asked others at once, and only they were told of a change. But heartbeats cross data centres between carriers, so readers that carry nothing hear nothing, and are not known to be alive elsewhere.

Change: who reads a change tells two daemons of each other data centre that are alive or were named as carriers. Whoever hears of it asks after 0.2 s, plus a random delay of up to 0.25 s if only other data centres have it; who gets it sends it on, so few ask. Versions are compared every 50 ms.

Test: TestLateReaderAsksOtherDataCentreForConfig gets no request before (the first came with the third attempt), and one now.

--- a/core/node/catch_up.go
+++ b/core/node/catch_up.go
@@ -2,19 +2,27 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"wisteriarelay.example/core/roster"
 )
 
 const (
-	// catchUpInterval is how often the version in force is compared with those of peers,
-	// and the delay of the first two attempts to get a newer one.
-	catchUpInterval = 250 * time.Millisecond
-	// catchUpBackoff is the delay after the second attempt; it doubles with each further
-	// one up to maxCatchUpBackoff. A version that no attempt can get may not exist.
-	catchUpBackoff    = time.Second
-	maxCatchUpBackoff = 16 * time.Second
+	// catchUpInterval is how often the version in force is compared with those of peers.
+	catchUpInterval = 50 * time.Millisecond
+	// firstAttemptDelay is the time after which a newer version is asked for: until then,
+	// the configuration may be on its way. If only daemons of other data centres have it, a
+	// random part of remoteAttemptSpread is added. The daemon that gets it first sends it
+	// to the others, so that few of them ask.
+	firstAttemptDelay   = 200 * time.Millisecond
+	remoteAttemptSpread = 250 * time.Millisecond
+	// secondAttemptDelay is the delay after the first attempt, catchUpBackoff that after
+	// the second one, which doubles with each further one up to maxCatchUpBackoff. A
+	// version that no attempt can get may not exist.
+	secondAttemptDelay = 250 * time.Millisecond
+	catchUpBackoff     = time.Second
+	maxCatchUpBackoff  = 16 * time.Second
 )
 
 // configCatchUp gets a configuration that a peer has in force and that did not arrive
@@ -66,12 +74,11 @@
 }
 
 // attemptIfDue makes an attempt to get the version, which the members have, if one is
-// due. The first is due after catchUpInterval: until then, the configuration may be on
-// its way.
+// due.
 func (c *configCatchUp) attemptIfDue(now time.Time, version int64, members []roster.Member) {
 	m := c.missing[version]
 	if m == nil {
-		c.missing[version] = &missingConfig{next: now.Add(catchUpInterval)}
+		c.missing[version] = &missingConfig{next: now.Add(c.firstDelay(members))}
 		return
 	}
 	if now.Before(m.next) {
@@ -80,16 +87,24 @@
 	m.attempts++
 	m.next = now.Add(m.delay())
 	_ = c.logger.Log("msg", "peers have a newer configuration", "version", version, "peers", len(members), "attempt", m.attempts)
-	c.askForConfig(members, m.attempts)
+	c.askForConfig(members)
 	if m.attempts > 1 {
 		c.requestConfigRead()
 	}
 }
 
+// firstDelay returns the delay of the first attempt to get a version from the members.
+func (c *configCatchUp) firstDelay(members []roster.Member) time.Duration {
+	if len(c.localMembers(members)) > 0 {
+		return firstAttemptDelay
+	}
+	return firstAttemptDelay + rand.N(remoteAttemptSpread)
+}
+
 // delay returns the time between the last attempt and the next one.
 func (m *missingConfig) delay() time.Duration {
 	if m.attempts < 2 {
-		return catchUpInterval
+		return secondAttemptDelay
 	}
 	return min(catchUpBackoff<<min(m.attempts-2, 8), maxCatchUpBackoff)
 }
--- a/core/node/config_apply.go
+++ b/core/node/config_apply.go
@@ -108,7 +108,7 @@
 // the daemons of the local data centre, and tells others of its version.
 func (n *Node) distributeConfig() {
 	n.sendConfigToLocalPeers()
-	n.notifyRemoteReaders()
+	n.notifyRemotePeers()
 }
 
 // sendConfigToLocalPeers sends the configuration in force to the daemons of the local
--- a/core/node/list_request.go
+++ b/core/node/list_request.go
@@ -18,6 +18,9 @@
 	// maxAnsweredListAge is the age of the list up to which a daemon answers. Two data
 	// centres without the store must not take each other's lists for current ones.
 	maxAnsweredListAge = 1500 * time.Millisecond
+	// remoteAskers is the number of daemons of a data centre, from the first in the order
+	// of readers, that ask other data centres.
+	remoteAskers = 2
 	// listPeersPerDataCentre is the number of daemons of each other data centre among
 	// which one is chosen.
 	listPeersPerDataCentre = 4
