Hear what leaving and refusing targets say in their answers

A target that leaves says so in all its answers (Server-Leaving: 1); one that refuses with 503 may ask for no requests for some time (Retry-After). Neither was read.

Change: both are read at the head of each answer and kept in the pool, by run of the target, beside the target list, which cannot bring a target back. A leaving target is removed at once and its idle connections closed; a pause ends by itself, after a minute at most. No estimate changes. The pool chooses none of them, for the floor, retries, hedges or waiting requests; a request that was granted is checked again before it is sent. If all targets of a service pause, callers are refused at once with a Retry-After from the earliest end on, spread by half of it. A target whose address another one has (421) is kept out in the same way; the next target list had brought it back. Peers are not told: the list does it in 0.8 s.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -83,16 +83,18 @@
 	return time.Since(t.sentAt)
 }
 
-// errTargetRemoved is the error of an attempt whose target was removed before the
-// request was sent.
-var errTargetRemoved = errors.New("target was removed before the request was sent")
+// The errors of an attempt whose target changed after it was acquired.
+var (
+	errTargetRemoved    = errors.New("target was removed before the request was sent")
+	errTargetBackingOff = errors.New("target asked for no requests before the request was sent")
+)
 
 // send forwards the request to the acquired target and classifies what comes back.
 func (t *attempt) send() *result {
 	x := t.exchange
 	pool := x.relay.connPools.get(t.grant.Target)
-	if t.removedBeforeSend() {
-		return &result{attempt: t, unsent: true, notRun: true, kind: fault.NoTarget, observation: judge.Nothing, err: errTargetRemoved}
+	if err := t.checkTarget(); err != nil {
+		return &result{attempt: t, unsent: true, notRun: true, kind: fault.NoTarget, observation: judge.Nothing, err: err}
 	}
 	resp, err := pool.Forward(t.ctx, t.buildMessage(), x.maxIdle())
 	if err != nil {
@@ -163,9 +165,10 @@
 // response and evaluates it.
 func (t *attempt) classifyResponse(resp *link.Response) *result {
 	names := &t.exchange.relay.headers
+	t.observeAnnouncements(resp)
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		_ = resp.Body.Close()
-		t.exchange.targetPool.Remove(t.grant.Target.Key)
+		t.withdrawTarget("address reused")
 		return t.refusedResult(errors.Newf("address %s now belongs to another target", t.grant.Target.Address), judge.Nothing)
 	}
 	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(names.NotRun) != "" {
--- a/core/relay/error.go
+++ b/core/relay/error.go
@@ -15,13 +15,15 @@
 	// a target usually frees a slot, and a failing target is detected.
 	minRetryAfter = 200 * time.Millisecond
 	// retryAfterJitter bounds the random time added to minRetryAfter, so that callers
-	// refused at the same moment do not all retry at the same moment.
+	// refused at the same moment do not all retry at the same moment. For a longer wait,
+	// the bound is half of it.
 	retryAfterJitter = 200 * time.Millisecond
 )
 
 // errorResponse returns the response for a failure that the relay itself reports,
-// as opposed to a failure response of a target. A 503 has a Retry-After header.
-func errorResponse(kind fault.Kind) *caller.Response {
+// as opposed to a failure response of a target. A 503 has a Retry-After header, which
+// is not before availableIn, the time until a target may get requests again.
+func errorResponse(kind fault.Kind, availableIn time.Duration) *caller.Response {
 	info := kind.Response()
 	status := info.Status
 	if http.StatusText(status) == "" {
@@ -29,7 +31,8 @@
 	}
 	resp := caller.TextResponse(status, info.Name+"\n")
 	if status == http.StatusServiceUnavailable {
-		wait := minRetryAfter + rand.N(retryAfterJitter)
+		wait := max(minRetryAfter, availableIn)
+		wait += rand.N(max(retryAfterJitter, wait/2))
 		resp.Header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
 	return resp
--- a/core/relay/error_test.go
+++ b/core/relay/error_test.go
@@ -17,7 +17,7 @@
 	g := NewWithT(t)
 	waits := map[string]bool{}
 	for range 100 {
-		text := errorResponse(fault.QueueFull).Header.Get("Retry-After")
+		text := errorResponse(fault.QueueFull, 0).Header.Get("Retry-After")
 		seconds, err := strconv.ParseFloat(text, 64)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(seconds).To(BeNumerically(">=", minRetryAfter.Seconds()))
--- a/core/relay/headers.go
+++ b/core/relay/headers.go
@@ -20,6 +20,8 @@
 	ExpectInstance string
 	// NotRun marks a refusal by a target that did not start to run the request.
 	NotRun string
+	// Leaving marks each response of a target that leaves; see leavingValue.
+	Leaving string
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded. Content-Length
--- a/core/relay/large_test.go
+++ b/core/relay/large_test.go
@@ -27,7 +27,7 @@
 	host       = "shop.example"
 )
 
-var headerNames = relay.Headers{RequestID: "Id", Deadline: "Deadline", ResponseSeal: "Receipt", ExpectInstance: "Expect-Instance", NotRun: "Not-Run"}
+var headerNames = relay.Headers{RequestID: "Id", Deadline: "Deadline", ResponseSeal: "Receipt", ExpectInstance: "Expect-Instance", NotRun: "Not-Run", Leaving: "Leaving"}
 
 // largeTarget is a target with large responses, reached over in-memory pipes.
 type largeTarget struct {
--- a/core/relay/pools.go
+++ b/core/relay/pools.go
@@ -58,6 +58,17 @@
 	return pool
 }
 
+// close closes the connection pool of a target.
+func (p *connPools) close(t sched.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := connPoolKey(t)
+	if pool := p.byKey[key]; pool != nil {
+		pool.Close()
+		delete(p.byKey, key)
+	}
+}
+
 // closeUnused closes the pools of targets that were removed; live holds the pool keys
 // of the present targets.
 func (p *connPools) closeUnused(live map[string]bool) {
--- a/core/relay/record.go
+++ b/core/relay/record.go
@@ -39,18 +39,22 @@
 		"target", t.grant.Target.ID, "fail-rate", t.grant.FailRate, "load", t.grant.Load)
 }
 
-// removedBeforeSend reports whether the target of the attempt was removed from the pool
-// after it was acquired, and counts and logs it.
-func (t *attempt) removedBeforeSend() bool {
+// checkTarget fails if the target of the attempt may get no requests any more: it was
+// removed from the pool after it was acquired, which is counted and logged, or it asked for
+// a pause.
+func (t *attempt) checkTarget() error {
+	if t.grant.BackingOff() {
+		return errTargetBackingOff
+	}
 	since, removed := t.grant.SinceRemoval()
 	if !removed {
-		return false
+		return nil
 	}
 	x := t.exchange
 	x.relay.metrics.Counter(stats.Label("relay_targets_removed_before_send", "service", x.service)).Inc(1)
 	_ = x.relay.logger.Log("msg", "target removed before the request was sent", "id", x.id, "service", x.service,
 		"target", t.grant.Target.ID, "since-removal", since, "reason", t.grant.Reason)
-	return true
+	return errTargetRemoved
 }
 
 // recordResponse records and logs the response to a caller; a non-empty reason says
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -264,7 +264,7 @@
 
 // refuse returns the error response to a request for which no attempt is made.
 func (r *Relay) refuse(req *caller.Request, kind fault.Kind) *caller.Response {
-	resp := errorResponse(kind)
+	resp := errorResponse(kind, 0)
 	r.metrics.Counter(stats.Label("relay_refused", "kind", kind.String())).Inc(1)
 	_ = r.logger.Log("msg", "request refused", "id", req.Header.Get(r.headers.RequestID),
 		"kind", kind, "status", resp.Status, "host", req.Host, "path", req.Path())
--- a/core/relay/result.go
+++ b/core/relay/result.go
@@ -121,7 +121,7 @@
 
 // fail returns an error response of the relay itself; reason goes only to the log.
 func (x *exchange) fail(kind fault.Kind, reason string) *caller.Response {
-	resp := errorResponse(kind)
+	resp := errorResponse(kind, x.targetPool.AvailableIn())
 	x.relay.recordResponse(x, resp.Status, reason)
 	return resp
 }
--- a/core/sched/choice.go
+++ b/core/sched/choice.go
@@ -101,7 +101,7 @@
 // cheapest returns the cheapest target with free capacity and the cheapest one without.
 func (p *Pool) cheapest(req Request, now time.Time) (free, full candidate) {
 	for k, m := range p.members {
-		if req.hasTried(k) {
+		if req.hasTried(k) || p.restrictions.backingOff(k, now) {
 			continue
 		}
 		p.evaluatedCount++
--- a/core/sched/floor.go
+++ b/core/sched/floor.go
@@ -99,11 +99,11 @@
 }
 
 // usedShare returns the share of the targets that are in use. Targets that have just
-// failed and targets monitored elsewhere are not counted.
+// failed, targets that want no requests and targets monitored elsewhere are not counted.
 func (p *Pool) usedShare(now time.Time) float64 {
 	used, all := 0, 0
-	for _, m := range p.members {
-		if now.Sub(m.failedAt) < failureWindow || p.monitoredElsewhere[m.target.DataCentre] {
+	for k, m := range p.members {
+		if p.restrictions.backingOff(k, now) || now.Sub(m.failedAt) < failureWindow || p.monitoredElsewhere[m.target.DataCentre] {
 			continue
 		}
 		all++
@@ -122,7 +122,7 @@
 func (p *Pool) leastFailing(req Request, now time.Time, eligible func(*member, time.Time) bool) *member {
 	var best *member
 	for k, m := range p.members {
-		if !eligible(m, now) || req.hasTried(k) || m.load(now) >= m.target.Slots {
+		if !eligible(m, now) || req.hasTried(k) || p.restrictions.backingOff(k, now) || m.load(now) >= m.target.Slots {
 			continue
 		}
 		if best == nil || m.failRate(p.model, now) < best.failRate(p.model, now) {
--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -65,6 +65,8 @@
 	select {
 	case g := <-w.granted:
 		return g, nil
+	case err := <-w.refused:
+		return nil, err
 	case <-ctx.Done():
 		p.cancelWait(w)
 		return nil, fault.New(fault.CallerGone, "request cancelled while waiting for a target")
@@ -91,13 +93,13 @@
 	if g := p.tryGrant(req, now); g != nil {
 		return nil, g, nil
 	}
-	if p.untriedCount(req) == 0 {
-		return nil, nil, fault.New(fault.NoTarget, "service %s has no further target", p.service)
+	if err := p.checkAvailable(req, now); err != nil {
+		return nil, nil, err
 	}
 	if wait := p.expectedWait(req, now); now.Add(wait + p.serviceTime()).After(req.Deadline) {
 		return nil, nil, fault.New(fault.QueueFull, "wait of %s would outlast the deadline", wait)
 	}
-	w := &waiter{request: req, granted: make(chan *Grant, 1)}
+	w := &waiter{request: req, granted: make(chan *Grant, 1), refused: make(chan error, 1)}
 	p.queue.push(w)
 	return w, nil, nil
 }
@@ -111,8 +113,11 @@
 	if removed {
 		return
 	}
-	g := <-w.granted
-	g.Complete(judge.Nothing, 0)
+	select {
+	case g := <-w.granted:
+		g.Complete(judge.Nothing, 0)
+	case <-w.refused:
+	}
 }
 
 // tryGrant chooses a target and grants it, or returns nil if the request has to wait.
@@ -154,6 +159,13 @@
 	p.grantWaiting(g.Target.Key, now)
 }
 
+// BackingOff reports whether the target wants no requests now.
+func (g *Grant) BackingOff() bool {
+	g.pool.mu.Lock()
+	defer g.pool.mu.Unlock()
+	return g.pool.restrictions.backingOff(g.Target.Key, time.Now())
+}
+
 // SinceRemoval returns how long ago the target was removed from the pool, and false if
 // it belongs to the pool.
 func (g *Grant) SinceRemoval() (since time.Duration, removed bool) {
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -33,7 +33,9 @@
 
 	mu      sync.Mutex
 	members map[Key]*member
-	latency ewma
+	// restrictions are what targets said of themselves.
+	restrictions restrictions
+	latency      ewma
 	// slowThreshold is the latency that one answered request in ten exceeds.
 	slowThreshold quantile
 	queue         queue
@@ -85,13 +87,16 @@
 }
 
 // SetTargets replaces the targets of the pool. Targets with the same key keep their
-// observed state.
+// observed state; withdrawn ones are left out.
 func (p *Pool) SetTargets(targets []Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	members := make(map[Key]*member, len(targets))
 	for _, t := range targets {
+		if p.restrictions.isWithdrawn(t.Key, now) {
+			continue
+		}
 		m := p.members[t.Key]
 		if m == nil {
 			m = newMember(t, now, t.DataCentre == p.dataCentre)
@@ -150,17 +155,6 @@
 	return slots
 }
 
-// Remove removes a target at once, for example because another target answered at its
-// address.
-func (p *Pool) Remove(k Key) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if m := p.members[k]; m != nil {
-		m.removedAt = time.Now()
-		delete(p.members, k)
-	}
-}
-
 // recordOwn records a result of one of this daemon's requests. Unreached is evidence
 // about the network path only.
 func (p *Pool) recordOwn(m *member, now time.Time, r judge.Result, took time.Duration) {
@@ -275,14 +269,3 @@
 	}
 	return p.latency.mean
 }
-
-// untriedCount returns the number of targets that the request was not sent to yet.
-func (p *Pool) untriedCount(req Request) int {
-	n := 0
-	for k := range p.members {
-		if !req.hasTried(k) {
-			n++
-		}
-	}
-	return n
-}
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -10,6 +10,8 @@
 type waiter struct {
 	request Request
 	granted chan *Grant
+	// refused gets the reason if no target may get the request any more.
+	refused chan error
 }
 
 // queue holds the waiters by priority, then by deadline, so that in a burst the least
@@ -72,7 +74,7 @@
 		return
 	}
 	m := p.members[k]
-	if m == nil {
+	if m == nil || p.restrictions.backingOff(k, now) {
 		return
 	}
 	for m.load(now) < m.target.Slots+targetQueueDepth {
@@ -144,7 +146,10 @@
 		}
 	}
 	slots := 0.0
-	for _, m := range p.members {
+	for k, m := range p.members {
+		if p.restrictions.backingOff(k, now) {
+			continue
+		}
 		slots += float64(m.target.Slots) * (1 - m.failRate(p.model, now))
 	}
 	return max(longest, time.Duration(float64(p.serviceTime())*float64(ahead)/max(slots, 1)))
--- a/core/sched/removal_test.go
+++ b/core/sched/removal_test.go
@@ -13,7 +13,7 @@
 // removals are the ways in which a target is removed from a pool that keeps another one.
 var removals = map[string]func(p *Pool, removed, kept Target){
 	"left the target list":            func(p *Pool, _, kept Target) { p.SetTargets([]Target{kept}) },
-	"another target uses its address": func(p *Pool, removed, _ Target) { p.Remove(removed.Key) },
+	"another target uses its address": func(p *Pool, removed, _ Target) { p.Withdraw(removed.Key) },
 }
 
 // Guards against requests that reach a target after it has left: while requests wait,
