Decide sooner that a configuration is not newer

Change: a version that is not above the one in force is not validated, and the same version, which each check returns, is not logged. An answer counts as outdated against the version before the call, not one that a peer sent during it.

--- a/core/node/config_apply.go
+++ b/core/node/config_apply.go
@@ -10,14 +10,15 @@
 )
 
 // readConfig reads the configuration from the store. It fails with
-// fault.StoreUnavailable if the answer is older than the configuration in force, so that
-// nothing it claims to cover can be relied on.
+// fault.StoreUnavailable if the answer is older than the configuration that was in force
+// before the call, so that nothing it claims to cover can be relied on.
 func (n *Node) readConfig(ctx context.Context) (ConfigResult, error) {
+	inForce := n.configVersion()
 	read, err := n.platform.ReadConfig(ctx)
 	if err != nil || read.Config == nil {
 		return read, err
 	}
-	if inForce := n.configVersion(); int64(read.Config.Version) < inForce {
+	if int64(read.Config.Version) < inForce {
 		return ConfigResult{}, fault.New(fault.StoreUnavailable, "store returned configuration %d, older than %d", read.Config.Version, inForce)
 	}
 	return read, nil
@@ -63,15 +64,17 @@
 	if read.Config == nil {
 		return false
 	}
+	if inForce := n.configVersion(); inForce > 0 && int64(read.Config.Version) <= inForce {
+		if int64(read.Config.Version) < inForce {
+			_ = n.logger.Log("msg", "configuration is not newer", "version", read.Config.Version, "in-force", inForce)
+		}
+		return false
+	}
 	problems, err := read.Config.Validate()
 	if err != nil {
 		_ = n.logger.Log("msg", "configuration refused", "version", read.Config.Version, "err", err)
 		return false
 	}
-	if old := n.relay.Table(); old != nil && read.Config.Version <= old.Version {
-		_ = n.logger.Log("msg", "configuration is not newer", "version", read.Config.Version, "in-force", old.Version)
-		return false
-	}
 	n.configDocument.Store(&gossip.Document{Version: int64(read.Config.Version), Data: read.Raw})
 	n.relay.SetTable(route.Compile(read.Config))
 	n.updateTargets()
