--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -68,6 +69,16 @@
 	}
 }
 
+// names reports whether the newest answer of the directory names the address.
+func (d *directory) names(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if time.Now().After(d.expires) {
+		d.renew()
+	}
+	return slices.Contains(d.addresses, address)
+}
+
 // send sends one request on a new connection and records what comes back.
 func send(r *record, d *directory, method, path, id, body string, deadline time.Duration) answer {
 	a := answer{sent: time.Now()}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// zones are those of the deployment.
+var zones = []string{"mdp", "pinamar", "necochea"}
+
 const (
 	orderHost = "hulo84.example"
 	orderPath = "/xapu221/ny95/2f"
@@ -26,12 +29,15 @@
 	daemons []*daemon
 }
 
+// maxBodyBytes is the limit on bodies in the example of the users' pages.
+const maxBodyBytes = 67108864
+
 // config is the operator's configuration with one route for orders.
-func config(version int) map[string]any {
+func config(version, bodyLimit int) map[string]any {
 	return map[string]any{
 		"version":  version,
 		"services": []any{map[string]any{"name": service, "health_path": "/health", "max_conns": 330, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": bodyLimit, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"hosts": []any{map[string]any{"host": orderHost, "paths": []any{map[string]any{
 			"name": "r-b9wu3fe", "prefix": "/xapu221/ny95/", "route_type": "unsafe", "timeout_ms": 2500,
 			"target_latency_ms": 600, "priority": 1, "service": service, "max_attempts": 2,
@@ -39,9 +45,9 @@
 	}
 }
 
-// newFleet starts the store, with a configuration, and daemons in the zones, and waits
-// until they are ready.
-func newFleet(root string, r *record, zones []string, perZone int) (*fleet, error) {
+// newFleet starts the store, with a first configuration, and daemons in the zones, and
+// waits until they are ready.
+func newFleet(root string, r *record, perZone int, first map[string]any) (*fleet, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
@@ -54,7 +60,7 @@
 	f.address = l.Addr().String()
 	f.server = &http.Server{Handler: f.store}
 	go func() { _ = f.server.Serve(l) }()
-	f.store.put("op", "config", config(7))
+	f.store.put("op", "config", first)
 	var seeds []string
 	for _, z := range zones {
 		for i := range perZone {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,10 +19,14 @@
 )
 
 // cases holds, by name, the function that plays a case. It returns what broke the rule.
-var cases = map[string]func(f *fleet, trouble bool) ([]string, error){
+var cases = map[string]func(root string, r *record, trouble bool) ([]string, error){
 	"restarted-server-leaves": restartedServerLeaves,
+	"raised-limit":            raisedLimit,
 }
 
+// daemonsPerZone is the number of daemons in each zone.
+const daemonsPerZone = 2
+
 func main() {
 	os.Exit(run(os.Args[1:]))
 }
@@ -45,16 +49,7 @@
 	defer r.close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.add("case %s, trouble %v", args[0], trouble)
-	f, err := newFleet(root, r, []string{"mdp", "pinamar", "necochea"}, 2)
-	if f != nil {
-		defer f.close()
-	}
-	if err != nil {
-		r.add("the case could not run: %v", err)
-		fmt.Fprintln(os.Stderr, err)
-		return noRun
-	}
-	breaks, err := cases[args[0]](f, trouble)
+	breaks, err := cases[args[0]](root, r, trouble)
 	if err != nil {
 		r.add("the case could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -90,6 +90,12 @@
 	return at
 }
 
+func (u *upstream) draining() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.state == "draining"
+}
+
 // crash ends the run without a word.
 func (u *upstream) crash() {
 	close(u.stopBeat)
@@ -146,6 +152,9 @@
 	}
 	u.record.arrived(u.id, id)
 	w.Header().Set("Request-Id", id)
+	if u.draining() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if !u.enter(req.Context().Done()) {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
