--- a/review/standin/case_limit.go
+++ b/review/standin/case_limit.go
@@ -22,12 +22,15 @@
 	// sendDelay is how long after the acknowledgement the larger orders are sent: twice
 	// config_apply_ms. Connections may be idle for up to four fifths of 15 s.
 	sendDelay = 4 * time.Second
+	// probeLead is how long before that each daemon gets a larger order on a new connection.
+	probeLead = time.Second
 )
 
 // raisedLimit: clients send a small order each and keep their connections open. The
 // operator raises max_body_bytes. Four seconds after the store has accepted that, each
-// client sends a larger order on its connection, which the new limit allows. The
-// disruption is the change of the configuration while connections are kept; without it,
+// client sends a larger order on its connection, which the new limit allows. A second
+// before, each daemon gets such an order on a new connection, which shows that it has the
+// new limit in force. The disruption is the change of the configuration while connections are kept; without it,
 // the larger limit is in force from the start.
 func raisedLimit(root string, r *record, trouble bool) ([]string, error) {
 	first := config(7, maxBodyBytes)
@@ -62,7 +65,17 @@
 		at := f.store.put("op", "config", config(8, maxBodyBytes))
 		r.add("the operator raises max_body_bytes from %d to %d in version 8, store accepted %s", smallBodyLimit, maxBodyBytes, r.clock(at))
 	}
-	time.Sleep(sendDelay)
+	time.Sleep(sendDelay - probeLead)
+	var probes []*keeper
+	for i, d := range f.daemons {
+		pinned := &directory{host: orderHost, addresses: []string{d.address(frontPort)}, expires: time.Now().Add(time.Minute)}
+		probes = append(probes, &keeper{number: i + 1, record: r, directory: pinned})
+	}
+	orderAll(probes, "probe", largeBody)
+	for _, k := range probes {
+		k.close()
+	}
+	time.Sleep(probeLead)
 	orderAll(all, "large", largeBody)
 	return deniedOrders(r), nil
 }
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -15,6 +15,7 @@
 const (
 	orderHost = "hulo84.example"
 	orderPath = "/xapu221/ny95/2f"
+	readPath  = "/lepu270/2f"
 	service   = "wuno96b"
 )
 
@@ -32,7 +33,7 @@
 // maxBodyBytes is the limit on bodies in the example of the users' pages.
 const maxBodyBytes = 67108864
 
-// config is the operator's configuration with one route for orders.
+// config is the operator's configuration with a route for orders and one for lookups.
 func config(version, bodyLimit int) map[string]any {
 	return map[string]any{
 		"version":  version,
@@ -41,6 +42,9 @@
 		"hosts": []any{map[string]any{"host": orderHost, "paths": []any{map[string]any{
 			"name": "r-b9wu3fe", "prefix": "/xapu221/ny95/", "route_type": "unsafe", "timeout_ms": 2500,
 			"target_latency_ms": 600, "priority": 1, "service": service, "max_attempts": 2,
+		}, map[string]any{
+			"name": "r-9n73hh2", "prefix": "/lepu270/", "route_type": "safe", "timeout_ms": 2000,
+			"target_latency_ms": 600, "priority": 2, "service": service, "max_attempts": 2,
 		}}}},
 	}
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(root string, r *record, trouble bool) ([]string, error){
 	"restarted-server-leaves": restartedServerLeaves,
 	"raised-limit":            raisedLimit,
+	"pipelined-expect":        pipelinedExpect,
 }
 
 // daemonsPerZone is the number of daemons in each zone.
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -18,17 +20,21 @@
 
 // upstream is one run of a server of the platform, as PROTOCOL.md describes it.
 type upstream struct {
-	id       string
-	service  string
-	zone     string
-	address  string
-	born     int64
-	work     time.Duration
-	record   *record
-	store    *store
-	server   *http.Server
-	slots    chan struct{}
-	stopBeat chan struct{}
+	id      string
+	service string
+	zone    string
+	address string
+	born    int64
+	work    time.Duration
+	// listBytes is the size of the answer to a GET, and listTime how long the server takes
+	// to send it.
+	listBytes int
+	listTime  time.Duration
+	record    *record
+	store     *store
+	server    *http.Server
+	slots     chan struct{}
+	stopBeat  chan struct{}
 
 	mu      sync.Mutex
 	waiting int
@@ -178,5 +184,31 @@
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
+	if req.Method == http.MethodGet && u.listBytes > 0 {
+		u.sendList(w, id)
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s %s %d bytes by %s\n", req.Method, id, len(body), u.id)
 }
+
+// listParts is the number of parts in which a list is sent.
+const listParts = 16
+
+// sendList sends a long answer in parts, over listTime.
+func (u *upstream) sendList(w http.ResponseWriter, id string) {
+	w.Header().Set("Content-Length", strconv.Itoa(u.listBytes))
+	body := listBody(id, u.listBytes)
+	for part := range slices.Chunk(body, (len(body)+listParts-1)/listParts) {
+		if _, err := w.Write(part); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+		time.Sleep(u.listTime / listParts)
+	}
+}
+
+// listBody returns the bytes of the answer to a request.
+func listBody(id string, size int) []byte {
+	line := []byte(id + " price list\n")
+	return bytes.Repeat(line, size/len(line)+1)[:size]
+}
