--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 	"restarted-server-leaves": restartedServerLeaves,
 	"raised-limit":            raisedLimit,
 	"pipelined-expect":        pipelinedExpect,
+	"long-idle-timeout":       longIdleTimeout,
 }
 
 // daemonsPerZone is the number of daemons in each zone.
