--- a/review/standin/case_restart.go
+++ b/review/standin/case_restart.go
@@ -15,8 +15,8 @@
 	firstRun = 1500 * time.Millisecond
 	// leavingTime is how long a server still serves after its report was accepted.
 	leavingTime   = 8 * time.Second
-	orderWork     = 400 * time.Millisecond
-	orderInterval = 28 * time.Millisecond
+	orderWork     = 800 * time.Millisecond
+	orderInterval = 56 * time.Millisecond
 	orderDeadline = 2500 * time.Millisecond
 )
 
