Log how far the requests have come that a shutdown cuts

A line of a shutdown held one number, the requests in progress. Whether those that are cut were read, waited for a target or had been sent to one could not be told, nor which ones they were. No decision changes.

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -32,9 +31,6 @@
 	// maxTrailingBytes is the maximum number of bytes that are read and discarded after
 	// the last request of a connection. A caller that sends more counts as disconnected.
 	maxTrailingBytes = 1 << 20
-	// bodyReadStep is the size of the steps in which a body is read and memory for it
-	// is reserved.
-	bodyReadStep = 64 << 10
 )
 
 var (
@@ -55,30 +51,34 @@
 	cancel     context.CancelFunc
 
 	mu sync.Mutex
-	// pending is the number of requests whose response is not written yet.
-	pending int
+	// pending holds the requests whose response is not written yet, in their order.
+	pending []*exchange
+	// readingSince is when the first byte of the request that is being read arrived; zero
+	// if none is being read.
+	readingSince time.Time
 	// closing is set when a response that closes the connection is being written. No
 	// further request is started then: the caller will send it again on another
 	// connection, so that it would run twice.
 	closing bool
 }
 
-// beginRequest reports whether a request may start, and counts it as pending if so.
-func (c *conn) beginRequest() bool {
+// beginRequest reports whether a request may start, and adds it to the pending ones if so.
+func (c *conn) beginRequest(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
 		return false
 	}
-	c.pending++
+	c.pending = append(c.pending, x)
 	return true
 }
 
-// endRequest counts a request as no longer pending.
+// endRequest removes the first pending request.
 func (c *conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending--
+	c.pending[0] = nil
+	c.pending = c.pending[1:]
 }
 
 // closeAfterCurrent reports whether the connection closes after the response that is
@@ -86,24 +86,28 @@
 func (c *conn) closeAfterCurrent() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = c.closing || c.pending == 1
+	c.closing = c.closing || len(c.pending) == 1
 	return c.closing
 }
 
 func (c *conn) pendingRequests() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pending
+	return len(c.pending)
 }
 
-// exchange is one request and the response to it.
-type exchange struct {
-	conn          *conn
-	request       *Request
-	reservedBytes int64
-	// closeAfter is set if the connection closes after this response.
-	closeAfter bool
-	response   chan *Response
+// beginReading records that the first byte of a request has arrived.
+func (c *conn) beginReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readingSince = time.Now()
+}
+
+// endReading records that no request is being read.
+func (c *conn) endReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readingSince = time.Time{}
 }
 
 func newConn(s *Server, n net.Conn) *conn {
@@ -152,11 +156,15 @@
 	if !c.awaitRequest(limits.IdleTimeout) {
 		return false
 	}
+	c.beginReading()
 	x, err := c.readRequest(limits)
 	if err != nil {
+		c.endReading()
 		return c.respondError(err)
 	}
-	if !c.beginRequest() {
+	started := c.beginRequest(x)
+	c.endReading()
+	if !started {
 		c.server.releaseBodyMemory(x.reservedBytes)
 		return false
 	}
@@ -198,7 +206,7 @@
 	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
 		_, _ = c.netConn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
-	x := &exchange{conn: c, closeAfter: req.Close, response: make(chan *Response, 1)}
+	x := newExchange(c, req.Close)
 	_ = c.netConn.SetReadDeadline(headReadAt.Add(bodyTimeout))
 	body, err := x.readBody(req, limits.BodyBytes)
 	if err != nil {
@@ -217,38 +225,6 @@
 	return x, nil
 }
 
-// readBody reads the whole body. It fails if the body exceeds the limit or the memory
-// that the server has for bodies.
-func (x *exchange) readBody(req *http.Request, limit int64) ([]byte, error) {
-	if req.ContentLength == 0 || req.Body == nil {
-		return nil, nil
-	}
-	if req.ContentLength > limit {
-		return nil, errBodyTooLarge
-	}
-	var b bytes.Buffer
-	for {
-		step := int64(bodyReadStep)
-		if req.ContentLength > 0 {
-			step = min(step, req.ContentLength-int64(b.Len()))
-		}
-		if !x.conn.server.reserveBodyMemory(step) {
-			return nil, errBodyMemory
-		}
-		x.reservedBytes += step
-		n, err := b.ReadFrom(io.LimitReader(req.Body, step))
-		if err != nil {
-			return nil, err
-		}
-		if int64(b.Len()) > limit {
-			return nil, errBodyTooLarge
-		}
-		if n < step || int64(b.Len()) == req.ContentLength {
-			return b.Bytes(), nil
-		}
-	}
-}
-
 // respondError responds to a request that could not be read. The connection closes,
 // because it is not known where the next request starts. It always returns false.
 func (c *conn) respondError(err error) bool {
@@ -270,40 +246,11 @@
 		status = http.StatusBadRequest
 	}
 	_ = c.server.logger.Log("msg", "failed to read request", "status", status, "caller", c.netConn.RemoteAddr(), "err", err)
-	x := &exchange{conn: c, closeAfter: true, response: make(chan *Response, 1)}
-	if !c.beginRequest() {
+	x := newExchange(c, true)
+	if !c.beginRequest(x) {
 		return false
 	}
 	x.response <- TextResponse(status, http.StatusText(status)+"\n")
 	c.exchanges <- x
 	return false
 }
-
-// run calls the handler and passes its response to the writer.
-func (x *exchange) run() {
-	resp := x.conn.server.handle(x.conn.ctx, x.request)
-	x.conn.server.releaseBodyMemory(x.reservedBytes)
-	x.response <- resp
-}
-
-// limitedHeadReader reads from source and, while remaining is not negative, applies the
-// limit on request heads.
-type limitedHeadReader struct {
-	source    io.Reader
-	remaining int
-}
-
-// Read returns errHeadTooLarge once a request head exceeds its limit.
-func (h *limitedHeadReader) Read(p []byte) (int, error) {
-	if h.remaining == 0 {
-		return 0, errHeadTooLarge
-	}
-	if h.remaining > 0 && len(p) > h.remaining {
-		p = p[:h.remaining]
-	}
-	n, err := h.source.Read(p)
-	if h.remaining > 0 {
-		h.remaining -= n
-	}
-	return n, err
-}
--- /dev/null
+++ b/core/caller/head.go
@@ -0,0 +1,25 @@
+package caller
+
+import "io"
+
+// limitedHeadReader reads from source and, while remaining is not negative, applies the
+// limit on request heads.
+type limitedHeadReader struct {
+	source    io.Reader
+	remaining int
+}
+
+// Read returns errHeadTooLarge once a request head exceeds its limit.
+func (h *limitedHeadReader) Read(p []byte) (int, error) {
+	if h.remaining == 0 {
+		return 0, errHeadTooLarge
+	}
+	if h.remaining > 0 && len(p) > h.remaining {
+		p = p[:h.remaining]
+	}
+	n, err := h.source.Read(p)
+	if h.remaining > 0 {
+		h.remaining -= n
+	}
+	return n, err
+}
--- a/core/caller/message.go
+++ b/core/caller/message.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,6 +21,13 @@
 	ReceivedAt time.Time
 	// RemoteAddr is the network address of the caller.
 	RemoteAddr string
+
+	sent atomic.Bool
+}
+
+// MarkSent records that the request is being sent to a target.
+func (r *Request) MarkSent() {
+	r.sent.Store(true)
 }
 
 // Path returns the path of the request target, without its query.
--- a/core/caller/server.go
+++ b/core/caller/server.go
@@ -19,15 +19,16 @@
 
 // Server accepts connections of callers and serves their requests.
 type Server struct {
-	handle        Handler
-	limits        func() route.Limits
-	logger        log.Logger
-	draining      atomic.Bool
-	bodyMemory    atomic.Int64
-	maxBodyMemory int64
-	mu            sync.Mutex
-	listener      net.Listener
-	conns         map[*conn]struct{}
+	handle          Handler
+	limits          func() route.Limits
+	logger          log.Logger
+	requestIDHeader string
+	draining        atomic.Bool
+	bodyMemory      atomic.Int64
+	maxBodyMemory   int64
+	mu              sync.Mutex
+	listener        net.Listener
+	conns           map[*conn]struct{}
 }
 
 // Option configures a Server.
@@ -38,6 +39,11 @@
 	return func(s *Server) { s.logger = l }
 }
 
+// WithRequestIDHeader sets the name of the header with the request id, for logs.
+func WithRequestIDHeader(name string) Option {
+	return func(s *Server) { s.requestIDHeader = name }
+}
+
 // WithMaxBodyMemory sets the maximum memory, in bytes, for the bodies of all requests
 // in progress.
 func WithMaxBodyMemory(bytes int64) Option {
@@ -123,8 +129,12 @@
 	return len(s.conns)
 }
 
-// Close closes the listener and all connections.
+// Close closes the listener and all connections. It logs each request that ends without
+// a complete response because of it.
 func (s *Server) Close() {
+	for _, r := range s.OpenRequests() {
+		s.logUnanswered("request cut", r)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.listener != nil {
@@ -135,6 +145,12 @@
 	}
 }
 
+// logUnanswered logs a request that ends without a complete response.
+func (s *Server) logUnanswered(event string, r OpenRequest, fields ...any) {
+	line := []any{"msg", event, "id", r.ID, "state", r.State, "age", r.Age, "caller", r.Caller}
+	_ = s.logger.Log(append(line, fields...)...)
+}
+
 // reserveBodyMemory reserves memory for a request body and reports whether enough was
 // left.
 func (s *Server) reserveBodyMemory(n int64) bool {
--- a/core/caller/writer.go
+++ b/core/caller/writer.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // lingerTimeout is how long a connection is still read after the last response. Closing
@@ -48,8 +50,12 @@
 	if w.conn.server.draining.Load() {
 		closeAfter = w.conn.closeAfterCurrent() || closeAfter
 	}
+	x.writing.Store(true)
 	if err := w.writeResponse(x, resp, closeAfter); err != nil {
 		w.failed = true
+		if w.conn.ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+			w.conn.server.logUnanswered("response not written", x.open(time.Now()), "err", err)
+		}
 		w.conn.cancel()
 		_ = w.conn.netConn.Close()
 		return
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -159,7 +159,7 @@
 }
 
 func (n *Node) newCallerServer(r *relay.Relay) *caller.Server {
-	opts := []caller.Option{caller.WithLogger(n.logger)}
+	opts := []caller.Option{caller.WithLogger(n.logger), caller.WithRequestIDHeader(n.platform.Headers.RequestID)}
 	if m := n.settings.Load().MemoryMB; m > 0 {
 		opts = append(opts, caller.WithMaxBodyMemory(m<<20/bodyMemoryDivisor))
 	}
--- a/core/node/shutdown.go
+++ b/core/node/shutdown.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"wisteriarelay.example/core/caller"
 )
 
 // Stop shuts the daemon down gracefully: it announces that the daemon is leaving,
@@ -13,15 +15,23 @@
 	began := time.Now()
 	n.leaving.Store(true)
 	n.roster.SetStatus(false, true)
-	_ = n.logger.Log("msg", "leaving", "busy", n.callerServer.PendingRequests(), "connections", n.callerServer.OpenConnections())
+	n.logOpenRequests("leaving", "connections", n.callerServer.OpenConnections(), "limit", n.settings.Load().ShutdownTimeout())
 	n.gossip.SendHeartbeat()
 	n.callerServer.Drain()
 	d := &callerDrain{node: n, began: began}
 	d.wait(ctx)
-	_ = n.logger.Log("msg", "stopped", "after", time.Since(began), "cut", n.callerServer.PendingRequests())
+	elapsed := time.Since(began)
+	n.logOpenRequests("stopped", "after", elapsed, "before-kill", n.settings.Load().ShutdownTimeout()-elapsed)
 	return n.app.Stop(ctx)
 }
 
+// logOpenRequests logs the event with the number of requests in each state.
+func (n *Node) logOpenRequests(event string, fields ...any) {
+	c := caller.Count(n.callerServer.OpenRequests())
+	line := []any{"msg", event, "reading", c.Reading, "waiting", c.Waiting, "sent", c.Sent, "writing", c.Writing}
+	_ = n.logger.Log(append(line, fields...)...)
+}
+
 // Close stops the daemon immediately, without waiting for requests in progress.
 func (n *Node) Close() error {
 	return n.app.Stop(context.Background())
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -96,6 +96,7 @@
 	if err := t.checkTarget(); err != nil {
 		return &result{attempt: t, unsent: true, notRun: true, kind: fault.NoTarget, observation: judge.Nothing, err: err}
 	}
+	x.request.MarkSent()
 	resp, err := pool.Forward(t.ctx, t.buildMessage(), x.maxIdle())
 	if err != nil {
 		return t.classifyError(err)
