Answer a request head that comes too slowly with 408, not 400

What callers saw: 400 Bad Request, after which nobody sends a request again, if the end of a header line did not arrive before the time limit. Cause: http.ReadRequest reports a line that an error cuts short as malformed and drops the error. The error of the last read now decides.

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -199,6 +199,9 @@
 	c.headReader.remaining = limits.HeaderBytes
 	req, err := http.ReadRequest(c.reader)
 	c.headReader.remaining = -1
+	if err != nil && c.headReader.err != nil {
+		return nil, c.headReader.err
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/core/caller/head.go
+++ b/core/caller/head.go
@@ -7,12 +7,16 @@
 type limitedHeadReader struct {
 	source    io.Reader
 	remaining int
+	// err is the last error of a read. http.ReadRequest reports a line that an error cuts
+	// short as malformed.
+	err error
 }
 
 // Read returns errHeadTooLarge once a request head exceeds its limit.
 func (h *limitedHeadReader) Read(p []byte) (int, error) {
 	if h.remaining == 0 {
-		return 0, errHeadTooLarge
+		h.err = errHeadTooLarge
+		return 0, h.err
 	}
 	if h.remaining > 0 && len(p) > h.remaining {
 		p = p[:h.remaining]
@@ -21,5 +25,6 @@
 	if h.remaining > 0 {
 		h.remaining -= n
 	}
+	h.err = err
 	return n, err
 }
