Close a caller's connection after the response that says so

What callers saw: a connection that stayed open after a response with 'Connection: close', until the idle timeout, so that a request sent on it was read by nobody. Cause: the writer ended the wait for another request by a read deadline in the past, and the reader, which still saw the request as pending, renewed the deadline. In the same way the reader could lift the deadline with which the writer waits for the caller's end of the connection. That reads have ended is now a state of the connection, and the deadline is set under its lock.

The second race was found in reading; no test provokes it.

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -60,6 +60,10 @@
 	// further request is started then: the caller will send it again on another
 	// connection, so that it would run twice.
 	closing bool
+	// readStopped is set once no further request is read, readEnded once no request is
+	// being read either.
+	readStopped bool
+	readEnded   bool
 }
 
 // beginRequest reports whether a request may start, and adds it to the pending ones if so.
@@ -125,12 +129,45 @@
 	}
 }
 
+// setReadDeadline sets the time until which reads may block. It returns false, and reads
+// fail at once, if no further request is read.
+func (c *conn) setReadDeadline(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readStopped {
+		return false
+	}
+	_ = c.netConn.SetReadDeadline(t)
+	return true
+}
+
+// stopReading ends the wait for another request, and makes the read of one that is not
+// complete fail.
+func (c *conn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readStopped = true
+	if !c.readEnded {
+		_ = c.netConn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// endReads lifts the read deadline once no request is read any more.
+func (c *conn) endReads() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readEnded = true
+	_ = c.netConn.SetReadDeadline(time.Time{})
+}
+
 // run reads requests until the caller disconnects or the connection closes.
 func (c *conn) run() {
 	w := &responseWriter{conn: c}
 	go w.run()
 	for c.readNext() {
 	}
+	// The writer sets a read deadline of its own once exchanges is closed.
+	c.endReads()
 	close(c.exchanges)
 	c.awaitDisconnect()
 }
@@ -141,11 +178,10 @@
 	if c.ctx.Err() != nil {
 		return
 	}
-	_ = c.netConn.SetReadDeadline(time.Time{})
 	_, err := io.Copy(io.Discard, io.LimitReader(c.reader, maxTrailingBytes))
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() {
-		return // The writer wrote the last response and ended the read.
+		return // The writer has written the last response and waited for the caller.
 	}
 	c.cancel()
 }
@@ -176,8 +212,7 @@
 // awaitRequest waits for the first byte of a request and reports whether it arrived.
 // The idle timeout applies only while no request of the connection is pending.
 func (c *conn) awaitRequest(idleTimeout time.Duration) bool {
-	for {
-		_ = c.netConn.SetReadDeadline(time.Now().Add(idleTimeout + idleGrace))
+	for c.setReadDeadline(time.Now().Add(idleTimeout + idleGrace)) {
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			return true
@@ -192,10 +227,11 @@
 		}
 		return false
 	}
+	return false
 }
 
 func (c *conn) readRequest(limits route.Limits) (*exchange, error) {
-	_ = c.netConn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	c.headReader.remaining = limits.HeaderBytes
 	req, err := http.ReadRequest(c.reader)
 	c.headReader.remaining = -1
@@ -210,7 +246,7 @@
 		_, _ = c.netConn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	x := newExchange(c, req.Close)
-	_ = c.netConn.SetReadDeadline(headReadAt.Add(bodyTimeout))
+	c.setReadDeadline(headReadAt.Add(bodyTimeout))
 	body, err := x.readBody(req, limits.BodyBytes)
 	if err != nil {
 		c.server.releaseBodyMemory(x.reservedBytes)
--- a/core/caller/writer.go
+++ b/core/caller/writer.go
@@ -61,8 +61,7 @@
 		return
 	}
 	if closeAfter {
-		// Ends the read of a goroutine that waits for another request.
-		_ = w.conn.netConn.SetReadDeadline(time.Unix(1, 0))
+		w.conn.stopReading()
 	}
 }
 
