Let pipelined connections of callers end while the daemon drains

What callers saw: one that always has a second request on the way kept its connection until the daemon ended, and lost what was in progress then. Cause: while it drains, a daemon closes a connection after a response behind which no other request has started; there was never one. The first request that is read while the daemon drains is now the last one of its connection.

TestPipelinedConnectionClosesWhileDraining failed before: the connection was still open after 10 responses.

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -204,9 +204,13 @@
 		c.server.releaseBodyMemory(x.reservedBytes)
 		return false
 	}
+	// The requests of a connection whose caller never waits for a response are pending
+	// without a gap, so that it would never close.
+	x.closeAfter = x.closeAfter || c.server.draining.Load()
+	closeAfter := x.closeAfter
 	c.exchanges <- x
 	go x.run()
-	return !x.closeAfter
+	return !closeAfter
 }
 
 // awaitRequest waits for the first byte of a request and reports whether it arrived.
--- a/core/caller/server.go
+++ b/core/caller/server.go
@@ -105,8 +105,8 @@
 	delete(s.conns, c)
 }
 
-// Drain makes the server close each connection after its next response, unless further
-// requests of the connection have already started.
+// Drain makes the server close each connection after its next response or, if further
+// requests of the connection have already started, after the last of theirs.
 func (s *Server) Drain() {
 	s.draining.Store(true)
 }
--- a/core/caller/shutdown_test.go
+++ b/core/caller/shutdown_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,10 +18,71 @@
 	"wisteriarelay.example/core/route"
 )
 
+// heldHandler answers a request once its path is released.
+type heldHandler struct {
+	started chan string
+	mu      sync.Mutex
+	gates   map[string]chan struct{}
+}
+
+func newHeldHandler() *heldHandler {
+	return &heldHandler{started: make(chan string, 100), gates: map[string]chan struct{}{}}
+}
+
+// gate returns the channel that is closed when the path is released.
+func (h *heldHandler) gate(path string) chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.gates[path] == nil {
+		h.gates[path] = make(chan struct{})
+	}
+	return h.gates[path]
+}
+
+func (h *heldHandler) release(path string) {
+	close(h.gate(path))
+}
+
+func (h *heldHandler) handle(_ context.Context, r *caller.Request) *caller.Response {
+	h.started <- r.RequestURI
+	<-h.gate(r.RequestURI)
+	return caller.TextResponse(http.StatusOK, r.RequestURI)
+}
+
 func sendGet(conn net.Conn, path string) {
 	_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
 }
 
+// Guards against a connection whose caller always sends another request before it has the
+// response to the last one, and that therefore never closes during a shutdown.
+func TestPipelinedConnectionClosesWhileDraining(t *testing.T) {
+	g := NewWithT(t)
+	h := newHeldHandler()
+	s, dial := serve(t, h.handle)
+	conn, r := dial()
+	const count = 10
+	sendGet(conn, "/0")
+	sendGet(conn, "/1")
+	g.Expect([]string{<-h.started, <-h.started}).To(ConsistOf("/0", "/1"))
+	s.Drain()
+	started := 2
+	for answered := 0; answered < count; answered++ {
+		sendGet(conn, fmt.Sprintf("/%d", answered+2))
+		if answered == 0 {
+			<-h.started
+			started++
+		}
+		h.release(fmt.Sprintf("/%d", answered))
+		resp, body := readResponse(g, r)
+		g.Expect(body).To(Equal(fmt.Sprintf("/%d", answered)))
+		if resp.Close {
+			g.Expect(answered+1).To(Equal(started), "each request that was started has its response")
+			return
+		}
+	}
+	t.Fatalf("connection still open after %d responses", count)
+}
+
 // Guards against a connection that stays open until the idle timeout after a response that
 // says that it closes: the reader renewed its deadline while the writer still counted the
 // request as pending.
