Let a shutdown end connections after their responses

What callers saw: at one moment, 0.9 s before the process was killed at the latest, the callers' listener and all connections were closed, whatever they carried: requests that were sent to a target, half-read bodies, responses that were being written or not yet acknowledged. Cause: the end of a shutdown had one step. It now has three, each with its time from a schedule that is fixed when the signal is handled: the latest response, the end of reading, and the end of the connections. Once no request is read any more, what was read gets its response, a half-read request is refused with 503, idle connections end without a reset, and each connection waits for the caller to close its side.

TestShutdownWaitsForResponses and TestShutdownRefusesHalfReadRequest fail with the Close that was used before: the connections end without a response.

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -160,6 +160,12 @@
 	_ = c.netConn.SetReadDeadline(time.Time{})
 }
 
+func (c *conn) isReadStopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readStopped
+}
+
 // run reads requests until the caller disconnects or the connection closes.
 func (c *conn) run() {
 	w := &responseWriter{conn: c}
@@ -280,6 +286,8 @@
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, errBodyMemory):
 		status = http.StatusServiceUnavailable
+	case errors.As(err, &netErr) && netErr.Timeout() && c.isReadStopped():
+		status = http.StatusServiceUnavailable
 	case errors.As(err, &netErr) && netErr.Timeout():
 		status = http.StatusRequestTimeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
--- a/core/caller/server.go
+++ b/core/caller/server.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +31,9 @@
 	mu              sync.Mutex
 	listener        net.Listener
 	conns           map[*conn]struct{}
+	// stopping is set by Shutdown; allEnded is closed once no connection is left then.
+	stopping bool
+	allEnded chan struct{}
 }
 
 // Option configures a Server.
@@ -61,6 +66,7 @@
 		logger:        log.NewNopLogger(),
 		maxBodyMemory: defaultMaxBodyMemory,
 		conns:         map[*conn]struct{}{},
+		allEnded:      make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(s)
@@ -95,7 +101,11 @@
 	c := newConn(s, n)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
+	stopping := s.stopping
 	s.mu.Unlock()
+	if stopping {
+		c.stopReading()
+	}
 	go c.run()
 }
 
@@ -103,6 +113,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	s.checkAllEnded()
+}
+
+// checkAllEnded closes allEnded if Shutdown was called and no connection is left. The
+// caller holds mu.
+func (s *Server) checkAllEnded() {
+	if !s.stopping || len(s.conns) > 0 {
+		return
+	}
+	select {
+	case <-s.allEnded:
+	default:
+		close(s.allEnded)
+	}
 }
 
 // Drain makes the server close each connection after its next response or, if further
@@ -129,6 +153,32 @@
 	return len(s.conns)
 }
 
+// Shutdown closes the listener and reads no further requests. Those that were read get
+// their responses, one that is not complete is refused. It returns once all connections
+// have ended, or when ctx ends.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.Drain()
+	for _, c := range s.stop() {
+		c.stopReading()
+	}
+	select {
+	case <-s.allEnded:
+	case <-ctx.Done():
+	}
+}
+
+// stop closes the listener and returns the open connections.
+func (s *Server) stop() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	s.checkAllEnded()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
 // Close closes the listener and all connections. It logs each request that ends without
 // a complete response because of it.
 func (s *Server) Close() {
--- a/core/caller/shutdown_test.go
+++ b/core/caller/shutdown_test.go
@@ -53,6 +53,25 @@
 	_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
 }
 
+// shutdownRunner shuts a server down.
+type shutdownRunner struct {
+	server *caller.Server
+	done   chan struct{}
+}
+
+func (s *shutdownRunner) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*waitTimeout)
+	defer cancel()
+	s.server.Shutdown(ctx)
+	close(s.done)
+}
+
+func startShutdown(s *caller.Server) *shutdownRunner {
+	r := &shutdownRunner{s, make(chan struct{})}
+	go r.run()
+	return r
+}
+
 // Guards against a connection whose caller always sends another request before it has the
 // response to the last one, and that therefore never closes during a shutdown.
 func TestPipelinedConnectionClosesWhileDraining(t *testing.T) {
@@ -115,3 +134,65 @@
 		g.Expect(time.Since(began)).To(BeNumerically("<", limits.IdleTimeout))
 	})
 }
+
+// Guards against requests that are cut because the shutdown closes their connections while
+// they are in progress.
+func TestShutdownWaitsForResponses(t *testing.T) {
+	g := NewWithT(t)
+	h := newHeldHandler()
+	s, dial := serve(t, h.handle)
+	conn, r := dial()
+	sendGet(conn, "/1")
+	<-h.started
+	shutdown := startShutdown(s)
+	g.Consistently(shutdown.done, 100*time.Millisecond).ShouldNot(BeClosed())
+	h.release("/1")
+	resp, body := readResponse(g, r)
+	g.Expect(body).To(Equal("/1"))
+	g.Expect(resp.Close).To(BeTrue())
+	_, err := r.ReadByte()
+	g.Expect(err).To(MatchError(io.EOF))
+	g.Expect(shutdown.done).NotTo(BeClosed(), "the caller may not have read its response yet")
+	_ = conn.Close()
+	g.Eventually(shutdown.done).WithTimeout(waitTimeout).Should(BeClosed())
+}
+
+// Guards against idle connections that are reset, which a caller that has just sent a
+// request takes for a failure of that request.
+func TestShutdownEndsIdleConnectionsInOrder(t *testing.T) {
+	g := NewWithT(t)
+	s, dial := serve(t, echo)
+	conn, r := dial()
+	sendGet(conn, "/1")
+	readResponse(g, r)
+	shutdown := startShutdown(s)
+	_, err := r.ReadByte()
+	g.Expect(err).To(MatchError(io.EOF))
+	sendGet(conn, "/2")
+	_, err = r.ReadByte()
+	g.Expect(err).To(MatchError(io.EOF), "bytes that cross the end of the connection do not reset it")
+	_ = conn.Close()
+	g.Eventually(shutdown.done).WithTimeout(waitTimeout).Should(BeClosed())
+	g.Expect(s.OpenConnections()).To(BeZero())
+}
+
+// Guards against a request whose body is still arriving, and that is cut by a shutdown
+// without a word.
+func TestShutdownRefusesHalfReadRequest(t *testing.T) {
+	for name, half := range map[string]string{
+		"head": "GET / HTTP/1.1\r\nHos",
+		"body": "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s, dial := serve(t, echo)
+			conn, r := dial()
+			_, _ = fmt.Fprint(conn, half)
+			g.Eventually(func() int { return caller.Count(s.OpenRequests()).Reading }).WithTimeout(waitTimeout).Should(Equal(1))
+			startShutdown(s)
+			resp, _ := readResponse(g, r)
+			g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			g.Expect(resp.Close).To(BeTrue())
+		})
+	}
+}
--- a/core/node/shutdown.go
+++ b/core/node/shutdown.go
@@ -7,21 +7,62 @@
 	"wisteriarelay.example/core/caller"
 )
 
-// Stop shuts the daemon down gracefully: it announces that the daemon is leaving,
-// waits until callers have had time to switch to other daemons and no request is in
-// progress, and then stops everything. Requests that are still in progress shortly
-// before the process is killed are cut off.
+const (
+	// lookupDrainTime is how long callers may still connect after the address endpoints
+	// have stopped naming this daemon: some callers keep an answer for three times as
+	// long as its TTL.
+	lookupDrainTime = 3500 * time.Millisecond
+	// drainCheckInterval is the time between two checks of the requests in progress.
+	drainCheckInterval = 50 * time.Millisecond
+	// maxShutdownReserve and shutdownReserveRatio bound the time between the latest
+	// response to a request and the kill of the process. A third of it is for writing
+	// that response, a third for closing connections, and a third is left over.
+	maxShutdownReserve   = 900 * time.Millisecond
+	shutdownReserveRatio = 0.15
+)
+
+// shutdownSchedule holds the times of a shutdown. It is fixed when the signal is
+// handled: settings that change later say nothing about when the process is killed.
+type shutdownSchedule struct {
+	began time.Time
+	// lastResponse is the time by which each request must have its response.
+	lastResponse time.Time
+	// stopReading is when the callers' port is closed and no further request is read.
+	stopReading time.Time
+	// close is when the connections are closed that have not ended by themselves.
+	close time.Time
+	kill  time.Time
+}
+
+func newShutdownSchedule(began time.Time, limit time.Duration) shutdownSchedule {
+	reserve := min(maxShutdownReserve, time.Duration(shutdownReserveRatio*float64(limit)))
+	kill := began.Add(limit)
+	return shutdownSchedule{
+		began:        began,
+		lastResponse: kill.Add(-reserve),
+		stopReading:  kill.Add(-2 * reserve / 3),
+		close:        kill.Add(-reserve / 3),
+		kill:         kill,
+	}
+}
+
+// Stop shuts the daemon down gracefully. It announces that the daemon is leaving, and
+// serves on until callers have had time to switch to other daemons. Then it ends the
+// connections of callers after the responses that are due, and stops everything.
 func (n *Node) Stop(ctx context.Context) error {
-	began := time.Now()
+	s := newShutdownSchedule(time.Now(), n.settings.Load().ShutdownTimeout())
 	n.leaving.Store(true)
 	n.roster.SetStatus(false, true)
-	n.logOpenRequests("leaving", "connections", n.callerServer.OpenConnections(), "limit", n.settings.Load().ShutdownTimeout())
+	n.logOpenRequests("leaving", "connections", n.callerServer.OpenConnections(), "limit", s.kill.Sub(s.began))
 	n.gossip.SendHeartbeat()
 	n.callerServer.Drain()
-	d := &callerDrain{node: n, began: began}
+	d := &callerDrain{server: n.callerServer, schedule: s}
 	d.wait(ctx)
-	elapsed := time.Since(began)
-	n.logOpenRequests("stopped", "after", elapsed, "before-kill", n.settings.Load().ShutdownTimeout()-elapsed)
+	n.logOpenRequests("closing connections", "after", time.Since(s.began), "connections", n.callerServer.OpenConnections())
+	closeCtx, cancel := context.WithDeadline(ctx, s.close)
+	defer cancel()
+	n.callerServer.Shutdown(closeCtx)
+	n.logOpenRequests("stopped", "after", time.Since(s.began), "before-kill", time.Until(s.kill))
 	return n.app.Stop(ctx)
 }
 
@@ -37,28 +78,16 @@
 	return n.app.Stop(context.Background())
 }
 
-const (
-	// lookupDrainTime is how long callers may still connect after the address endpoints
-	// have stopped naming this daemon: some callers keep an answer for three times as
-	// long as its TTL.
-	lookupDrainTime = 3500 * time.Millisecond
-	// killMargin is the time kept in reserve between the end of the shutdown and the
-	// kill of the process.
-	killMargin = 900 * time.Millisecond
-	// drainCheckInterval is the time between two checks of the requests in progress.
-	drainCheckInterval = 50 * time.Millisecond
-)
-
 // callerDrain waits during the shutdown until callers use other daemons.
 type callerDrain struct {
-	node  *Node
-	began time.Time
+	server   *caller.Server
+	schedule shutdownSchedule
 }
 
 func (d *callerDrain) wait(ctx context.Context) {
 	tick := time.NewTicker(drainCheckInterval)
 	defer tick.Stop()
-	for !d.done(time.Since(d.began)) {
+	for !d.done(time.Now()) {
 		select {
 		case <-ctx.Done():
 			return
@@ -67,9 +96,9 @@
 	}
 }
 
-func (d *callerDrain) done(elapsed time.Duration) bool {
-	if elapsed >= d.node.settings.Load().ShutdownTimeout()-killMargin {
+func (d *callerDrain) done(now time.Time) bool {
+	if !now.Before(d.schedule.stopReading) {
 		return true
 	}
-	return elapsed >= lookupDrainTime && d.node.callerServer.PendingRequests() == 0
+	return now.Sub(d.schedule.began) >= lookupDrainTime && len(d.server.OpenRequests()) == 0
 }
