Do not hold requests in a daemon that leaves before it is ready

What callers saw: a daemon that gets SIGTERM while it starts held their requests for up to a second before it refused them. It now refuses them at once, so that they can use another daemon.

TestLeavingDaemonHoldsNoRequests failed before: 1 s instead of 0 s.

--- a/core/node/start.go
+++ b/core/node/start.go
@@ -139,7 +139,7 @@
 // handle answers a request. After an outage of all daemons, callers are back before
 // the first daemon has read the store, so requests wait a moment for it.
 func (n *Node) handle(ctx context.Context, req *caller.Request) *caller.Response {
-	if !n.initialized.isSet() {
+	if !n.initialized.isSet() && !n.leaving.Load() {
 		n.initialized.wait(ctx, n.startedAt.Add(startupHold))
 	}
 	return n.relay.Handle(ctx, req)
--- a/core/node/start_test.go
+++ b/core/node/start_test.go
@@ -61,3 +61,16 @@
 		})
 	}
 }
+
+// Guards against requests that wait for a daemon that leaves before it is ready.
+func TestLeavingDaemonHoldsNoRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := newTestNode(g, highShare, &configWriter{start: time.Now()})
+		defer n.gossipConn.Close()
+		n.leaving.Store(true)
+		status, took := handleAfter(n, 0)
+		g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(took).To(BeZero())
+	})
+}
