Refuse requests that may outlast the shutdown of their daemon

What callers saw: a request taken after SIGTERM was read, sent to a target and run, and its connection was closed without an answer when the daemon ended, orders among them. Cause: a shutdown has an end, and nothing that is taken knew of it. Class: an end of work that is planned, and work that is begun without asking whether it ends before.

A request whose deadline is after the last response of the shutdown is now refused at once with 503 (leaving, not run), before its first attempt and before each further one, and also if it waits for a target when the signal comes. Retry-After is 0 as long as another daemon is ready. If none is, requests with a late deadline are still served in the first half of the shutdown, with its end as their time limit. A request that was sent before, and has no answer by then, gets 504 in place of a closed connection.

--- a/core/fault/kind.go
+++ b/core/fault/kind.go
@@ -16,6 +16,7 @@
 	MethodNotAllowed
 	NotCarried
 	NotReady
+	Leaving
 	DeadlineExceeded
 	QueueFull
 	NoTarget
@@ -90,6 +91,7 @@
 	MethodNotAllowed:   {"method-not-allowed", "Method not allowed on this route", http.StatusMethodNotAllowed, NotRun, RetryNever},
 	NotCarried:         {"not-carried", "Service is not carried by this daemon", http.StatusMisdirectedRequest, NotRun, RetryOtherAddress},
 	NotReady:           {"not-ready", "Daemon is not ready", http.StatusServiceUnavailable, NotRun, RetryOtherAddress},
+	Leaving:            {"leaving", "Daemon is shutting down", http.StatusServiceUnavailable, NotRun, RetryOtherAddress},
 	DeadlineExceeded:   {"deadline-exceeded", "Deadline cannot be met", http.StatusGatewayTimeout, NotRun, RetryLater},
 	QueueFull:          {"queue-full", "Service is at its limit", http.StatusServiceUnavailable, NotRun, RetryLater},
 	NoTarget:           {"no-target", "No target can take the request", http.StatusServiceUnavailable, NotRun, RetryLater},
--- a/core/node/shutdown.go
+++ b/core/node/shutdown.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wisteriarelay.example/core/caller"
+	"wisteriarelay.example/core/relay"
 )
 
 const (
@@ -46,15 +47,28 @@
 	}
 }
 
+// plan returns which requests the relay may still serve. Without a peer that is ready,
+// requests with a late deadline are served in the first half of the shutdown, because
+// they would find no other daemon.
+func (s *shutdownSchedule) plan(peerReady func() bool) relay.ShutdownPlan {
+	return relay.ShutdownPlan{
+		End:          s.lastResponse,
+		ShortenUntil: s.began.Add(s.kill.Sub(s.began) / 2),
+		PeerReady:    peerReady,
+	}
+}
+
 // Stop shuts the daemon down gracefully. It announces that the daemon is leaving, and
-// serves on until callers have had time to switch to other daemons. Then it ends the
-// connections of callers after the responses that are due, and stops everything.
+// serves on until callers have had time to switch to other daemons; requests that could
+// not be answered before the process is killed are refused. Then it ends the connections
+// of callers after the responses that are due, and stops everything.
 func (n *Node) Stop(ctx context.Context) error {
 	s := newShutdownSchedule(time.Now(), n.settings.Load().ShutdownTimeout())
 	n.leaving.Store(true)
 	n.roster.SetStatus(false, true)
 	n.logOpenRequests("leaving", "connections", n.callerServer.OpenConnections(), "limit", s.kill.Sub(s.began))
 	n.gossip.SendHeartbeat()
+	n.relay.BeginShutdown(s.plan(func() bool { return n.roster.AnyPeerReady(time.Now()) }))
 	n.callerServer.Drain()
 	d := &callerDrain{server: n.callerServer, schedule: s}
 	d.wait(ctx)
--- a/core/node/shutdown_test.go
+++ b/core/node/shutdown_test.go
@@ -15,14 +15,15 @@
 		t.Run(limit.String(), func(t *testing.T) {
 			g := NewWithT(t)
 			s := newShutdownSchedule(began, limit)
-			steps := []time.Time{began, s.lastResponse, s.stopReading, s.close, s.kill}
+			plan := s.plan(func() bool { return true })
+			steps := []time.Time{began, plan.ShortenUntil, plan.End, s.stopReading, s.close, s.kill}
 			for i := range steps[1:] {
 				g.Expect(steps[i+1]).To(BeTemporally(">", steps[i]))
 			}
 			g.Expect(s.kill).To(Equal(began.Add(limit)))
 			// A request that was sent early may be cut only if its target is still at work
 			// in the last sixth of the limit.
-			g.Expect(s.kill.Sub(s.lastResponse)).To(BeNumerically("<=", limit/6))
+			g.Expect(s.kill.Sub(plan.End)).To(BeNumerically("<=", limit/6))
 		})
 	}
 }
--- a/core/relay/again.go
+++ b/core/relay/again.go
@@ -10,7 +10,7 @@
 // result r. The retry takes one extra attempt from the retry budget, unless r sent no
 // byte: up to maxUnsentAttempts of these are replaced without using the budget.
 func (x *exchange) allowRetry(r *result) bool {
-	if r.attempt.grant == nil || x.callerGone {
+	if r.attempt.grant == nil || x.callerGone || !x.mayStart() {
 		return false
 	}
 	if !x.route.Idempotent() && x.mayHaveRun {
@@ -88,7 +88,7 @@
 // hedge starts an additional attempt of an idempotent request at another target if
 // every running attempt already has a target and the retry budget allows it.
 func (x *exchange) hedge() {
-	if x.route.Idempotent() && len(x.inFlight) > 0 && len(x.running) == len(x.inFlight) && x.takeExtraAttempt() {
+	if x.route.Idempotent() && x.mayStart() && len(x.inFlight) > 0 && len(x.running) == len(x.inFlight) && x.takeExtraAttempt() {
 		x.start()
 	}
 }
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -18,9 +18,12 @@
 
 // attempt is one try to send the request of an exchange to one target.
 type attempt struct {
-	exchange      *exchange
-	ctx           context.Context
-	cancel        context.CancelFunc
+	exchange *exchange
+	ctx      context.Context
+	cancel   context.CancelFunc
+	// waitCtx is the part of ctx during which the attempt waits for a target.
+	waitCtx       context.Context
+	stopWaiting   context.CancelFunc
 	acquireParams sched.Request
 	results       chan<- *result
 	grant         *sched.Grant
@@ -49,7 +52,7 @@
 
 // run acquires a target, sends the request to it and delivers the result.
 func (t *attempt) run() {
-	grant, err := t.exchange.targetPool.Acquire(t.ctx, t.acquireParams)
+	grant, err := t.exchange.targetPool.Acquire(t.waitCtx, t.acquireParams)
 	if err != nil {
 		t.exchange.deliver(&result{attempt: t, notRun: true, kind: fault.From(err).Kind, err: err})
 		return
@@ -93,6 +96,9 @@
 func (t *attempt) send() *result {
 	x := t.exchange
 	pool := x.relay.connPools.get(t.grant.Target)
+	if !x.mayStart() {
+		return &result{attempt: t, unsent: true, notRun: true, kind: fault.Leaving, observation: judge.Nothing, err: errLeaving}
+	}
 	if err := t.checkTarget(); err != nil {
 		return &result{attempt: t, unsent: true, notRun: true, kind: fault.NoTarget, observation: judge.Nothing, err: err}
 	}
--- a/core/relay/exchange.go
+++ b/core/relay/exchange.go
@@ -68,6 +68,7 @@
 	slowTimer := time.NewTimer(x.targetPool.SlowThreshold())
 	defer slowTimer.Stop()
 	callerDone := ctx.Done()
+	shutdownBegan := x.relay.shutdown.began
 	x.start()
 	for {
 		select {
@@ -91,6 +92,9 @@
 			}
 			x.callerGone = true
 			callerDone = nil
+		case <-shutdownBegan:
+			shutdownBegan = nil
+			deadlineTimer.Reset(time.Until(x.beginShutdown()) + deadlineGrace)
 		case <-deadlineTimer.C:
 			return x.expire()
 		}
@@ -100,13 +104,16 @@
 // start starts an attempt; its result arrives on x.results.
 func (x *exchange) start() {
 	ctx, cancel := context.WithDeadline(context.Background(), x.deadline.Add(deadlineGrace))
+	waitCtx, stopWaiting := context.WithCancel(ctx)
 	x.attemptsStarted++
 	t := &attempt{
-		exchange:  x,
-		ctx:       ctx,
-		cancel:    cancel,
-		startedAt: time.Now(),
-		results:   x.results,
+		exchange:    x,
+		ctx:         ctx,
+		cancel:      cancel,
+		waitCtx:     waitCtx,
+		stopWaiting: stopWaiting,
+		startedAt:   time.Now(),
+		results:     x.results,
 		acquireParams: sched.Request{
 			Idempotent:   x.route.Idempotent(),
 			FinalAttempt: !x.canRetry(),
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -49,6 +49,7 @@
 	connPools     connPools
 	sizes         sizes
 	memory        memoryQuota
+	shutdown      shutdown
 
 	mu       sync.Mutex
 	services atomic.Pointer[map[string]*serviceState]
@@ -109,6 +110,7 @@
 		metrics:       stats.New(),
 		emit:          func(sched.Event) {},
 		beforeAcquire: func(context.Context, string, bool) {},
+		shutdown:      shutdown{began: make(chan struct{})},
 	}
 	r.services.Store(&map[string]*serviceState{})
 	r.memory.available.Store(defaultResponseMemory)
@@ -230,6 +232,11 @@
 		return r.refuse(req, fault.RouteUnusable)
 	}
 	x := r.newExchange(req, table, match)
+	limited, ok := r.shutdown.limitDeadline(x.deadline)
+	if !ok {
+		return r.logRefusal(req, fault.Leaving, r.leavingResponse(0))
+	}
+	x.deadline = limited
 	r.beforeAcquire(ctx, x.service, match.Idempotent())
 	return x.run(ctx)
 }
@@ -264,7 +271,11 @@
 
 // refuse returns the error response to a request for which no attempt is made.
 func (r *Relay) refuse(req *caller.Request, kind fault.Kind) *caller.Response {
-	resp := errorResponse(kind, 0)
+	return r.logRefusal(req, kind, errorResponse(kind, 0))
+}
+
+// logRefusal counts and logs a refusal and returns its response.
+func (r *Relay) logRefusal(req *caller.Request, kind fault.Kind, resp *caller.Response) *caller.Response {
 	r.metrics.Counter(stats.Label("relay_refused", "kind", kind.String())).Inc(1)
 	_ = r.logger.Log("msg", "request refused", "id", req.Header.Get(r.headers.RequestID),
 		"kind", kind, "status", resp.Status, "host", req.Host, "path", req.Path())
--- a/core/relay/result.go
+++ b/core/relay/result.go
@@ -65,6 +65,10 @@
 	switch {
 	case x.best.response != nil:
 		return x.relayResponse(x.best.response)
+	case !x.mayHaveRun && !x.mayStart():
+		resp := x.relay.leavingResponse(x.targetPool.AvailableIn())
+		x.relay.recordResponse(x, resp.Status, errLeaving.Error())
+		return resp
 	case !x.mayHaveRun:
 		kind := x.best.kind
 		if kind.Response().Status != http.StatusServiceUnavailable {
