Read requests that are on the way when a shutdown closes the port

What callers saw: up to 8 of 24 callers that connect again and again had a new connection closed with their request unread when the daemon ended; a caller cannot tell that from a request that ran. Cause: reading ended at the same moment as the listener closed. Requests that arrive in the 100 ms after that are now read, and served or refused.

TestShutdownAnswersRequestOnTheWay failed before (unexpected EOF).

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -60,10 +60,10 @@
 	// further request is started then: the caller will send it again on another
 	// connection, so that it would run twice.
 	closing bool
-	// readStopped is set once no further request is read, readEnded once no request is
-	// being read either.
-	readStopped bool
-	readEnded   bool
+	// readUntil, if set, is the time after which no request is read.
+	readUntil time.Time
+	// readEnded is set once no request is read any more.
+	readEnded bool
 }
 
 // beginRequest reports whether a request may start, and adds it to the pending ones if so.
@@ -134,21 +134,24 @@
 func (c *conn) setReadDeadline(t time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.readStopped {
-		return false
+	if !c.readUntil.IsZero() && t.After(c.readUntil) {
+		t = c.readUntil
 	}
 	_ = c.netConn.SetReadDeadline(t)
-	return true
+	return t.After(time.Now())
 }
 
 // stopReading ends the wait for another request, and makes the read of one that is not
-// complete fail.
-func (c *conn) stopReading() {
+// complete fail, at the time until.
+func (c *conn) stopReading(until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readStopped = true
+	if !c.readUntil.IsZero() && !until.Before(c.readUntil) {
+		return
+	}
+	c.readUntil = until
 	if !c.readEnded {
-		_ = c.netConn.SetReadDeadline(time.Unix(1, 0))
+		_ = c.netConn.SetReadDeadline(until)
 	}
 }
 
@@ -160,10 +163,11 @@
 	_ = c.netConn.SetReadDeadline(time.Time{})
 }
 
-func (c *conn) isReadStopped() bool {
+// readStopped reports whether reads have been given an end.
+func (c *conn) readStopped() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.readStopped
+	return !c.readUntil.IsZero()
 }
 
 // run reads requests until the caller disconnects or the connection closes.
@@ -286,7 +290,7 @@
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, errBodyMemory):
 		status = http.StatusServiceUnavailable
-	case errors.As(err, &netErr) && netErr.Timeout() && c.isReadStopped():
+	case errors.As(err, &netErr) && netErr.Timeout() && c.readStopped():
 		status = http.StatusServiceUnavailable
 	case errors.As(err, &netErr) && netErr.Timeout():
 		status = http.StatusRequestTimeout
--- a/core/caller/server.go
+++ b/core/caller/server.go
@@ -31,8 +31,9 @@
 	mu              sync.Mutex
 	listener        net.Listener
 	conns           map[*conn]struct{}
-	// stopping is set by Shutdown; allEnded is closed once no connection is left then.
-	stopping bool
+	// readUntil is the time after which no request is read; zero before Shutdown.
+	readUntil time.Time
+	// allEnded is closed once no connection is left after Shutdown.
 	allEnded chan struct{}
 }
 
@@ -101,10 +102,10 @@
 	c := newConn(s, n)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
-	stopping := s.stopping
+	readUntil := s.readUntil
 	s.mu.Unlock()
-	if stopping {
-		c.stopReading()
+	if !readUntil.IsZero() {
+		c.stopReading(readUntil)
 	}
 	go c.run()
 }
@@ -119,7 +120,7 @@
 // checkAllEnded closes allEnded if Shutdown was called and no connection is left. The
 // caller holds mu.
 func (s *Server) checkAllEnded() {
-	if !s.stopping || len(s.conns) > 0 {
+	if s.readUntil.IsZero() || len(s.conns) > 0 {
 		return
 	}
 	select {
@@ -153,13 +154,18 @@
 	return len(s.conns)
 }
 
-// Shutdown closes the listener and reads no further requests. Those that were read get
-// their responses, one that is not complete is refused. It returns once all connections
-// have ended, or when ctx ends.
+// finalReadTime is how long requests that are on the way are still read after the listener
+// is closed.
+const finalReadTime = 100 * time.Millisecond
+
+// Shutdown closes the listener, and reads no further requests but those that are on the
+// way. Those that were read get their responses, one that is not complete is refused. It
+// returns once all connections have ended, or when ctx ends.
 func (s *Server) Shutdown(ctx context.Context) {
 	s.Drain()
-	for _, c := range s.stop() {
-		c.stopReading()
+	until := time.Now().Add(finalReadTime)
+	for _, c := range s.stop(until) {
+		c.stopReading(until)
 	}
 	select {
 	case <-s.allEnded:
@@ -168,10 +174,10 @@
 }
 
 // stop closes the listener and returns the open connections.
-func (s *Server) stop() []*conn {
+func (s *Server) stop(readUntil time.Time) []*conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopping = true
+	s.readUntil = readUntil
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
--- a/core/caller/shutdown_test.go
+++ b/core/caller/shutdown_test.go
@@ -176,6 +176,27 @@
 	g.Expect(s.OpenConnections()).To(BeZero())
 }
 
+// Guards against a request that was sent on a new connection just before the callers' port
+// closes, and whose caller cannot tell whether it was read.
+func TestShutdownAnswersRequestOnTheWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+		s := &runningServer{caller.NewServer(echo, func() route.Limits { return limits }), p}
+		go s.run()
+		callerSide, serverSide := net.Pipe()
+		p.conns <- serverSide
+		synctest.Wait()
+		shutdown := startShutdown(s.server)
+		synctest.Wait()
+		sendGet(callerSide, "/1")
+		resp, body := readResponse(g, bufio.NewReader(callerSide))
+		g.Expect(body).To(Equal("GET /1 "))
+		g.Expect(resp.Close).To(BeTrue())
+		<-shutdown.done
+	})
+}
+
 // Guards against a request whose body is still arriving, and that is cut by a shutdown
 // without a word.
 func TestShutdownRefusesHalfReadRequest(t *testing.T) {
--- a/core/caller/writer.go
+++ b/core/caller/writer.go
@@ -61,7 +61,7 @@
 		return
 	}
 	if closeAfter {
-		w.conn.stopReading()
+		w.conn.stopReading(time.Unix(1, 0))
 	}
 }
 
