Do not give up a request because its caller sends much behind it

What callers saw: 504 or no answer to the last request of a connection if they had sent 1 MiB behind it, as a caller does that pipelines large bodies to a daemon that drains. Cause: reading behind the last request notices that the caller goes away, and took reaching its own limit for that.

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -29,7 +29,7 @@
 	// a request that was sent before the timeout may still be on its way.
 	idleGrace = time.Second
 	// maxTrailingBytes is the maximum number of bytes that are read and discarded after
-	// the last request of a connection. A caller that sends more counts as disconnected.
+	// the last request of a connection, while its responses are awaited.
 	maxTrailingBytes = 1 << 20
 )
 
@@ -188,7 +188,10 @@
 	if c.ctx.Err() != nil {
 		return
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(c.reader, maxTrailingBytes))
+	n, err := io.Copy(io.Discard, io.LimitReader(c.reader, maxTrailingBytes))
+	if n == maxTrailingBytes {
+		return // The caller still sends, so it has not disconnected.
+	}
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() {
 		return // The writer has written the last response and waited for the caller.
--- a/core/caller/shutdown_test.go
+++ b/core/caller/shutdown_test.go
@@ -135,6 +135,36 @@
 	})
 }
 
+// Guards against a request that is given up because its caller has sent much behind it,
+// which is not read as the connection ends after that request.
+func TestLastRequestIsAnsweredWhenMuchFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		release := make(chan struct{})
+		handle := func(ctx context.Context, _ *caller.Request) *caller.Response {
+			select {
+			case <-release:
+				return caller.TextResponse(http.StatusOK, "whole")
+			case <-ctx.Done():
+				return caller.TextResponse(http.StatusGatewayTimeout, "given up")
+			}
+		}
+		p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+		s := &runningServer{caller.NewServer(handle, func() route.Limits { return limits }), p}
+		go s.run()
+		defer s.server.Close()
+		callerSide, serverSide := net.Pipe()
+		p.conns <- serverSide
+		_, _ = fmt.Fprint(callerSide, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		_, err := callerSide.Write(make([]byte, 1<<20))
+		g.Expect(err).NotTo(HaveOccurred())
+		synctest.Wait()
+		close(release)
+		_, body := readResponse(g, bufio.NewReader(callerSide))
+		g.Expect(body).To(Equal("whole"))
+	})
+}
+
 // Guards against requests that are cut because the shutdown closes their connections while
 // they are in progress.
 func TestShutdownWaitsForResponses(t *testing.T) {
