Let a shutdown wait for a connection that was just accepted

What callers would see: a connection that is accepted at the moment at which the callers' port closes is served while the process exits, and its request is cut. Cause: a shutdown ended as soon as no connection was registered. It now waits until no further one can be, that is, until the loop that accepts connections has ended.

--- a/core/caller/server.go
+++ b/core/caller/server.go
@@ -30,7 +30,9 @@
 	maxBodyMemory   int64
 	mu              sync.Mutex
 	listener        net.Listener
-	conns           map[*conn]struct{}
+	// serving is the number of calls of Serve that may still register a connection.
+	serving int
+	conns   map[*conn]struct{}
 	// readUntil is the time after which no request is read; zero before Shutdown.
 	readUntil time.Time
 	// allEnded is closed once no connection is left after Shutdown.
@@ -81,9 +83,11 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) {
-	s.mu.Lock()
-	s.listener = l
-	s.mu.Unlock()
+	if !s.beginServing(l) {
+		_ = l.Close()
+		return
+	}
+	defer s.endServing()
 	for {
 		n, err := l.Accept()
 		switch {
@@ -98,6 +102,25 @@
 	}
 }
 
+// beginServing registers the listener. It returns false if the server was shut down.
+func (s *Server) beginServing(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.readUntil.IsZero() {
+		return false
+	}
+	s.listener = l
+	s.serving++
+	return true
+}
+
+func (s *Server) endServing() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serving--
+	s.checkAllEnded()
+}
+
 func (s *Server) startConn(n net.Conn) {
 	c := newConn(s, n)
 	s.mu.Lock()
@@ -117,10 +140,10 @@
 	s.checkAllEnded()
 }
 
-// checkAllEnded closes allEnded if Shutdown was called and no connection is left. The
-// caller holds mu.
+// checkAllEnded closes allEnded if Shutdown was called and no connection is left or still
+// to be registered. The caller holds mu.
 func (s *Server) checkAllEnded() {
-	if s.readUntil.IsZero() || len(s.conns) > 0 {
+	if s.readUntil.IsZero() || len(s.conns) > 0 || s.serving > 0 {
 		return
 	}
 	select {
--- a/core/caller/shutdown_test.go
+++ b/core/caller/shutdown_test.go
@@ -247,3 +247,44 @@
 		})
 	}
 }
+
+// lateListener returns a connection from Accept although it was closed in the meantime, as
+// a listener does whose connection was accepted just before.
+type lateListener struct {
+	pipeListener
+	accepted net.Conn
+	release  chan struct{}
+}
+
+// Accept returns the connection once it is released, and then fails.
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.release
+	if c := l.accepted; c != nil {
+		l.accepted = nil
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+// Guards against a shutdown that ends, so that the process exits, while a connection that
+// was accepted just before is still to be registered, and whose request then is cut.
+func TestShutdownWaitsForAcceptedConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		callerSide, serverSide := net.Pipe()
+		defer callerSide.Close()
+		l := &lateListener{pipeListener: pipeListener{done: make(chan struct{})}, accepted: serverSide, release: make(chan struct{})}
+		s := &runningServer{caller.NewServer(echo, func() route.Limits { return limits }), l}
+		go s.run()
+		synctest.Wait()
+		shutdown := startShutdown(s.server)
+		synctest.Wait()
+		close(l.release)
+		sendGet(callerSide, "/1")
+		synctest.Wait()
+		g.Expect(shutdown.done).NotTo(BeClosed(), "a request has no response yet")
+		_, body := readResponse(g, bufio.NewReader(callerSide))
+		g.Expect(body).To(Equal("GET /1 "))
+		<-shutdown.done
+	})
+}
