Accept what waits in the queue when a shutdown closes the port

What callers saw: a reset of connections that waited to be accepted when the callers' port closed, with the requests that they had sent there. Cause: closing a listener resets its queue. The listener now accepts for 50 ms more, and closes after that.

--- a/core/caller/server.go
+++ b/core/caller/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -95,6 +96,9 @@
 			s.startConn(n)
 		case errors.Is(err, net.ErrClosed):
 			return
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			_ = l.Close()
+			return
 		default:
 			_ = s.logger.Log("msg", "accept failed", "err", err)
 			<-time.After(acceptRetryDelay)
@@ -177,16 +181,20 @@
 	return len(s.conns)
 }
 
-// finalReadTime is how long requests that are on the way are still read after the listener
-// is closed.
-const finalReadTime = 100 * time.Millisecond
+const (
+	// finalAcceptTime is how long connections are still accepted during a shutdown. Those
+	// that wait to be accepted when the listener closes are reset.
+	finalAcceptTime = 50 * time.Millisecond
+	// finalReadTime is how long requests that are on the way are still read after that.
+	finalReadTime = 100 * time.Millisecond
+)
 
 // Shutdown closes the listener, and reads no further requests but those that are on the
 // way. Those that were read get their responses, one that is not complete is refused. It
 // returns once all connections have ended, or when ctx ends.
 func (s *Server) Shutdown(ctx context.Context) {
 	s.Drain()
-	until := time.Now().Add(finalReadTime)
+	until := time.Now().Add(finalAcceptTime + finalReadTime)
 	for _, c := range s.stop(until) {
 		c.stopReading(until)
 	}
@@ -196,18 +204,27 @@
 	}
 }
 
-// stop closes the listener and returns the open connections.
+// stop ends the listener and returns the open connections.
 func (s *Server) stop(readUntil time.Time) []*conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.readUntil = readUntil
 	if s.listener != nil {
-		_ = s.listener.Close()
+		endListener(s.listener)
 	}
 	s.checkAllEnded()
 	return slices.Collect(maps.Keys(s.conns))
 }
 
+// endListener makes the listener accept what waits in its queue, and then end; one
+// without deadlines is closed.
+func endListener(l net.Listener) {
+	limited, ok := l.(interface{ SetDeadline(t time.Time) error })
+	if !ok || limited.SetDeadline(time.Now().Add(finalAcceptTime)) != nil {
+		_ = l.Close()
+	}
+}
+
 // Close closes the listener and all connections. It logs each request that ends without
 // a complete response because of it.
 func (s *Server) Close() {
--- a/core/caller/shutdown_test.go
+++ b/core/caller/shutdown_test.go
@@ -288,3 +288,60 @@
 		<-shutdown.done
 	})
 }
+
+// queuedListener leaves connections in the queue of the system until the shutdown has
+// closed it or has limited the time for accepting them.
+type queuedListener struct {
+	*net.TCPListener
+	// accepting is closed once the server accepts connections, stopped when it stops.
+	accepting, stopped chan struct{}
+	accept, stop       func()
+}
+
+func newQueuedListener(l *net.TCPListener) *queuedListener {
+	q := &queuedListener{TCPListener: l, accepting: make(chan struct{}), stopped: make(chan struct{})}
+	q.accept = sync.OnceFunc(func() { close(q.accepting) })
+	q.stop = sync.OnceFunc(func() { close(q.stopped) })
+	return q
+}
+
+// Accept accepts a connection once the shutdown has begun.
+func (l *queuedListener) Accept() (net.Conn, error) {
+	l.accept()
+	<-l.stopped
+	return l.TCPListener.Accept()
+}
+
+// Close closes the listener.
+func (l *queuedListener) Close() error {
+	defer l.stop()
+	return l.TCPListener.Close()
+}
+
+// SetDeadline limits the time for accepting connections.
+func (l *queuedListener) SetDeadline(t time.Time) error {
+	defer l.stop()
+	return l.TCPListener.SetDeadline(t)
+}
+
+// Guards against requests that are sent on connections which wait to be accepted when the
+// callers' port closes, as after a pause of the process, and that are reset with it.
+func TestShutdownAnswersQueuedConnection(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	g.Expect(err).NotTo(HaveOccurred())
+	queue := newQueuedListener(l)
+	s := &runningServer{caller.NewServer(echo, func() route.Limits { return limits }), queue}
+	go s.run()
+	defer s.server.Close()
+	conn, err := net.Dial("tcp4", l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+	sendGet(conn, "/1")
+	<-queue.accepting
+	startShutdown(s.server)
+	resp, _ := readResponse(g, bufio.NewReader(conn))
+	g.Expect(resp.StatusCode).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
+	g.Expect(resp.Close).To(BeTrue())
+}
