Do not count the end of a shutdown against the target at work

What would be seen: a target at which a request of a daemon that shuts down is at work counts as failing in the whole fleet. Cause: at the end of its shutdown a daemon gives up such a request as at its deadline, and reported that as a failure of the target. It now reports no result.

TestShutdownDoesNotCountAgainstTarget failed before in 3 of 3 runs.

--- a/core/relay/result.go
+++ b/core/relay/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"wisteriarelay.example/core/caller"
 	"wisteriarelay.example/core/fault"
@@ -82,13 +83,17 @@
 	}
 }
 
-// expire returns the response to the caller at the deadline. It first cancels the
-// attempts and waits for their results: after a pause of the process, an attempt may
-// have sent the request without the exchange having received its grant, and the
-// response must not state that such a request did not run.
+// expire returns the response to the caller at the deadline, or at the end of a shutdown
+// if that is earlier. It first cancels the attempts and waits for their results: after a
+// pause of the process, an attempt may have sent the request without the exchange having
+// received its grant, and the response must not state that such a request did not run.
 func (x *exchange) expire() *caller.Response {
+	observation := judge.Broken
+	if time.Now().Before(x.deadline) {
+		observation = judge.Nothing
+	}
 	for t := range x.inFlight {
-		t.grant.Complete(judge.Broken, 0)
+		t.grant.Complete(observation, 0)
 	}
 	for t := range x.running {
 		t.cancel()
--- a/core/relay/shutdown_test.go
+++ b/core/relay/shutdown_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriarelay.example/core/caller"
+	"wisteriarelay.example/core/judge"
 	"wisteriarelay.example/core/link"
 	"wisteriarelay.example/core/relay"
 	"wisteriarelay.example/core/sched"
@@ -69,8 +71,8 @@
 }
 
 // newRelay returns a relay with the target, which has one slot.
-func (w *workingTarget) newRelay() *relay.Relay {
-	r := (&largeTarget{}).newRelay(relay.WithLinkOptions(link.WithDial(w.dial)))
+func (w *workingTarget) newRelay(opts ...relay.Option) *relay.Relay {
+	r := (&largeTarget{}).newRelay(append(opts, relay.WithLinkOptions(link.WithDial(w.dial)))...)
 	r.SetTargets(map[string][]sched.Target{"archive": {{Key: sched.Key{ID: "t0", StartMillis: 1}, Address: firstAddress, DataCentre: "a", Slots: 1}}})
 	return r
 }
@@ -218,3 +220,38 @@
 		g.Expect(targets.count(firstAddress) + targets.count(secondAddress)).To(Equal(1))
 	})
 }
+
+// resultLog keeps the results of targets that a relay reports to its peers.
+type resultLog struct {
+	mu      sync.Mutex
+	results []judge.Result
+}
+
+func (l *resultLog) add(e sched.Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.results = append(l.results, e.Result)
+}
+
+func (l *resultLog) all() []judge.Result {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.results)
+}
+
+// Guards against a target that counts as failing in the whole fleet because a daemon that
+// shuts down gave up a request at which it was at work, long before its deadline.
+func TestShutdownDoesNotCountAgainstTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		target, results := &workingTarget{work: 3 * time.Second}, &resultLog{}
+		r := target.newRelay(relay.WithEmit(results.add))
+		defer r.SetTargets(nil)
+		s := startSender(r, "sent", routeTimeout)
+		r.BeginShutdown(shutdownIn(time.Second, 0, true))
+		<-s.done
+		g.Expect(s.response.Status).To(Equal(http.StatusGatewayTimeout))
+		time.Sleep(time.Minute)
+		g.Expect(results.all()).NotTo(ContainElement(judge.Broken))
+	})
+}
