Apply a shutdown without peers to requests that wait

What callers saw: if no peer is ready, a request that waited for a target when the shutdown began was sent with more time than the daemon had, or waited on to the end when it could not be sent any more. Cause: only new requests got the end of the shutdown as their deadline. The deadline is now limited when a request is sent, and waits are ended when the time for shortened requests is over.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -96,14 +96,15 @@
 func (t *attempt) send() *result {
 	x := t.exchange
 	pool := x.relay.connPools.get(t.grant.Target)
-	if !x.mayStart() {
+	deadline, ok := x.relay.shutdown.limitDeadline(x.deadline)
+	if !ok {
 		return &result{attempt: t, unsent: true, notRun: true, kind: fault.Leaving, observation: judge.Nothing, err: errLeaving}
 	}
 	if err := t.checkTarget(); err != nil {
 		return &result{attempt: t, unsent: true, notRun: true, kind: fault.NoTarget, observation: judge.Nothing, err: err}
 	}
 	x.request.MarkSent()
-	resp, err := pool.Forward(t.ctx, t.buildMessage(), x.maxIdle())
+	resp, err := pool.Forward(t.ctx, t.buildMessage(deadline), x.maxIdle())
 	if err != nil {
 		return t.classifyError(err)
 	}
@@ -111,13 +112,13 @@
 	return t.classifyResponse(resp)
 }
 
-// buildMessage returns the request for the target: that of the caller with the time
-// left and the expected target instance in its header.
-func (t *attempt) buildMessage() *link.RawRequest {
+// buildMessage returns the request for the target: that of the caller with the time until
+// the deadline and the expected target instance in its header.
+func (t *attempt) buildMessage(deadline time.Time) *link.RawRequest {
 	x := t.exchange
 	names := &x.relay.headers
 	h := x.header.Clone()
-	left := max(time.Until(x.deadline).Milliseconds(), 1)
+	left := max(time.Until(deadline).Milliseconds(), 1)
 	h.Set(names.Deadline, strconv.FormatInt(left, 10))
 	h.Set(names.ExpectInstance, t.grant.Target.ID)
 	return &link.RawRequest{
--- a/core/relay/exchange.go
+++ b/core/relay/exchange.go
@@ -69,6 +69,7 @@
 	defer slowTimer.Stop()
 	callerDone := ctx.Done()
 	shutdownBegan := x.relay.shutdown.began
+	var recheck <-chan time.Time
 	x.start()
 	for {
 		select {
@@ -94,7 +95,11 @@
 			callerDone = nil
 		case <-shutdownBegan:
 			shutdownBegan = nil
-			deadlineTimer.Reset(time.Until(x.beginShutdown()) + deadlineGrace)
+			times := x.beginShutdown()
+			recheck = time.After(time.Until(times.recheck))
+			deadlineTimer.Reset(time.Until(times.expiry) + deadlineGrace)
+		case <-recheck:
+			x.endUselessWaits()
 		case <-deadlineTimer.C:
 			return x.expire()
 		}
--- a/core/relay/shutdown.go
+++ b/core/relay/shutdown.go
@@ -17,7 +17,7 @@
 type ShutdownPlan struct {
 	// End is the time by which each request must have its response.
 	End time.Time
-	// ShortenUntil is the time until which a request whose deadline is after End is
+	// ShortenUntil is the time before which a request whose deadline is after End is
 	// served with End as its deadline, if no peer can serve it.
 	ShortenUntil time.Time
 	// PeerReady reports whether another daemon can serve requests.
@@ -31,7 +31,7 @@
 	switch {
 	case !deadline.After(p.End):
 		return deadline, true
-	case p.PeerReady() || now.After(p.ShortenUntil):
+	case p.PeerReady() || !now.Before(p.ShortenUntil):
 		return time.Time{}, false
 	default:
 		return p.End, true
@@ -68,19 +68,33 @@
 	return ok
 }
 
-// beginShutdown returns the time at which the exchange expires once the daemon shuts
-// down. If the exchange cannot be served until then, its attempts that wait for a target
-// are ended.
-func (x *exchange) beginShutdown() time.Time {
-	if !x.mayStart() {
-		for t := range x.running {
-			t.stopWaiting()
-		}
+// shutdownTimes are the moments of a shutdown that concern an exchange.
+type shutdownTimes struct {
+	// recheck is when it has to be decided again whether the exchange may still start an
+	// attempt, expiry when the exchange ends.
+	recheck, expiry time.Time
+}
+
+// beginShutdown applies a shutdown to the exchange.
+func (x *exchange) beginShutdown() shutdownTimes {
+	p := x.relay.shutdown.plan.Load()
+	times := shutdownTimes{recheck: p.ShortenUntil, expiry: x.deadline}
+	if p.End.Before(x.deadline) {
+		times.expiry = p.End
+	}
+	x.endUselessWaits()
+	return times
+}
+
+// endUselessWaits ends the attempts that wait for a target if the exchange may start no
+// attempt any more.
+func (x *exchange) endUselessWaits() {
+	if x.mayStart() {
+		return
 	}
-	if end := x.relay.shutdown.plan.Load().End; end.Before(x.deadline) {
-		return end
+	for t := range x.running {
+		t.stopWaiting()
 	}
-	return x.deadline
 }
 
 // leavingResponse returns the response to a request that is refused because the daemon
--- a/core/relay/shutdown_test.go
+++ b/core/relay/shutdown_test.go
@@ -255,3 +255,43 @@
 		g.Expect(results.all()).NotTo(ContainElement(judge.Broken))
 	})
 }
+
+// Guards against a request that waits for a target when a shutdown without peers begins,
+// and that keeps waiting when it can no longer be sent, or is sent with more time than the
+// daemon has left.
+func TestWaitingRequestIsShortenedWithoutPeers(t *testing.T) {
+	for name, c := range map[string]struct {
+		// work is the time that the target takes for each request; the request that waits
+		// gets the target after it.
+		work, shortenFor time.Duration
+	}{
+		"sent in time": {time.Second, 1500 * time.Millisecond},
+		"not sent":     {1500 * time.Millisecond, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				target := &workingTarget{work: c.work}
+				r := target.newRelay()
+				defer r.SetTargets(nil)
+				var senders []*timedSender
+				for i := range 4 {
+					senders = append(senders, startSender(r, fmt.Sprint(i), routeTimeout))
+				}
+				sent := len(target.requestLimits())
+				g.Expect(sent).To(BeNumerically("<", len(senders)))
+				const end = 3 * time.Second
+				r.BeginShutdown(shutdownIn(end, c.shortenFor, false))
+				for _, s := range senders {
+					<-s.done
+					if s.response.Status == http.StatusServiceUnavailable {
+						g.Expect(s.took).To(BeNumerically("<=", c.shortenFor), "it cannot be sent any more then")
+					}
+				}
+				for _, limit := range target.requestLimits()[sent:] {
+					g.Expect(limit).To(BeNumerically("<=", end-c.work), "the daemon has no more time")
+				}
+			})
+		})
+	}
+}
