Shorten requests only in the first 3 s of a shutdown

What callers saw: on a deployment with a limit of 10 s, and no peer that was ready, a request with a late deadline that was sent between 3 and 5 s after the signal could be given up while its target was at work. The platform allows that for requests sent within 3 s only. Cause: the time in which such requests are served was half of the limit, whatever it was.

TestRequestsAreShortenedOnlyEarlyInShutdown failed before for 10 s and 60 s.

--- a/core/node/shutdown.go
+++ b/core/node/shutdown.go
@@ -20,6 +20,10 @@
 	// that response, a third for closing connections, and a third is left over.
 	maxShutdownReserve   = 900 * time.Millisecond
 	shutdownReserveRatio = 0.15
+	// maxShortenTime is the longest time after the signal in which requests are served
+	// whose deadline is after the shutdown. The platform accepts that a request which was
+	// sent by then ends with the process.
+	maxShortenTime = 3 * time.Second
 )
 
 // shutdownSchedule holds the times of a shutdown. It is fixed when the signal is
@@ -48,12 +52,12 @@
 }
 
 // plan returns which requests the relay may still serve. Without a peer that is ready,
-// requests with a late deadline are served in the first half of the shutdown, because
-// they would find no other daemon.
+// requests with a late deadline are served early in the shutdown, because they would find
+// no other daemon.
 func (s *shutdownSchedule) plan(peerReady func() bool) relay.ShutdownPlan {
 	return relay.ShutdownPlan{
 		End:          s.lastResponse,
-		ShortenUntil: s.began.Add(s.kill.Sub(s.began) / 2),
+		ShortenUntil: s.began.Add(min(maxShortenTime, s.kill.Sub(s.began)/2)),
 		PeerReady:    peerReady,
 	}
 }
--- a/core/node/shutdown_test.go
+++ b/core/node/shutdown_test.go
@@ -27,3 +27,19 @@
 		})
 	}
 }
+
+// Guards against a request that is sent to a target later than 3 s after the signal, and
+// that the end of the shutdown cuts while the target is at work: the platform allows that
+// only for requests that were sent earlier, whatever the limit.
+func TestRequestsAreShortenedOnlyEarlyInShutdown(t *testing.T) {
+	const latestSend = 3 * time.Second
+	for _, limit := range []time.Duration{6 * time.Second, 10 * time.Second, time.Minute} {
+		t.Run(limit.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			began := time.Now()
+			s := newShutdownSchedule(began, limit)
+			plan := s.plan(func() bool { return false })
+			g.Expect(plan.ShortenUntil.Sub(began)).To(BeNumerically("<=", latestSend))
+		})
+	}
+}
