Test shutdowns with slow readers and full pipelines

Three gaps in the tests of a shutdown: a large response that is read slowly across the close of the port, more pipelined requests than may wait for the writer, and a request that is held before it asks for a target when the shutdown begins.

--- a/core/caller/shutdown_test.go
+++ b/core/caller/shutdown_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -345,3 +346,70 @@
 	g.Expect(resp.StatusCode).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
 	g.Expect(resp.Close).To(BeTrue())
 }
+
+// Guards against a large response that a shutdown cuts because its caller reads it slowly.
+func TestShutdownWaitsForSlowReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const size, pieces = 1 << 20, 16
+		handle := func(context.Context, *caller.Request) *caller.Response {
+			return caller.TextResponse(http.StatusOK, strings.Repeat("a", size))
+		}
+		p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+		s := &runningServer{caller.NewServer(handle, func() route.Limits { return limits }), p}
+		go s.run()
+		callerSide, serverSide := net.Pipe()
+		p.conns <- serverSide
+		sendGet(callerSide, "/")
+		resp, err := http.ReadResponse(bufio.NewReader(callerSide), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		shutdown := startShutdown(s.server)
+		for range pieces {
+			time.Sleep(100 * time.Millisecond)
+			n, err := io.CopyN(io.Discard, resp.Body, size/pieces)
+			g.Expect(err).NotTo(HaveOccurred(), "after %d bytes", n)
+		}
+		<-shutdown.done
+		g.Expect(s.server.OpenRequests()).To(BeEmpty())
+	})
+}
+
+// Guards against a shutdown that never ends, or loses responses, because a connection has
+// more requests in progress than may wait for its writer.
+func TestShutdownAnswersFullPipeline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const sent = 50
+		var mu sync.Mutex
+		started := 0
+		handle := func(_ context.Context, r *caller.Request) *caller.Response {
+			mu.Lock()
+			started++
+			mu.Unlock()
+			time.Sleep(time.Second)
+			return caller.TextResponse(http.StatusOK, r.RequestURI)
+		}
+		p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+		s := &runningServer{caller.NewServer(handle, func() route.Limits { return limits }), p}
+		go s.run()
+		callerSide, serverSide := net.Pipe()
+		p.conns <- serverSide
+		var requests strings.Builder
+		for i := range sent {
+			_, _ = fmt.Fprintf(&requests, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i)
+		}
+		_, err := io.WriteString(callerSide, requests.String())
+		g.Expect(err).NotTo(HaveOccurred())
+		synctest.Wait()
+		shutdown := startShutdown(s.server)
+		reader := bufio.NewReader(callerSide)
+		answered := 0
+		for closes := false; !closes; answered++ {
+			resp, body := readResponse(g, reader)
+			g.Expect(body).To(Equal(fmt.Sprintf("/%d", answered)))
+			closes = resp.Close
+		}
+		<-shutdown.done
+		g.Expect(started).To(Equal(answered), "each request that was started has its response")
+	})
+}
--- a/core/relay/shutdown_test.go
+++ b/core/relay/shutdown_test.go
@@ -295,3 +295,30 @@
 		})
 	}
 }
+
+// gate holds requests before they acquire a target.
+type gate struct {
+	open chan struct{}
+}
+
+func (g *gate) wait(context.Context, string, bool) {
+	<-g.open
+}
+
+// Guards against a request that is sent although the shutdown began after it was taken and
+// before it asked for a target.
+func TestRequestTakenJustBeforeShutdownIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		target, held := &workingTarget{work: 100 * time.Millisecond}, &gate{make(chan struct{})}
+		r := target.newRelay(relay.WithBeforeAcquire(held.wait))
+		defer r.SetTargets(nil)
+		s := startSender(r, "taken", routeTimeout)
+		r.BeginShutdown(shutdownIn(3*time.Second, 0, true))
+		close(held.open)
+		<-s.done
+		g.Expect(s.response.Status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(s.response.Header.Get("Retry-After")).To(Equal("0"))
+		g.Expect(target.requestLimits()).To(BeEmpty())
+	})
+}
