Let the test of draining pipelines wait for each read

TestPipelinedConnectionClosesWhileDraining did not wait until a request was read before it released the response before it, so that the connection often closed without the change that it guards: without it the test passed in 16 of 30 runs with GOMAXPROCS=2 and in 30 of 30 with 1. On the clock of a bubble it waits; without the change it now fails in 30 of 30 runs with each, and with it passes in 30 of 30 with -race.

--- a/core/caller/shutdown_test.go
+++ b/core/caller/shutdown_test.go
@@ -76,31 +76,39 @@
 // Guards against a connection whose caller always sends another request before it has the
 // response to the last one, and that therefore never closes during a shutdown.
 func TestPipelinedConnectionClosesWhileDraining(t *testing.T) {
-	g := NewWithT(t)
-	h := newHeldHandler()
-	s, dial := serve(t, h.handle)
-	conn, r := dial()
-	const count = 10
-	sendGet(conn, "/0")
-	sendGet(conn, "/1")
-	g.Expect([]string{<-h.started, <-h.started}).To(ConsistOf("/0", "/1"))
-	s.Drain()
-	started := 2
-	for answered := 0; answered < count; answered++ {
-		sendGet(conn, fmt.Sprintf("/%d", answered+2))
-		if answered == 0 {
-			<-h.started
-			started++
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHeldHandler()
+		p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+		s := &runningServer{caller.NewServer(h.handle, func() route.Limits { return limits }), p}
+		go s.run()
+		defer s.server.Close()
+		conn, serverSide := net.Pipe()
+		defer conn.Close()
+		p.conns <- serverSide
+		r := bufio.NewReader(conn)
+		const count = 10
+		sendGet(conn, "/0")
+		sendGet(conn, "/1")
+		synctest.Wait()
+		s.server.Drain()
+		for answered := 0; answered < count; answered++ {
+			sendGet(conn, fmt.Sprintf("/%d", answered+2))
+			// The request is read, and started if there is a further one to start.
+			synctest.Wait()
+			h.release(fmt.Sprintf("/%d", answered))
+			resp, body := readResponse(g, r)
+			g.Expect(body).To(Equal(fmt.Sprintf("/%d", answered)))
+			if resp.Close {
+				g.Expect(h.started).To(HaveLen(answered+1), "each request that was started has its response")
+				return
+			}
 		}
-		h.release(fmt.Sprintf("/%d", answered))
-		resp, body := readResponse(g, r)
-		g.Expect(body).To(Equal(fmt.Sprintf("/%d", answered)))
-		if resp.Close {
-			g.Expect(answered+1).To(Equal(started), "each request that was started has its response")
-			return
+		t.Errorf("connection still open after %d responses", count)
+		for i := range 2 {
+			h.release(fmt.Sprintf("/%d", count+i))
 		}
-	}
-	t.Fatalf("connection still open after %d responses", count)
+	})
 }
 
 // Guards against a connection that stays open until the idle timeout after a response that
