--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -186,3 +186,32 @@
 	}
 	g.Expect(r.StartedAfterMost()).To(BeTrue())
 }
+
+// Guards against a daemon that leaves and refuses requests for peers that leave too, are
+// not ready or are gone.
+func TestAnyPeerReady(t *testing.T) {
+	for name, c := range map[string]struct {
+		dataCentre string
+		status     roster.Status
+		after      time.Duration
+		ready      bool
+	}{
+		"ready":                  {"a", roster.Status{Ready: true}, 0, true},
+		"ready at reduced rate":  {"a", roster.Status{Ready: true, ReducedRate: true}, 3 * time.Second, true},
+		"in another data centre": {"b", roster.Status{Ready: true}, 3 * time.Second, true},
+		"not ready":              {"a", roster.Status{}, 0, false},
+		"leaving":                {"a", roster.Status{Ready: true, Leaving: true}, 0, false},
+		"gone":                   {"a", roster.Status{Ready: true}, 4 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := roster.New(member("a", 0))
+			r.SetStatus(false, true)
+			g.Expect(r.AnyPeerReady(startTime)).To(BeFalse(), "a daemon is not its own peer")
+			r.Add(member("a", 2))
+			g.Expect(r.AnyPeerReady(startTime)).To(BeFalse(), "no heartbeat was received")
+			r.RecordHeartbeat(startTime, member(c.dataCentre, 1), c.status, nil)
+			g.Expect(r.AnyPeerReady(startTime.Add(c.after))).To(Equal(c.ready))
+		})
+	}
+}
