Notice a disconnect whatever a caller sends behind its last request

What was seen: the target of a request whose caller had sent 1 MiB behind it, and had left, worked on to its deadline. Cause: reading stopped there, since the limit no longer counts as a disconnect. What is discarded takes no memory, and the responses that are due bound the time, so there is no limit now.

TestDisconnectIsSeenWhenMuchFollows failed before; TestLastRequestIsAnsweredWhenMuchFollows still passes.

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -28,9 +28,6 @@
 	// idleGrace is how long an idle connection is kept beyond the idle timeout, because
 	// a request that was sent before the timeout may still be on its way.
 	idleGrace = time.Second
-	// maxTrailingBytes is the maximum number of bytes that are read and discarded after
-	// the last request of a connection, while its responses are awaited.
-	maxTrailingBytes = 1 << 20
 )
 
 var (
@@ -188,10 +185,7 @@
 	if c.ctx.Err() != nil {
 		return
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(c.reader, maxTrailingBytes))
-	if n == maxTrailingBytes {
-		return // The caller still sends, so it has not disconnected.
-	}
+	_, err := io.Copy(io.Discard, c.reader)
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() {
 		return // The writer has written the last response and waited for the caller.
--- a/core/caller/shutdown_test.go
+++ b/core/caller/shutdown_test.go
@@ -174,6 +174,35 @@
 	})
 }
 
+// Guards against a request that goes on although its caller has disconnected, because the
+// caller sent much behind it.
+func TestDisconnectIsSeenWhenMuchFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		cancelled, release := make(chan struct{}), make(chan struct{})
+		defer close(release)
+		handle := func(ctx context.Context, _ *caller.Request) *caller.Response {
+			select {
+			case <-ctx.Done():
+				close(cancelled)
+			case <-release:
+			}
+			return caller.TextResponse(http.StatusOK, "")
+		}
+		p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+		s := &runningServer{caller.NewServer(handle, func() route.Limits { return limits }), p}
+		go s.run()
+		defer s.server.Close()
+		callerSide, serverSide := net.Pipe()
+		p.conns <- serverSide
+		_, _ = fmt.Fprint(callerSide, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		_, _ = callerSide.Write(make([]byte, 1<<20))
+		_ = callerSide.Close()
+		synctest.Wait()
+		g.Expect(cancelled).To(BeClosed())
+	})
+}
+
 // Guards against requests that are cut because the shutdown closes their connections while
 // they are in progress.
 func TestShutdownWaitsForResponses(t *testing.T) {
