Do not let a refresh undo that a daemon leaves

What would be seen: a daemon that stops counts itself as ready for up to 100 ms more, in its own address answers. Cause: a refresh that read the status before the signal could set it after. Both now take the same lock. Found in the review of the shutdown by reading; no test provokes it.

--- a/core/node/shutdown.go
+++ b/core/node/shutdown.go
@@ -68,8 +68,7 @@
 // of callers after the responses that are due, and stops everything.
 func (n *Node) Stop(ctx context.Context) error {
 	s := newShutdownSchedule(time.Now(), n.settings.Load().ShutdownTimeout())
-	n.leaving.Store(true)
-	n.roster.SetStatus(false, true)
+	n.setLeaving()
 	n.logOpenRequests("leaving", "connections", n.callerServer.OpenConnections(), "limit", s.kill.Sub(s.began))
 	n.gossip.SendHeartbeat()
 	n.relay.BeginShutdown(s.plan(func() bool { return n.roster.AnyPeerReady(time.Now()) }))
@@ -84,6 +83,15 @@
 	return n.app.Stop(ctx)
 }
 
+// setLeaving makes the daemon count as leaving. It waits for a refresh that may still set
+// the status from before.
+func (n *Node) setLeaving() {
+	n.refreshMu.Lock()
+	defer n.refreshMu.Unlock()
+	n.leaving.Store(true)
+	n.roster.SetStatus(false, true)
+}
+
 // logOpenRequests logs the event with the number of requests in each state.
 func (n *Node) logOpenRequests(event string, fields ...any) {
 	c := caller.Count(n.callerServer.OpenRequests())
