Let a daemon outlive the reader of its output

What callers saw: when nobody read the daemon's standard output (relay) or standard error (own interface) any more, the daemon ended by SIGPIPE at its next log line, and every request in progress ended with its connection. A supervisor that closes the pipe as it stops a process cuts all of them with the line "leaving".

Cause: the Go runtime ends the process at a failed write to file descriptor 1 or 2 unless SIGPIPE is ignored or handled.

Change: SIGPIPE is ignored from the start of main. A log line that cannot be written is lost, as the loggers ignore the error.

--- a/wisteriad/main.go
+++ b/wisteriad/main.go
@@ -18,6 +18,9 @@
 )
 
 func main() {
+	// A write to a closed standard output or error would otherwise end the process, with
+	// all requests in progress, by SIGPIPE.
+	signal.Ignore(syscall.SIGPIPE)
 	if err := newCommand().Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "wisteriad:", err)
 		os.Exit(1)
