Write the proxy daemon's log without blocking requests

What callers would see: if the daemon's standard error is kept open but not read, its pipe is full after 64 KiB. Each request that logs a line then waits for ever with the lock of the log, a shutdown stops at its first line, and all requests in progress are lost at the kill.

Cause: the own interface's daemon wrote to standard error in the goroutine of the request. The daemon on the platform already writes in the background and drops lines.

Change: both use logs.Writer.

TestDaemonOutlivesFullOutput failed before for the own interface (a refusal had no answer within 20 s) and passes after (go test -count=1 -run Output ./wisteriad).

--- a/wisteriad/main.go
+++ b/wisteriad/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -15,6 +16,7 @@
 
 	"wisteriarelay.example/core/config"
 	"wisteriarelay.example/core/daemon"
+	"wisteriarelay.example/core/logs"
 )
 
 func main() {
@@ -50,8 +52,9 @@
 // shutdown, which does not interrupt requests; a second one ends the wait for
 // callers that may still have the daemon's address.
 func serve(ctx context.Context, settings *config.Settings) error {
-	logger := newLogger(settings.LogLevel)
-	d, err := daemon.New(settings, daemon.WithLogger(logger))
+	out := logs.NewWriter(os.Stderr, logs.DefaultRate)
+	defer out.Close(logFlushTimeout)
+	d, err := daemon.New(settings, daemon.WithLogger(newLogger(out, settings.LogLevel)))
 	if err != nil {
 		return err
 	}
@@ -77,8 +80,8 @@
 	h.daemon.SkipCallerWait()
 }
 
-func newLogger(levelName string) log.Logger {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+func newLogger(out io.Writer, levelName string) log.Logger {
+	logger := log.NewLogfmtLogger(out)
 	logger = log.With(logger, "time", log.DefaultTimestampUTC)
 	return level.NewFilter(logger, level.Allow(level.ParseDefault(levelName, level.InfoValue())))
 }
--- a/wisteriad/output_test.go
+++ b/wisteriad/output_test.go
@@ -44,3 +44,21 @@
 		})
 	}
 }
+
+// Guards against a daemon that stands still, with all requests in progress, when its
+// output is kept open but no longer read, so that the pipe is full.
+func TestDaemonOutlivesFullOutput(t *testing.T) {
+	const refusals = 600 // More lines than the 64 KiB of a pipe hold.
+	for name, start := range daemons {
+		t.Run(name, func(t *testing.T) {
+			d := start(t)
+			d.pauseOutput()
+			answers := d.startRequest("r1")
+			for range refusals {
+				d.g.Expect(send(d.newRefused()).err).NotTo(HaveOccurred())
+			}
+			d.expectServed(answers)
+			d.expectServed(d.startRequest("r2"))
+		})
+	}
+}
--- a/wisteriad/process_test.go
+++ b/wisteriad/process_test.go
@@ -61,6 +61,8 @@
 	// output is the end of the pipe from which the daemon's log is read.
 	output *os.File
 	ended  chan struct{}
+	// paused is held while the output is not read.
+	paused sync.Mutex
 
 	mu    sync.Mutex
 	lines strings.Builder
@@ -85,12 +87,18 @@
 func (r *outputReader) run() {
 	s := bufio.NewScanner(r.output)
 	for s.Scan() {
-		r.mu.Lock()
-		r.lines.WriteString(s.Text() + "\n")
-		r.mu.Unlock()
+		r.paused.Lock()
+		r.addLine(s.Text())
+		r.paused.Unlock()
 	}
 }
 
+func (r *outputReader) addLine(line string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines.WriteString(line + "\n")
+}
+
 // processWaiter waits for the end of a process.
 type processWaiter struct{ *process }
 
@@ -110,6 +118,11 @@
 	return p.lines.String()
 }
 
+// pauseOutput lets nobody read the output any more, and keeps it open.
+func (p *process) pauseOutput() {
+	p.paused.Lock()
+}
+
 func (p *process) hasEnded() bool {
 	select {
 	case <-p.ended:
