Count log lines that could not be written as dropped

What operators would see: the metric log_lines_dropped stays at 0 while a daemon whose output was closed loses all of its log.

Change: a line whose write failed counts as dropped, and if the output can be written again, the next line says how many were lost.

TestLinesToClosedOutputAreCounted failed before (0 of 3 counted) and passes after (go test -race -count=1 ./core/logs).

--- a/core/logs/writer.go
+++ b/core/logs/writer.go
@@ -98,11 +98,20 @@
 func (w *Writer) run() {
 	defer close(w.done)
 	for line := range w.lines {
-		// There is no other place to report that the log itself cannot be written.
-		_, _ = w.out.Write(line)
+		if _, err := w.out.Write(line); err != nil {
+			w.countLost()
+		}
 	}
 }
 
+// countLost counts a line that could not be written: there is no other place to report
+// that the log itself is lost.
+func (w *Writer) countLost() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.drop()
+}
+
 // Close flushes the queued lines, for at most the given time. Lines that are
 // written later are dropped.
 func (w *Writer) Close(timeout time.Duration) {
--- a/core/logs/writer_test.go
+++ b/core/logs/writer_test.go
@@ -48,3 +48,19 @@
 		g.Expect(out.String()).To(ContainSubstring("msg=\"log lines dropped\" count=5\nafter\n"))
 	})
 }
+
+// Guards against lines that are lost because the output is closed, and that no counter
+// shows.
+func TestLinesToClosedOutputAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r, out := io.Pipe()
+		_ = r.Close()
+		w := logs.NewWriter(out, 1000)
+		for i := range 3 {
+			_, _ = fmt.Fprintf(w, "line %d\n", i)
+		}
+		w.Close(time.Second)
+		g.Expect(w.Dropped()).To(BeEquivalentTo(3))
+	})
+}
