Handle SIGTERM while the settings file is being read

What callers would see: a daemon that gets SIGHUP and then SIGTERM goes on taking requests as long as it reads its settings file; if that takes longer than the grace, it is killed with all of them. After two SIGHUP that were not handled yet, a SIGTERM was lost for good.

Cause: one goroutine reloaded the settings and waited for SIGTERM, and both signals shared a channel for two of them; os/signal drops what does not fit.

Change: SIGTERM and SIGINT have a channel of their own, and the goroutine that watches the settings file also reloads it at SIGHUP.

--- a/core/node/reload.go
+++ b/core/node/reload.go
@@ -31,18 +31,20 @@
 	n.ReloadSettings(s)
 }
 
-// WatchSettings reloads the settings whenever the content of the file changes,
-// until ctx ends.
-func (n *Node) WatchSettings(ctx context.Context, file string) {
-	w := &settingsWatcher{Node: n, file: file}
+// WatchSettings reloads the settings at each signal, and whenever the content of the
+// file changes, until ctx ends. It reads the file in the background, because that may
+// take long, and the daemon must not handle SIGTERM late.
+func (n *Node) WatchSettings(ctx context.Context, file string, reload <-chan os.Signal) {
+	w := &settingsWatcher{Node: n, file: file, reload: reload}
 	go w.loop(ctx)
 }
 
 // settingsWatcher polls the settings file for changes.
 type settingsWatcher struct {
 	*Node
-	file string
-	last string
+	file   string
+	reload <-chan os.Signal
+	last   string
 }
 
 func (w *settingsWatcher) loop(ctx context.Context) {
@@ -53,15 +55,22 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
-		}
-		if now := w.content(); now != w.last {
-			w.last = now
+		case <-w.reload:
+			w.last = w.content()
 			w.ReloadSettingsFile(w.file)
+		case <-tick.C:
+			w.reloadIfChanged()
 		}
 	}
 }
 
+func (w *settingsWatcher) reloadIfChanged() {
+	if now := w.content(); now != w.last {
+		w.last = now
+		w.ReloadSettingsFile(w.file)
+	}
+}
+
 // content returns the content of the file, or the last known one if the file cannot
 // be read.
 func (w *settingsWatcher) content() string {
--- a/wisteriad/relay.go
+++ b/wisteriad/relay.go
@@ -68,17 +68,15 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// A full channel drops further signals, so SIGTERM must not share one with SIGHUP.
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
-	n.WatchSettings(ctx, file)
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
-		}
-		n.ReloadSettingsFile(file)
-	}
+	n.WatchSettings(ctx, file, hangups)
+	<-stop
 	return n.Stop(ctx)
 }
