Handle SIGHUP from the start of the program

A daemon with the own interface ended by SIGHUP at any time, with all requests in progress.

Cause: SIGHUP ends a process that does not handle it. The relay handled it only once its settings were read and its parts assembled, the other daemon never.

Change: main handles SIGHUP first of all. A relay that was signalled while it started reloads its settings once it runs. In the time before main, some milliseconds for loading the program and package initialization, SIGHUP still ends the process; nothing has been accepted then.

--- a/wisteriad/relay.go
+++ b/wisteriad/relay.go
@@ -22,7 +22,7 @@
 // file on the platform.
 const settingsEnvVar = "WISTERIARELAY_CONFIG"
 
-func newRelayCommand() *cli.Command {
+func newRelayCommand(hangups <-chan os.Signal) *cli.Command {
 	return &cli.Command{
 		Name:  "relay",
 		Usage: "relay by host and path on the platform",
@@ -38,7 +38,7 @@
 			if c.Bool("check") {
 				return printSettings(c.Root().Writer, settings)
 			}
-			return runRelay(ctx, settings, c.String("settings"))
+			return runRelay(ctx, settings, c.String("settings"), hangups)
 		},
 	}
 }
@@ -57,7 +57,7 @@
 // limit of the Go runtime. The garbage collector runs more often near the limit.
 const memoryLimitRatio = 0.6
 
-func runRelay(ctx context.Context, settings *node.Settings, file string) error {
+func runRelay(ctx context.Context, settings *node.Settings, file string, hangups <-chan os.Signal) error {
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(settings.MemoryMB<<20)))
 	}
@@ -68,11 +68,9 @@
 	if err != nil {
 		return err
 	}
-	// A full channel drops further signals, so SIGTERM must not share one with SIGHUP.
+	// A full channel drops further signals, so SIGTERM does not share one with SIGHUP.
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
