--- a/wisteriad/process_test.go
+++ b/wisteriad/process_test.go
@@ -172,14 +172,16 @@
 	newRequest func(id string) *http.Request
 	// newRefused returns a request that the daemon refuses with a log line.
 	newRefused func() *http.Request
-	// arrived reports whether a target has received the request with the id.
-	arrived func(id string) bool
+	target     *holdingTarget
+	// startedLine is in the log once the daemon serves requests.
+	startedLine string
 }
 
 // waitUntilReady waits until the daemon is ready, and reports false if it ended because
 // one of its ports was taken.
 func (d *testDaemon) waitUntilReady() bool {
-	d.g.Eventually(func() bool { return d.hasEnded() || d.ready() }).WithTimeout(waitTimeout).Should(BeTrue())
+	started := func() bool { return d.ready() && strings.Contains(d.log(), d.startedLine) }
+	d.g.Eventually(func() bool { return d.hasEnded() || started() }).WithTimeout(waitTimeout).Should(BeTrue())
 	if !d.hasEnded() {
 		return true
 	}
@@ -226,34 +228,76 @@
 func (d *testDaemon) startRequest(id string) chan answer {
 	p := &pendingRequest{d.newRequest(id), make(chan answer, 1)}
 	go p.run()
-	d.g.Eventually(func() bool { return d.arrived(id) }).WithTimeout(waitTimeout).Should(BeTrue(), "%s", d.log())
+	d.g.Eventually(func() bool { return d.target.arrived(id) }).WithTimeout(waitTimeout).Should(BeTrue(), "%s", d.log())
 	return p.answers
 }
 
-// expectServed expects that a request is answered by a target.
+// expectServed expects that the target answers a request, which it may do from now on.
 func (d *testDaemon) expectServed(answers chan answer) {
 	d.g.THelper()
+	d.target.release()
 	var a answer
 	d.g.Eventually(answers).WithTimeout(waitTimeout).Should(Receive(&a))
 	d.g.Expect(a.err).NotTo(HaveOccurred(), "the daemon's log:\n%s", d.log())
 	d.g.Expect(a.status).To(Equal(http.StatusOK), a.body)
 }
 
-// processingTime is how long a target works on a request: long enough for the steps of a
-// test to happen meanwhile.
-const processingTime = 1500 * time.Millisecond
+// holdingTarget is a target that has requests wait until it is released, so that they are
+// in progress as long as a test needs.
+type holdingTarget struct {
+	handler http.Handler
+	// idHeader is the name of the header with the id of a request. Requests without one,
+	// such as health checks, do not wait.
+	idHeader string
+	released chan struct{}
+	once     sync.Once
+
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+func newHoldingTarget(h http.Handler, idHeader string) *holdingTarget {
+	return &holdingTarget{handler: h, idHeader: idHeader, released: make(chan struct{}), ids: map[string]bool{}}
+}
+
+// ServeHTTP passes the request on once the target is released.
+func (h *holdingTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(h.idHeader); id != "" {
+		h.add(id)
+		<-h.released
+	}
+	h.handler.ServeHTTP(w, r)
+}
+
+// release ends the wait of all requests, present and future ones.
+func (h *holdingTarget) release() {
+	h.once.Do(func() { close(h.released) })
+}
+
+func (h *holdingTarget) add(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ids[id] = true
+}
+
+// arrived reports whether the target has received the request with the id.
+func (h *holdingTarget) arrived(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ids[id]
+}
+
+// serve returns the address at which the target listens until the test ends.
+func (h *holdingTarget) serve(t *testing.T) string {
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	t.Cleanup(h.release)
+	return strings.TrimPrefix(server.URL, "http://")
+}
 
 // startRelay starts a daemon on the users' platform with one target.
 func startRelay(t *testing.T) *testDaemon {
-	e := newRelayEnv(t)
-	for range startAttempts {
-		d := e.start(writeFile(e.g, filepath.Join(t.TempDir(), "settings.json"), e.newSettings()))
-		if d.waitUntilReady() {
-			return d
-		}
-	}
-	t.Fatal("no free ports")
-	return nil
+	return newRelayEnv(t).startReady()
 }
 
 // relayEnv holds the store and the target of a daemon on the users' platform.
@@ -261,7 +305,7 @@
 	t      *testing.T
 	g      *WithT
 	store  string
-	target *fake.Target
+	target *holdingTarget
 	// addresses are those of the last settings.
 	addresses [5]string
 }
@@ -271,13 +315,27 @@
 	store := fake.NewStore()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
-	target, err := fake.NewTarget("t0", "127.0.0.1:0")
+	run, err := fake.NewTarget("t0", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(target.Close)
-	target.ProcessingTime = processingTime
-	store.Put("servers", target.ID, target.Entry("stock", "a", "ready"))
-	store.Put("op", "config", fake.Config(1, "orders"))
-	return &relayEnv{t: t, g: g, store: strings.TrimPrefix(server.URL, "http://"), target: target}
+	t.Cleanup(run.Close)
+	e := &relayEnv{t: t, g: g, store: strings.TrimPrefix(server.URL, "http://"), target: newHoldingTarget(run, "Request-Id")}
+	entry := run.Entry("stock", "a", "ready")
+	entry["address"] = e.target.serve(t)
+	store.Put("servers", run.ID, entry)
+	store.Put("op", "config", relayConfig(1))
+	return e
+}
+
+// routeTimeoutMillis leaves requests time to wait for a target that is at work.
+const routeTimeoutMillis = 10_000
+
+// relayConfig returns a configuration whose routes have a long timeout.
+func relayConfig(version int) map[string]any {
+	c := fake.Config(version, "orders")
+	for _, p := range c["hosts"].([]any)[0].(map[string]any)["paths"].([]any) {
+		p.(map[string]any)["timeout_ms"] = routeTimeoutMillis
+	}
+	return c
 }
 
 // newSettings returns process settings with new free addresses.
@@ -302,13 +360,25 @@
 func (e *relayEnv) start(settings string) *testDaemon {
 	p := startProcess(e.g, "relay", "-s", settings)
 	e.t.Cleanup(p.kill)
-	d := &testDaemon{process: p, g: e.g, settings: settings, address: e.addresses[0], readyURL: "http://" + e.addresses[2] + "/readiness"}
+	d := &testDaemon{process: p, g: e.g, settings: settings, target: e.target, address: e.addresses[0], readyURL: "http://" + e.addresses[2] + "/readiness"}
+	d.startedLine = "configuration in force"
 	d.newRequest = func(id string) *http.Request { return e.newRequest(d.address, "/orders/1", id) }
 	d.newRefused = func() *http.Request { return e.newRequest(d.address, "/unknown/", "refused") }
-	d.arrived = func(id string) bool { return e.target.Runs()[id] > 0 }
 	return d
 }
 
+// startReady starts a daemon with new settings and waits until it is ready.
+func (e *relayEnv) startReady() *testDaemon {
+	for range startAttempts {
+		d := e.start(writeFile(e.g, filepath.Join(e.t.TempDir(), "settings.json"), e.newSettings()))
+		if d.waitUntilReady() {
+			return d
+		}
+	}
+	e.t.Fatal("no free ports")
+	return nil
+}
+
 func (e *relayEnv) newRequest(address, path, id string) *http.Request {
 	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("x"))
 	e.g.Expect(err).NotTo(HaveOccurred())
@@ -339,7 +409,7 @@
   }
 }`
 
-// startProxy starts a daemon with the project's own interface and one target.
+// startProxy starts a daemon with the own interface and one target.
 func startProxy(t *testing.T) *testDaemon {
 	e := newProxyEnv(t)
 	for range startAttempts {
@@ -358,42 +428,19 @@
 	g        *WithT
 	platform *stand.Platform
 	url      string
-	target   *stand.Target
+	target   *holdingTarget
 	files    inner.IdentityPEM
-	arrivals *arrivals
 	address  string
 }
 
-// arrivals holds the ids of the requests that a target has received.
-type arrivals struct {
-	mu  sync.Mutex
-	ids map[string]bool
-}
-
-func (a *arrivals) add(id string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.ids[id] = true
-}
-
-func (a *arrivals) has(id string) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.ids[id]
-}
-
 func newProxyEnv(t *testing.T) *proxyEnv {
-	e := &proxyEnv{t: t, g: NewWithT(t), platform: stand.NewPlatform(), arrivals: &arrivals{ids: map[string]bool{}}}
-	e.target = stand.NewTarget("reservas-1", stand.WithWorkDuration(processingTime))
-	targetServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		e.arrivals.add(r.Header.Get(stand.HeaderRequestID))
-		e.target.ServeHTTP(w, r)
-	}))
-	t.Cleanup(targetServer.Close)
+	e := &proxyEnv{t: t, g: NewWithT(t), platform: stand.NewPlatform()}
+	e.target = newHoldingTarget(stand.NewTarget("reservas-1"), stand.HeaderRequestID)
+	address := e.target.serve(t)
 	platformServer := httptest.NewServer(e.platform)
 	t.Cleanup(platformServer.Close)
 	e.url = platformServer.URL
-	doc, err := tree.ParseFile(fmt.Appendf(nil, proxySettings, strings.TrimPrefix(targetServer.URL, "http://")))
+	doc, err := tree.ParseFile(fmt.Appendf(nil, proxySettings, address))
 	e.g.Expect(err).NotTo(HaveOccurred())
 	_, _, err = settle.NewChangelog(e.platform.Table()).Bootstrap(context.Background(), doc, "marta")
 	e.g.Expect(err).NotTo(HaveOccurred())
@@ -426,10 +473,10 @@
 func (e *proxyEnv) start(settings string) *testDaemon {
 	p := startProcess(e.g, "-s", settings)
 	e.t.Cleanup(p.kill)
-	d := &testDaemon{process: p, g: e.g, settings: settings, address: e.address, readyURL: "http://" + e.address + "/v1/ready"}
+	d := &testDaemon{process: p, g: e.g, settings: settings, target: e.target, address: e.address, readyURL: "http://" + e.address + "/v1/ready"}
+	d.startedLine = "service carried"
 	d.newRequest = func(id string) *http.Request { return e.newRequest(d.address, "/bookings", id) }
 	d.newRefused = func() *http.Request { return e.newRequest(d.address, "/unknown", "refused") }
-	d.arrived = e.arrivals.has
 	return d
 }
 
--- a/wisteriad/signals_test.go
+++ b/wisteriad/signals_test.go
@@ -122,10 +122,7 @@
 func TestStopSignalIsNotLostBehindReloads(t *testing.T) {
 	const signalGap = 50 * time.Millisecond // Signals that are sent at once merge into one.
 	e := newRelayEnv(t)
-	var d *testDaemon
-	for d == nil || !d.waitUntilReady() {
-		d = e.start(writeFile(e.g, t.TempDir()+"/settings.json", e.newSettings()))
-	}
+	d := e.startReady()
 	file := newSlowFile(e.g, d.settings)
 	for range 4 {
 		d.signal(e.g, syscall.SIGHUP)
