Refuse requests that the own interface's shutdown would cut

What callers saw: a daemon with the own interface took requests until `shutdown-limit` and cut all that were in progress then, if the limit was not well above the address lifetime plus 10 s. A request that arrived while the order ledger was handed over could be cut too.

The shutdown has an end, but nothing that is taken knows of it; only the end of the wind-down of the services, after the wait for callers, happened to refuse requests.

Change: after the wait for callers the relay refuses all further requests for services with status 503, not-ready, retry at another address, and the addresses of the other daemons. The wait is shortened so that a request that is taken last, with the longest deadline of the carried routes, ends 2 s before the limit, which are left for the handover. A refused lookup is told that it did not run; an order with a key is not, as before, because another copy may have run.

--- a/core/daemon/engine.go
+++ b/core/daemon/engine.go
@@ -235,6 +235,17 @@
 	return longest
 }
 
+// longestDeadline returns the longest deadline of the routes of the carried services.
+func (sc *serviceController) longestDeadline() time.Duration {
+	longest := time.Duration(0)
+	for cs := range maps.Values(*sc.carried.Load()) {
+		for _, route := range cs.service.Load().Routes {
+			longest = max(longest, route.Deadline)
+		}
+	}
+	return longest
+}
+
 func (sc *serviceController) dump() any {
 	out := make(map[fleet.ServiceID]serviceDump)
 	for id, cs := range *sc.carried.Load() {
--- a/core/daemon/shutdown.go
+++ b/core/daemon/shutdown.go
@@ -14,19 +14,23 @@
 	// activePollInterval is the time between two checks whether requests are still
 	// in progress.
 	activePollInterval = 50 * time.Millisecond
+	// handOverReserve is the part of the shutdown limit that is kept for handing over the
+	// order ledger after the last request.
+	handOverReserve = 2 * time.Second
 )
 
 // drain takes the daemon out of service without interrupting a request. The daemon
 // is no longer ready, so that callers no longer receive its address, and announces
 // to its peers that it leaves. It goes on serving callers that still have its
-// address, waits for requests in progress, and hands over its order ledger. It
-// stops waiting when ctx ends.
+// address, then refuses further requests, waits for those in progress, and hands over
+// its order ledger. It stops waiting when ctx ends.
 func (d *Daemon) drain(ctx context.Context) {
-	wait := d.components.Controller.maxAddressTTL() + addressGrace
+	wait := d.callerWait(ctx)
 	d.components.Controller.leaving.Store(true)
 	d.components.Members.Leave()
 	_ = level.Info(d.logger).Log("msg", "leaving", "serving-on-for", wait, "active", d.components.Relay.ActiveRequests())
 	d.waitForCallers(ctx, wait)
+	d.components.Relay.RefuseRequests()
 	d.waitForRequests(ctx)
 	copies := d.components.PeerClient.handOverLedger(ctx, d.components.Manager.ExportLedgers())
 	if err := d.components.Manager.FlushOutcomes(ctx); err != nil {
@@ -35,6 +39,16 @@
 	_ = level.Info(d.logger).Log("msg", "left", "ledger-copies", copies, "active", d.components.Relay.ActiveRequests())
 }
 
+// callerWait returns how long the daemon serves callers that still have its address: as
+// long as one may, but not so long that a request taken last could be cut when ctx ends.
+func (d *Daemon) callerWait(ctx context.Context) time.Duration {
+	wait := d.components.Controller.maxAddressTTL() + addressGrace
+	if end, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(end)-d.components.Controller.longestDeadline()-handOverReserve)
+	}
+	return max(wait, 0)
+}
+
 // SkipCallerWait makes Stop no longer wait for callers that may still have the daemon's
 // address. Requests in progress are still completed.
 func (d *Daemon) SkipCallerWait() {
--- a/core/proxy/relay.go
+++ b/core/proxy/relay.go
@@ -55,6 +55,8 @@
 	router      http.Handler
 	// active is the number of requests in progress.
 	active atomic.Int64
+	// refusing is set once further requests for services are refused.
+	refusing atomic.Bool
 }
 
 // RelayOption configures a Relay.
@@ -102,6 +104,12 @@
 	return rl.active.Load()
 }
 
+// RefuseRequests makes the relay refuse further requests for services, because the daemon
+// might end before they do. Those in progress continue.
+func (rl *Relay) RefuseRequests() {
+	rl.refusing.Store(true)
+}
+
 // ServeHTTP forwards a request that names a service, in a header or by its host
 // name, to a target. Other requests are for the daemon's own endpoints.
 func (rl *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -133,6 +141,10 @@
 	if rl.fleet.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
+	if rl.refusing.Load() {
+		c.refuse(rl.notReady())
+		return
+	}
 	if active > maxActiveRequests {
 		c.refuse(fault.New(fault.QueueFull, "%d requests are in progress at this daemon", maxActiveRequests))
 		return
