Refuse a request whose trailer a shutdown cuts short with 503

What callers saw: 400 Bad Request for an order with a chunked body whose trailer had not arrived when the shutdown stopped reading; nobody sends a request again after that. Cause: net/http reports a trailer that an error of the connection cuts short as malformed, as it does for a head. The error of the connection now decides for bodies too.

TestShutdownRefusesHalfReadRequest/trailer failed before (400).

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -246,11 +246,8 @@
 	c.headReader.remaining = limits.HeaderBytes
 	req, err := http.ReadRequest(c.reader)
 	c.headReader.remaining = -1
-	if err != nil && c.headReader.err != nil {
-		return nil, c.headReader.err
-	}
 	if err != nil {
-		return nil, err
+		return nil, c.readError(err)
 	}
 	headReadAt := time.Now()
 	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
@@ -261,7 +258,7 @@
 	body, err := x.readBody(req, limits.BodyBytes)
 	if err != nil {
 		c.server.releaseBodyMemory(x.reservedBytes)
-		return nil, err
+		return nil, c.readError(err)
 	}
 	x.request = &Request{
 		Method:     req.Method,
@@ -275,6 +272,16 @@
 	return x, nil
 }
 
+// readError returns the reason why a request could not be read: the error of the
+// connection if there is one, and err otherwise. net/http reports a head or a trailer that
+// an error of the connection cuts short as malformed.
+func (c *conn) readError(err error) error {
+	if c.headReader.err != nil && !errors.Is(err, errBodyTooLarge) && !errors.Is(err, errBodyMemory) {
+		return c.headReader.err
+	}
+	return err
+}
+
 // respondError responds to a request that could not be read. The connection closes,
 // because it is not known where the next request starts. It always returns false.
 func (c *conn) respondError(err error) bool {
--- a/core/caller/head.go
+++ b/core/caller/head.go
@@ -7,8 +7,7 @@
 type limitedHeadReader struct {
 	source    io.Reader
 	remaining int
-	// err is the last error of a read. http.ReadRequest reports a line that an error cuts
-	// short as malformed.
+	// err is the error of the last read.
 	err error
 }
 
--- a/core/caller/shutdown_test.go
+++ b/core/caller/shutdown_test.go
@@ -269,8 +269,10 @@
 // without a word.
 func TestShutdownRefusesHalfReadRequest(t *testing.T) {
 	for name, half := range map[string]string{
-		"head": "GET / HTTP/1.1\r\nHos",
-		"body": "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na",
+		"head":            "GET / HTTP/1.1\r\nHos",
+		"body":            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na",
+		"size of a chunk": "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n1",
+		"trailer":         "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX: y",
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
