Wake waiting requests when a peer's reported load expires

What callers would see: a request waits for a target until shortly before its deadline and is then refused with 503, although the target is idle. A peer had reported requests in flight there and ended without another report.

Cause: requests that wait are looked at when something happens at a target. The expiry of a peer's report after 3 s is no such event, so without other traffic nothing wakes them.

Change: a waiting request has the queue scanned if no event did so for 250 ms.

TestWaitingRequestOutlivesLoadOfPeerThatLeft failed before (refused shortly before its deadline of 20 s) and passes 20 times after. The case "peer reported its load and ended" of the tests of planned work failed before for requests that wait, and passes 10 times after with each of them. The packages core/sched, core/relay and core/node pass under -race.

--- a/core/relay/planned_work_test.go
+++ b/core/relay/planned_work_test.go
@@ -275,6 +275,11 @@
 	"target asks for a pause": func(r *relay.Relay) {
 		r.TargetPool("archive").Backoff(plannedTarget("t0", firstAddress).Key, time.Minute)
 	},
+	"peer reported its load and ended": func(r *relay.Relay) {
+		for _, id := range []string{"t0", "t1"} {
+			r.TargetPool("archive").ApplyPeerEvent("peer", sched.Event{Service: "archive", Target: sched.Key{ID: id, StartMillis: 1}, InFlight: 100})
+		}
+	},
 	"events of peers no longer arrive": func(r *relay.Relay) { r.TargetPool("archive").SetReceivesPeerEvents(false) },
 }
 
--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -62,17 +62,23 @@
 	}
 	timer := time.NewTimer(time.Until(p.latestStart(req)))
 	defer timer.Stop()
-	select {
-	case g := <-w.granted:
-		return g, nil
-	case err := <-w.refused:
-		return nil, err
-	case <-ctx.Done():
-		p.cancelWait(w)
-		return nil, fault.New(fault.CallerGone, "request cancelled while waiting for a target")
-	case <-timer.C:
-		p.cancelWait(w)
-		return nil, fault.New(fault.QueueFull, "no target had capacity in time")
+	scan := time.NewTicker(quietScanInterval)
+	defer scan.Stop()
+	for {
+		select {
+		case g := <-w.granted:
+			return g, nil
+		case err := <-w.refused:
+			return nil, err
+		case <-scan.C:
+			p.scanIfQuiet()
+		case <-ctx.Done():
+			p.cancelWait(w)
+			return nil, fault.New(fault.CallerGone, "request cancelled while waiting for a target")
+		case <-timer.C:
+			p.cancelWait(w)
+			return nil, fault.New(fault.QueueFull, "no target had capacity in time")
+		}
 	}
 }
 
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// quietScanInterval is the time without a scan after which waiters cause one themselves.
+// Without events at the targets, nothing else notices that the reported load of a peer
+// that ended has expired, or that a failing target may be used again.
+const quietScanInterval = 250 * time.Millisecond
+
+// scanIfQuiet scans the queue if no event did so for quietScanInterval.
+func (p *Pool) scanIfQuiet() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now := time.Now(); now.Sub(p.queueScannedAt) >= quietScanInterval {
+		p.scanQueue(now)
+	}
+}
+
 // scanQueue grants targets to all waiters for which there is one.
 func (p *Pool) scanQueue(now time.Time) {
 	p.queueScannedAt = now
