Write interim responses in the order of the responses

What callers saw: 'HTTP/1.1 100 Continue' in the middle of the body of an earlier answer, and the end of that body where the next answer was due. Cause: the reader of a connection wrote the interim response past its writer. Class: two writers on one connection. The interim response now goes through the writer, behind the responses to earlier requests, and not at all behind one that closes the connection, or for a body that is too large. There is no other write to a caller's connection; one to a target's connection by two goroutines is excluded by its sender.

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -259,11 +259,11 @@
 		return nil, err
 	}
 	headReadAt := time.Now()
-	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
-		_, _ = c.netConn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
-	}
 	x := newExchange(c, req.Close)
 	c.setReadDeadline(headReadAt.Add(bodyTimeout))
+	if expectsContinue(req) && req.ContentLength <= limits.BodyBytes {
+		c.exchanges <- &exchange{conn: c, interim: true}
+	}
 	body, err := x.readBody(req, limits.BodyBytes)
 	if err != nil {
 		c.server.releaseBodyMemory(x.reservedBytes)
@@ -281,6 +281,12 @@
 	return x, nil
 }
 
+// expectsContinue reports whether the caller waits for an interim response before it sends
+// the body.
+func expectsContinue(req *http.Request) bool {
+	return req.ProtoAtLeast(1, 1) && strings.EqualFold(req.Header.Get("Expect"), "100-continue")
+}
+
 // respondError responds to a request that could not be read. The connection closes,
 // because it is not known where the next request starts. It always returns false.
 func (c *conn) respondError(err error) bool {
--- a/core/caller/exchange.go
+++ b/core/caller/exchange.go
@@ -13,7 +13,10 @@
 
 // exchange is one request and the response to it.
 type exchange struct {
-	conn          *conn
+	conn *conn
+	// interim is set if this is not a request, but the interim response to the next one,
+	// which must not come in between the bytes of an earlier response.
+	interim       bool
 	request       *Request
 	reservedBytes int64
 	// closeAfter is set if the connection closes after this response.
--- a/core/caller/writer.go
+++ b/core/caller/writer.go
@@ -20,6 +20,8 @@
 	conn *conn
 	// failed is set after a failed write. Further responses are discarded.
 	failed bool
+	// closed is set after a response that closes the connection.
+	closed bool
 }
 
 // run writes responses until no further requests are read and all are written, and then
@@ -30,6 +32,10 @@
 	defer c.cancel()
 	defer c.netConn.Close()
 	for x := range c.exchanges {
+		if x.interim {
+			w.writeInterim()
+			continue
+		}
 		w.writeNext(x, <-x.response)
 		c.endRequest()
 	}
@@ -61,10 +67,27 @@
 		return
 	}
 	if closeAfter {
+		w.closed = true
 		w.conn.stopReading(time.Unix(1, 0))
 	}
 }
 
+// writeInterim tells the caller to send the body of its request. Nothing may follow a
+// response that closes the connection.
+func (w *responseWriter) writeInterim() {
+	c := w.conn
+	if w.failed || w.closed {
+		return
+	}
+	_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, _ = c.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
+	if err := c.writer.Flush(); err != nil {
+		w.failed = true
+		c.cancel()
+		_ = c.netConn.Close()
+	}
+}
+
 func (w *responseWriter) writeResponse(x *exchange, resp *Response, closeAfter bool) error {
 	c := w.conn
 	_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
