Do not let heartbeats prolong the time for which their target is ignored

What callers saw: orders sent to a target that drained, for as long as it ran, after it had started again with its clock set back. Cause: an entry that looks older than the one known is ignored for 6 s, and each heartbeat of the target replaced it and began the 6 s anew. Class: an expiry that the thing it shall forget can renew. The 6 s now count from the first such entry of a run. Until then an entry that says that the target drains is heeded, whichever run is the current one.

--- a/core/watch/late_test.go
+++ b/core/watch/late_test.go
@@ -49,6 +49,37 @@
 	g.Expect(targetIDs(l)).To(BeEmpty())
 }
 
+// Guards against a target that is ignored for as long as it runs, because its own
+// heartbeats renew the entry that is ignored.
+func TestHeartbeatsDoNotProlongLateEntry(t *testing.T) {
+	g := NewWithT(t)
+	l := watch.NewList()
+	l.Apply(startTime, fullRead(1, watch.Change{ID: "t", Entry: entry(5000, 9)}))
+	now := startTime
+	for beat := range int64(8) {
+		now = now.Add(1500 * time.Millisecond)
+		l.Apply(now, change(beat+1, "t", entry(4000, beat)))
+		l.Expire(now)
+	}
+	g.Expect(l.Targets()["orders"]).To(ConsistOf(HaveField("StartMillis", int64(4000))))
+}
+
+// Guards against requests to a target that drains a moment after it started with its clock
+// set back, and against leaving it out for good if an earlier run said so.
+func TestLateDrainingEntryIsHeededUntilTheNextHeartbeat(t *testing.T) {
+	g := NewWithT(t)
+	l := watch.NewList()
+	l.Apply(startTime, fullRead(1, watch.Change{ID: "t", Entry: entry(5000, 9)}))
+	leaving := entry(4000, 2)
+	leaving.Draining = true
+	result := l.Apply(startTime.Add(time.Second), change(1, "t", leaving))
+	g.Expect(result.Changes).To(HaveLen(1))
+	g.Expect(targetIDs(l)).To(BeEmpty())
+	result = l.Apply(startTime.Add(2*time.Second), change(2, "t", entry(5000, 10)))
+	g.Expect(result.Changes).To(HaveLen(1))
+	g.Expect(targetIDs(l)).To(ConsistOf("t"))
+}
+
 // Guards against a daemon that cannot tell that its target's entry is current, because
 // the sender left out an entry that it ignored itself.
 func TestLateEntriesAreHandedOn(t *testing.T) {
--- a/core/watch/list.go
+++ b/core/watch/list.go
@@ -27,7 +27,8 @@
 // store performed an earlier call late, or the clock of the target was set back before
 // it started again.
 type lateEntry struct {
-	entry   Entry
+	entry Entry
+	// seenAt is when the first late entry of its run was received.
 	seenAt  time.Time
 	version int64
 }
@@ -149,16 +150,33 @@
 		l.records[c.ID] = &record{entry: *c.Entry, updatedAt: now, version: version}
 		return true
 	case c.Entry.isOlderThan(&r.entry):
-		r.late = &lateEntry{entry: *c.Entry, seenAt: now, version: version}
-		return false
+		return r.setLate(lateEntry{entry: *c.Entry, seenAt: now, version: version})
 	}
 	return l.setEntry(now, r, *c.Entry, version)
 }
 
+// setLate records a late entry and reports whether this affects how the target is used.
+// Heartbeats of a run that is taken for an earlier one do not renew the time from which
+// it is ignored.
+func (r *record) setLate(late lateEntry) bool {
+	if r.late != nil && r.late.entry.StartMillis == late.entry.StartMillis {
+		late.seenAt = r.late.seenAt
+	}
+	draining := r.draining()
+	r.late = &late
+	return r.draining() != draining
+}
+
+// draining reports whether the target may be leaving. A late entry that says so counts,
+// because it is not known which run of the target is the current one.
+func (r *record) draining() bool {
+	return r.entry.Draining || r.late != nil && r.late.entry.Draining
+}
+
 // setEntry replaces the entry of a record and reports whether this affects how the
 // target is used.
 func (l *List) setEntry(now time.Time, r *record, entry Entry, version int64) bool {
-	relevant := !r.entry.equivalentTo(&entry) || r.state != present
+	relevant := !r.entry.equivalentTo(&entry) || r.state != present || r.draining() != entry.Draining
 	if !relevant {
 		version = r.version
 	}
@@ -338,10 +356,10 @@
 	defer l.mu.Unlock()
 	out := map[string][]sched.Target{}
 	for id, r := range l.records {
-		e := &r.entry
-		if e.Draining || r.state == removed {
+		if r.draining() || r.state == removed {
 			continue
 		}
+		e := &r.entry
 		out[e.Service] = append(out[e.Service], sched.Target{
 			Key:        sched.Key{ID: id, StartMillis: e.StartMillis},
 			Address:    e.Address,
