Know a daemon again that started with its clock set back

A daemon whose VM's clock was set back before it started again was ignored by its peers for as long as it ran: its heartbeats looked like late ones of an earlier run. It carried nothing, and a peer did not hear that it left. Heartbeats of a run that seems earlier are now ignored for 4 s after the last one of the other run.

TestDaemonWhoseClockWasSetBackIsKnownAgain failed before.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -19,6 +19,10 @@
 	// carrierTTL is how long a daemon counts as a carrier after it, or a peer, last
 	// reported that it carries a group.
 	carrierTTL = 3 * time.Second
+	// earlierRunTTL is how long after the last heartbeat of a run the heartbeats of one
+	// that seems to be earlier are ignored. Later ones cannot have been on the way for so
+	// long: the clock of the VM was set back before the daemon started again.
+	earlierRunTTL = 4 * time.Second
 )
 
 // Member describes one daemon of the fleet.
@@ -110,10 +114,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[m.VM]
-	if e != nil && m.StartMillis < e.StartMillis || m.VM == r.self.VM {
+	if e != nil && m.StartMillis < e.StartMillis && now.Sub(e.lastHeartbeat) < earlierRunTTL || m.VM == r.self.VM {
 		return nil, false
 	}
-	if e == nil || m.StartMillis > e.StartMillis {
+	if e == nil || m.StartMillis != e.StartMillis {
 		e = &entry{lastCarried: map[string]time.Time{}}
 		r.entries[m.VM] = e
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -186,3 +186,23 @@
 	}
 	g.Expect(r.StartedAfterMost()).To(BeTrue())
 }
+
+// Guards against a daemon that its peers ignore for as long as it runs, because the clock
+// of its VM was set back before it started again, and against heartbeats of an earlier run
+// that arrive late.
+func TestDaemonWhoseClockWasSetBackIsKnownAgain(t *testing.T) {
+	g := NewWithT(t)
+	r := roster.New(member("a", 0))
+	first, second := member("a", 1), member("a", 1)
+	first.StartMillis, second.StartMillis = 5000, 4000
+	r.RecordHeartbeat(startTime, first, roster.Status{Ready: true}, nil)
+	_, ok := r.RecordHeartbeat(startTime.Add(time.Second), second, roster.Status{Ready: true}, nil)
+	g.Expect(ok).To(BeFalse(), "may be a late heartbeat of an earlier run")
+	now := startTime.Add(5 * time.Second)
+	_, ok = r.RecordHeartbeat(now, second, roster.Status{Ready: true}, nil)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(r.AnyPeerReady(now)).To(BeTrue())
+	_, ok = r.RecordHeartbeat(now.Add(time.Second), second, roster.Status{Leaving: true}, nil)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(r.AnyPeerReady(now.Add(time.Second))).To(BeFalse())
+}
