Take the limits on a request when it arrives

What callers saw: 413 on kept connections for orders that the limit in force allowed, for as long as the connection was kept. Cause: a connection took the limits before it waited for the next request. Class: a value of the configuration in force that is read before a wait and used after it. The limits are now read when the first byte of a request has arrived; the idle timeout is looked at again when it ends, and the limit on a body while the body arrives. Other values with a wait between reading and use: route, timeout, attempts and service of a request are those of its arrival, on purpose; the rest is read where it is used.

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -201,12 +201,11 @@
 
 // readNext reads one request and starts it. It returns false after the last one.
 func (c *conn) readNext() bool {
-	limits := c.server.limits()
-	if !c.awaitRequest(limits.IdleTimeout) {
+	if !c.awaitRequest() {
 		return false
 	}
 	c.beginReading()
-	x, err := c.readRequest(limits)
+	x, err := c.readRequest(c.server.limits())
 	if err != nil {
 		c.endReading()
 		return c.respondError(err)
@@ -227,26 +226,32 @@
 }
 
 // awaitRequest waits for the first byte of a request and reports whether it arrived.
-// The idle timeout applies only while no request of the connection is pending.
-func (c *conn) awaitRequest(idleTimeout time.Duration) bool {
-	for c.setReadDeadline(time.Now().Add(idleTimeout + idleGrace)) {
+// The idle timeout, which may change meanwhile, applies only while no request of the
+// connection is pending.
+func (c *conn) awaitRequest() bool {
+	began := time.Now()
+	for c.setReadDeadline(time.Now().Add(c.idleTime(began))) {
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			return true
 		}
 		var netErr net.Error
-		timedOut := errors.As(err, &netErr) && netErr.Timeout()
-		if timedOut && c.pendingRequests() > 0 {
-			continue
-		}
-		if !timedOut {
+		if !errors.As(err, &netErr) || !netErr.Timeout() {
 			c.cancel()
+			return false
+		}
+		if c.pendingRequests() > 0 {
+			began = time.Now()
 		}
-		return false
 	}
 	return false
 }
 
+// idleTime returns how much longer a connection that is idle since began is kept open.
+func (c *conn) idleTime(began time.Time) time.Duration {
+	return c.server.limits().IdleTimeout - time.Since(began) + idleGrace
+}
+
 func (c *conn) readRequest(limits route.Limits) (*exchange, error) {
 	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	c.headReader.remaining = limits.HeaderBytes
--- a/core/caller/exchange.go
+++ b/core/caller/exchange.go
@@ -30,8 +30,8 @@
 	return &exchange{conn: c, closeAfter: closeAfter, response: make(chan *Response, 1)}
 }
 
-// readBody reads the whole body. It fails if the body exceeds the limit or the memory
-// that the server has for bodies.
+// readBody reads the whole body. It fails if the body exceeds the limit, which may be
+// raised meanwhile, or the memory that the server has for bodies.
 func (x *exchange) readBody(req *http.Request, limit int64) ([]byte, error) {
 	if req.ContentLength == 0 || req.Body == nil {
 		return nil, nil
@@ -53,6 +53,7 @@
 		if err != nil {
 			return nil, err
 		}
+		limit = max(limit, x.conn.server.limits().BodyBytes)
 		if int64(b.Len()) > limit {
 			return nil, errBodyTooLarge
 		}
