Bound numbers from outside before they are converted or added

Cause: the timeout, cut off at the longest duration, overflowed when a second was added. Class: a number from outside that overflows or rounds to nothing when converted or added.

The memory and the times of the settings file and the timeout of a target's Keep-Alive header are bounded too. Deadline headers, entries of the target list and Retry-After had bounds.

--- a/core/link/forward.go
+++ b/core/link/forward.go
@@ -159,6 +159,9 @@
 	return resp.ContentLength >= 0 || chunked || hasNoBody(method, resp.StatusCode)
 }
 
+// maxKeepAliveSeconds is the longest timeout of a Keep-Alive header, a day.
+const maxKeepAliveSeconds = 24 * 60 * 60
+
 // recordKeepAlive stores the timeout of a Keep-Alive header, the idle time after which
 // the target closes the connection.
 func (c *conn) recordKeepAlive(h http.Header) {
@@ -166,7 +169,7 @@
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		seconds, err := strconv.Atoi(strings.TrimSpace(value))
 		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
-			c.keepAliveTimeout = time.Duration(seconds) * time.Second
+			c.keepAliveTimeout = time.Duration(min(seconds, maxKeepAliveSeconds)) * time.Second
 		}
 	}
 }
--- a/core/link/head_test.go
+++ b/core/link/head_test.go
@@ -71,3 +71,19 @@
 		})
 	}
 }
+
+// Guards against a keep-alive time that overflows, so that no connection is reused.
+func TestTooLongKeepAliveLetsConnectionBeReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const response = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nKeep-Alive: timeout=13835058055\r\nContent-Length: 2\r\n\r\nok"
+		target := newScriptedTarget(false, response, response)
+		p := NewPool("target:80", WithDial(target.dial))
+		defer p.Close()
+		for range 2 {
+			_, _, err := forwardAndRead(t, p, "r1")
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		g.Expect(p.Stats().Dials).To(Equal(int64(1)))
+	})
+}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -143,8 +143,8 @@
 		relay.WithEmit(func(e sched.Event) { n.gossip.QueueEvent(e) }),
 		relay.WithBeforeAcquire(n.healthQueries.wait),
 	}
-	if m := n.settings.Load().MemoryMB; m > 0 {
-		opts = append(opts, relay.WithResponseMemory(m<<20/bodyMemoryDivisor))
+	if m := n.settings.Load().MemoryBytes(); m > 0 {
+		opts = append(opts, relay.WithResponseMemory(m/bodyMemoryDivisor))
 	}
 	return relay.New(n.self.DataCentre, n.platform.Headers, opts...)
 }
@@ -160,8 +160,8 @@
 
 func (n *Node) newCallerServer(r *relay.Relay) *caller.Server {
 	opts := []caller.Option{caller.WithLogger(n.logger), caller.WithRequestIDHeader(n.platform.Headers.RequestID)}
-	if m := n.settings.Load().MemoryMB; m > 0 {
-		opts = append(opts, caller.WithMaxBodyMemory(m<<20/bodyMemoryDivisor))
+	if m := n.settings.Load().MemoryBytes(); m > 0 {
+		opts = append(opts, caller.WithMaxBodyMemory(m/bodyMemoryDivisor))
 	}
 	return caller.NewServer(n.handle, r.Limits, opts...)
 }
--- a/core/node/settings.go
+++ b/core/node/settings.go
@@ -80,8 +80,20 @@
 	return cores
 }
 
+// maxSeconds is the longest time in the settings, a year.
+const maxSeconds = 365 * 24 * 60 * 60
+
+// seconds converts a time in seconds, of which at most maxSeconds count.
 func seconds(s float64) time.Duration {
-	return time.Duration(s * float64(time.Second))
+	return time.Duration(min(s, maxSeconds) * float64(time.Second))
+}
+
+// maxMemoryMB is the largest memory of a VM in the settings, a pebibyte.
+const maxMemoryMB = 1 << 30
+
+// MemoryBytes returns the memory of the VM; 0 means unknown.
+func (s *Settings) MemoryBytes() int64 {
+	return min(s.MemoryMB, maxMemoryMB) << 20
 }
 
 // LoadSettings reads and validates a settings file in JSON with comments.
--- a/core/node/settings_test.go
+++ b/core/node/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -45,3 +46,14 @@
 		})
 	}
 }
+
+// Guards against times and sizes that overflow when they are converted, so that a daemon
+// ends at once or has no memory for requests.
+func TestTooLargeSettingsStayLarge(t *testing.T) {
+	g := NewWithT(t)
+	text := strings.NewReplacer(`"shutdown-s": 6`, `"shutdown-s": 1e300`, `"cpu-share": 0.5`, `"memory-mb": 9223372036854775807`).Replace(settingsFile)
+	s, err := node.ParseSettings("settings.json", []byte(text))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.ShutdownTimeout()).To(BeNumerically(">", 24*time.Hour))
+	g.Expect(s.MemoryBytes()).To(BeNumerically(">", 1<<40))
+}
--- a/core/route/validate.go
+++ b/core/route/validate.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"wisteriarelay.example/core/fault"
 )
@@ -13,6 +14,9 @@
 	maxAttempts = 100
 	// maxWeight is the largest weight of a service in a traffic split.
 	maxWeight = 1 << 31
+	// maxLimitTimeout is the longest header or idle timeout. A longer one, which stands for
+	// none, is replaced by it, so that times can be added without an overflow.
+	maxLimitTimeout = 24 * time.Hour
 )
 
 // Validate sets Problem on each route that cannot be served. It returns these problems
@@ -45,7 +49,7 @@
 }
 
 // applyDefaults replaces each invalid limit by its default and returns an error for
-// each of them. A body limit of 0 is valid.
+// each of them. A body limit of 0 is valid. It also bounds the timeouts.
 func (l *Limits) applyDefaults() []error {
 	var problems []error
 	addProblem := func(name string) {
@@ -67,6 +71,8 @@
 		l.IdleTimeout = DefaultLimits.IdleTimeout
 		addProblem("idle timeout")
 	}
+	l.HeaderTimeout = min(l.HeaderTimeout, maxLimitTimeout)
+	l.IdleTimeout = min(l.IdleTimeout, maxLimitTimeout)
 	return problems
 }
 
--- a/wisteriad/relay.go
+++ b/wisteriad/relay.go
@@ -58,8 +58,8 @@
 const memoryLimitRatio = 0.6
 
 func runRelay(ctx context.Context, settings *node.Settings, file string) error {
-	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(settings.MemoryMB<<20)))
+	if m := settings.MemoryBytes(); m > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(m)))
 	}
 	out := logs.NewWriter(os.Stdout, settings.LogLinesPerSecond)
 	defer out.Close(logFlushTimeout)
