Share the slack of the retry budget by who is known, not who is seen

What was seen: up to 157 extra attempts in 10 s where 136 were allowed, while a third of the daemons could reach callers and targets but neither one another nor the store. Cause: each of them took itself for the only carrier and spent the slack of the whole fleet. Class: a share of something common that is reckoned from who is seen.

The slack is now divided among the daemons that would carry the service if all known ones were alive (0.65) and among all known ones (0.2), so that the shares add up to at most 0.85, whoever sees whom.

--- a/core/node/maintenance.go
+++ b/core/node/maintenance.go
@@ -57,8 +57,7 @@
 }
 
 // updateServices sets, for each service, whether this daemon receives the results
-// of its peers, and its part of the fleet's retry budget, which is divided among
-// the carriers.
+// of its peers, and its part of the fleet's retry budget.
 func (n *Node) updateServices() {
 	t := n.relay.Table()
 	if t == nil {
@@ -72,12 +71,8 @@
 		carries := n.roster.Carries(now, group, cores)
 		n.relay.TargetPool(s).SetReceivesPeerEvents(carries)
 		n.relay.TargetPool(s).SetMonitoredElsewhere(n.remotelyMonitored(n.eventRecipients(s)))
-		part := retry.AllocationFor(1, start)
-		part.SlackFraction = 0
-		if carries {
-			part = retry.AllocationFor(len(n.roster.GroupPeers(now, group, cores))+1, start)
-		}
-		n.relay.SetBudgetAllocation(s, part)
+		holders := retry.Holders(n.roster.ShareOf(now, group, cores))
+		n.relay.SetBudgetAllocation(s, retry.AllocationFor(holders, start))
 	}
 }
 
--- a/core/retry/part.go
+++ b/core/retry/part.go
@@ -29,28 +29,43 @@
 }
 
 const (
-	// slackFraction is the fraction of the fleet's slack that is divided among the
-	// daemons that carry a service. The rest is a reserve for the moments in which
-	// daemons disagree on which of them carry it.
-	slackFraction = 0.7
-	// slackFractionFleetRestart replaces slackFraction after a start of the whole fleet.
-	slackFractionFleetRestart = 0.2
+	// regularSlack is the fraction of the fleet's slack that is divided among the daemons
+	// that regularly carry a service, commonSlack the fraction that is divided among all
+	// daemons: any of them may have to carry a service while it cannot see the others. The
+	// rest is a reserve for moments in which they know different members.
+	regularSlack = 0.65
+	commonSlack  = 0.2
+	// slackFactorFleetRestart reduces both after a start of the whole fleet.
+	slackFactorFleetRestart = 0.3
 	// ratioFractionSingleRestart is the fraction of the ratio for a daemon that was
 	// restarted alone.
 	ratioFractionSingleRestart = 0.2
 )
 
-// AllocationFor returns the part of the retry budget for one of several daemons that
-// carry a service. It is reduced after a restart: if daemons are restarted one after
-// the other while a service refuses half of its requests, the extra attempts of the
-// earlier run count in the same span, and their number is not known.
-func AllocationFor(carriers int, restart RestartKind) Allocation {
-	perCarrier := 1 / float64(max(carriers, 1))
+// Holders says among how many daemons the slack for a service is divided.
+type Holders struct {
+	// Regular says that this daemon is one of the daemons that regularly carry the
+	// service; Regulars is their number.
+	Regular  bool
+	Regulars int
+	// Members is the number of all daemons.
+	Members int
+}
+
+// AllocationFor returns the part of the retry budget for one daemon. It is reduced after
+// a restart: if daemons are restarted one after the other while a service refuses half of
+// its requests, the extra attempts of the earlier run count in the same span, and their
+// number is not known.
+func AllocationFor(h Holders, restart RestartKind) Allocation {
+	slack := commonSlack / float64(max(h.Members, 1))
+	if h.Regular {
+		slack += regularSlack / float64(max(h.Regulars, 1))
+	}
 	switch restart {
 	case NoRecentRestart:
-		return Allocation{RatioFraction: 1, SlackFraction: slackFraction * perCarrier}
+		return Allocation{RatioFraction: 1, SlackFraction: slack}
 	case FleetRestart:
-		return Allocation{RatioFraction: 1, SlackFraction: slackFractionFleetRestart * perCarrier}
+		return Allocation{RatioFraction: 1, SlackFraction: slackFactorFleetRestart * slack}
 	default:
 		return Allocation{RatioFraction: ratioFractionSingleRestart}
 	}
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -92,7 +92,7 @@
 		if now.Sub(started[i]) < span {
 			start = retry.SingleRestart
 		}
-		windows[i].SetAllocation(retry.AllocationFor(daemons, start))
+		windows[i].SetAllocation(retry.AllocationFor(retry.Holders{Regular: true, Regulars: daemons, Members: daemons}, start))
 		windows[i].CountRequest(now)
 		requests = append(requests, 1)
 		extras = append(extras, 0)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -63,6 +63,8 @@
 	// lastCarried holds, by group, when the member last reported that it carries the
 	// group.
 	lastCarried map[string]time.Time
+	// knownSince is when this daemon learned of this run of the member.
+	knownSince time.Time
 	// assumedAliveSince is when this daemon first took the member for alive without
 	// having received a heartbeat from it.
 	assumedAliveSince time.Time
@@ -97,7 +99,7 @@
 	if e := r.entries[m.VM]; e != nil && e.StartMillis >= m.StartMillis {
 		return
 	}
-	r.entries[m.VM] = &entry{Member: m, lastCarried: map[string]time.Time{}}
+	r.entries[m.VM] = &entry{Member: m, knownSince: time.Now(), lastCarried: map[string]time.Time{}}
 }
 
 // SetStatus sets whether this daemon is ready and whether it is leaving.
@@ -118,7 +120,7 @@
 		return nil, false
 	}
 	if e == nil || m.StartMillis != e.StartMillis {
-		e = &entry{lastCarried: map[string]time.Time{}}
+		e = &entry{knownSince: now, lastCarried: map[string]time.Time{}}
 		r.entries[m.VM] = e
 	}
 	e.Member = m
@@ -146,7 +148,7 @@
 			continue
 		}
 		if e == nil || m.StartMillis > e.StartMillis {
-			e = &entry{Member: m, lastCarried: map[string]time.Time{}}
+			e = &entry{Member: m, knownSince: now, lastCarried: map[string]time.Time{}}
 			r.entries[m.VM] = e
 		}
 		if e.reportedAt == nil {
--- /dev/null
+++ b/core/roster/share_test.go
@@ -0,0 +1,77 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/retry"
+	"wisteriarelay.example/core/roster"
+)
+
+// fleetOf returns the rosters of a fleet with the same number of daemons in each of three
+// data centres, in which each daemon has heard all others.
+func fleetOf(perDataCentre int) []*roster.Roster {
+	var members []roster.Member
+	for _, dc := range []string{"a", "b", "c"} {
+		for n := range perDataCentre {
+			members = append(members, member(dc, n))
+		}
+	}
+	var rosters []*roster.Roster
+	for _, self := range members {
+		r := roster.New(self)
+		r.SetStatus(true, false)
+		for _, m := range members {
+			r.RecordHeartbeat(startTime, m, roster.Status{Ready: true}, nil)
+		}
+		rosters = append(rosters, r)
+	}
+	return rosters
+}
+
+// Guards against daemons that cannot see each other and each spend the slack of the whole
+// fleet: whoever sees whom, their parts add up to at most the whole.
+func TestSlackOfFleetIsNeverExceeded(t *testing.T) {
+	for _, perDataCentre := range []int{1, 2, 11, 30} {
+		t.Run(fmt.Sprint(3*perDataCentre), func(t *testing.T) {
+			g := NewWithT(t)
+			rosters := fleetOf(perDataCentre)
+			for _, silence := range []time.Duration{0, time.Second, 10 * time.Second, 9 * time.Minute} {
+				sum := 0.0
+				for i, r := range rosters {
+					// A third hears nobody, the others hear every second daemon.
+					now := startTime.Add(silence)
+					for j := range rosters {
+						if i%3 > 0 && j%2 == 0 && i != j {
+							r.RecordHeartbeat(now, member(string(rune('a'+j/perDataCentre)), j%perDataCentre), roster.Status{Ready: true}, nil)
+						}
+					}
+					holders := retry.Holders(r.ShareOf(now, "orders", minimalDemand))
+					sum += retry.AllocationFor(holders, retry.NoRecentRestart).SlackFraction
+				}
+				g.Expect(sum).To(BeNumerically("<=", 0.9), "after %s", silence)
+				g.Expect(sum).To(BeNumerically(">=", 0.8), "after %s", silence)
+			}
+		})
+	}
+}
+
+// Guards against slack that is kept for daemons that are gone for good.
+func TestSlackOfGoneDaemonsIsSharedAgain(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	r := roster.New(member("a", 0))
+	r.SetStatus(true, false)
+	r.RecordHeartbeat(now, member("a", 1), roster.Status{Leaving: true}, nil)
+	r.RecordHeartbeat(now, member("a", 2), roster.Status{Ready: true}, nil)
+	for i := 3; i < 10; i++ {
+		r.Add(member("a", i))
+	}
+	g.Expect(r.ShareOf(now, "orders", minimalDemand).Regulars).To(Equal(minCarriers))
+	later := now.Add(11 * time.Minute)
+	share := r.ShareOf(later, "orders", minimalDemand)
+	g.Expect(share.Regular).To(BeTrue())
+}
