Stop passing on a response when its caller has left

What was seen: targets that worked on for 1.3 s and more after their callers had left in the middle of an answer over 1 MiB. Cause: while an answer is passed on, nothing looked at the connection of the caller until more bytes arrived to be written to it. The end of the connection now makes the read from the target fail, for requests that may be repeated. It counts neither for nor against the target.

TestDisconnectAbortsResponseThatIsPassedOn and TestTransferIsAbortedWhenCallerDisconnects are new: there was no way to end such a read before.

--- a/core/caller/caller_test.go
+++ b/core/caller/caller_test.go
@@ -148,6 +148,33 @@
 	}
 }
 
+// blockedBody is a body that never comes until it is aborted.
+type blockedBody struct{ aborted chan struct{} }
+
+// Read waits until the body is aborted.
+func (b *blockedBody) Read([]byte) (int, error) {
+	<-b.aborted
+	return 0, io.ErrUnexpectedEOF
+}
+
+// Close does nothing.
+func (b *blockedBody) Close() error {
+	return nil
+}
+
+// Guards against a response that is awaited further although its caller has disconnected.
+func TestDisconnectAbortsResponseThatIsPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	body := &blockedBody{make(chan struct{})}
+	_, dial := serve(t, func(context.Context, *caller.Request) *caller.Response {
+		return &caller.Response{Status: http.StatusOK, Header: http.Header{}, UnreadBody: body, Abort: func() { close(body.aborted) }, ContentLength: 10}
+	})
+	conn, _ := dial()
+	_, _ = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	_ = conn.Close()
+	g.Eventually(body.aborted).WithTimeout(waitTimeout).Should(BeClosed())
+}
+
 // Guards against a request that runs although it arrived after the response that closes
 // the connection: the caller sends it again, also if it is not idempotent.
 func TestNoRequestRunsAfterFinalResponse(t *testing.T) {
--- a/core/caller/message.go
+++ b/core/caller/message.go
@@ -43,6 +43,9 @@
 	Body   []byte
 	// UnreadBody is the rest of the body after Body, as a stream; it may be nil.
 	UnreadBody io.ReadCloser
+	// Abort, if set, makes reads of UnreadBody fail. It is called when the caller
+	// disconnects, and may be called at any time.
+	Abort func()
 	// ContentLength is the length of the whole body in bytes; below 0 if it is unknown.
 	ContentLength int64
 	// Release, if set, releases the resources of the response. It is called once, when the
--- a/core/caller/writer.go
+++ b/core/caller/writer.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -49,6 +50,10 @@
 	if resp.UnreadBody != nil {
 		defer resp.UnreadBody.Close()
 	}
+	if resp.Abort != nil {
+		stop := context.AfterFunc(w.conn.ctx, resp.Abort)
+		defer stop()
+	}
 	if w.failed {
 		return
 	}
--- a/core/relay/large_test.go
+++ b/core/relay/large_test.go
@@ -212,3 +212,23 @@
 		r.SetTargets(nil)
 	})
 }
+
+// Guards against a target that works on for a caller that has left while the response is
+// passed on, because that is only seen when more bytes arrive.
+func TestTransferIsAbortedWhenCallerDisconnects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		a := &largeTarget{pause: time.Second, length: 2 << 20}
+		r := a.newRelay(relay.WithResponseMemory(1))
+		defer r.SetTargets(nil)
+		resp := sendRequest(t.Context(), r)
+		g.Expect(resp.UnreadBody).NotTo(BeNil())
+		began := time.Now()
+		abort := time.AfterFunc(100*time.Millisecond, resp.Abort)
+		defer abort.Stop()
+		_, err := readAll(g, resp)
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(time.Since(began)).To(Equal(100 * time.Millisecond))
+		time.Sleep(a.pause) // until the goroutine of the target has ended
+	})
+}
--- a/core/relay/response.go
+++ b/core/relay/response.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -113,6 +114,7 @@
 	body      io.ReadCloser
 	remaining int64
 	failed    bool
+	aborted   atomic.Bool
 }
 
 // Read reads from the body and fails once the response exceeds responseLimit.
@@ -127,11 +129,20 @@
 	return n, err
 }
 
-// Close closes the body and settles the attempt: as served, or as broken if a read
-// failed.
+// abort makes the current and all further reads fail.
+func (s *bodyStream) abort() {
+	s.aborted.Store(true)
+	s.attempt.cancel()
+}
+
+// Close closes the body and settles the attempt: as served, as broken if a read failed, or
+// without a result if the stream was aborted.
 func (s *bodyStream) Close() error {
 	observation := judge.Served
-	if s.failed {
+	switch {
+	case s.aborted.Load():
+		observation = judge.Nothing
+	case s.failed:
 		observation = judge.Broken
 	}
 	s.settle(observation)
--- a/core/relay/result.go
+++ b/core/relay/result.go
@@ -119,6 +119,9 @@
 	if r.rest != nil {
 		resp.UnreadBody = r.rest
 	}
+	if r.rest != nil && x.route.Idempotent() {
+		resp.Abort = r.rest.abort
+	}
 	resp.Release = func() { r.memory.release(r.reserved) }
 	return resp
 }
