--- a/core/caller/exchange.go
+++ b/core/caller/exchange.go
@@ -13,7 +13,10 @@
 
 // exchange is one request and the response to it.
 type exchange struct {
-	conn          *conn
+	conn *conn
+	// interim is set if this is not a request, but the interim response to the next one,
+	// which must not come in between the bytes of an earlier response.
+	interim       bool
 	request       *Request
 	reservedBytes int64
 	// closeAfter is set if the connection closes after this response.
@@ -27,8 +30,8 @@
 	return &exchange{conn: c, closeAfter: closeAfter, response: make(chan *Response, 1)}
 }
 
-// readBody reads the whole body. It fails if the body exceeds the limit or the memory
-// that the server has for bodies.
+// readBody reads the whole body. It fails if the body exceeds the limit, which may be
+// raised meanwhile, or the memory that the server has for bodies.
 func (x *exchange) readBody(req *http.Request, limit int64) ([]byte, error) {
 	if req.ContentLength == 0 || req.Body == nil {
 		return nil, nil
@@ -50,6 +53,7 @@
 		if err != nil {
 			return nil, err
 		}
+		limit = max(limit, x.conn.server.limits().BodyBytes)
 		if int64(b.Len()) > limit {
 			return nil, errBodyTooLarge
 		}
--- a/core/caller/writer.go
+++ b/core/caller/writer.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,8 @@
 	conn *conn
 	// failed is set after a failed write. Further responses are discarded.
 	failed bool
+	// closed is set after a response that closes the connection.
+	closed bool
 }
 
 // run writes responses until no further requests are read and all are written, and then
@@ -30,6 +33,10 @@
 	defer c.cancel()
 	defer c.netConn.Close()
 	for x := range c.exchanges {
+		if x.interim {
+			w.writeInterim()
+			continue
+		}
 		w.writeNext(x, <-x.response)
 		c.endRequest()
 	}
@@ -43,6 +50,10 @@
 	if resp.UnreadBody != nil {
 		defer resp.UnreadBody.Close()
 	}
+	if resp.Abort != nil {
+		stop := context.AfterFunc(w.conn.ctx, resp.Abort)
+		defer stop()
+	}
 	if w.failed {
 		return
 	}
@@ -61,10 +72,27 @@
 		return
 	}
 	if closeAfter {
+		w.closed = true
 		w.conn.stopReading(time.Unix(1, 0))
 	}
 }
 
+// writeInterim tells the caller to send the body of its request. Nothing may follow a
+// response that closes the connection.
+func (w *responseWriter) writeInterim() {
+	c := w.conn
+	if w.failed || w.closed {
+		return
+	}
+	_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, _ = c.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
+	if err := c.writer.Flush(); err != nil {
+		w.failed = true
+		c.cancel()
+		_ = c.netConn.Close()
+	}
+}
+
 func (w *responseWriter) writeResponse(x *exchange, resp *Response, closeAfter bool) error {
 	c := w.conn
 	_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -19,6 +19,10 @@
 	// carrierTTL is how long a daemon counts as a carrier after it, or a peer, last
 	// reported that it carries a group.
 	carrierTTL = 3 * time.Second
+	// earlierRunTTL is how long after the last heartbeat of a run the heartbeats of one
+	// that seems to be earlier are ignored. Later ones cannot have been on the way for so
+	// long: the clock of the VM was set back before the daemon started again.
+	earlierRunTTL = 4 * time.Second
 )
 
 // Member describes one daemon of the fleet.
@@ -59,6 +63,8 @@
 	// lastCarried holds, by group, when the member last reported that it carries the
 	// group.
 	lastCarried map[string]time.Time
+	// knownSince is when this daemon learned of this run of the member.
+	knownSince time.Time
 	// assumedAliveSince is when this daemon first took the member for alive without
 	// having received a heartbeat from it.
 	assumedAliveSince time.Time
@@ -93,7 +99,7 @@
 	if e := r.entries[m.VM]; e != nil && e.StartMillis >= m.StartMillis {
 		return
 	}
-	r.entries[m.VM] = &entry{Member: m, lastCarried: map[string]time.Time{}}
+	r.entries[m.VM] = &entry{Member: m, knownSince: time.Now(), lastCarried: map[string]time.Time{}}
 }
 
 // SetStatus sets whether this daemon is ready and whether it is leaving.
@@ -110,11 +116,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[m.VM]
-	if e != nil && m.StartMillis < e.StartMillis || m.VM == r.self.VM {
+	if e != nil && m.StartMillis < e.StartMillis && now.Sub(e.lastHeartbeat) < earlierRunTTL || m.VM == r.self.VM {
 		return nil, false
 	}
-	if e == nil || m.StartMillis > e.StartMillis {
-		e = &entry{lastCarried: map[string]time.Time{}}
+	if e == nil || m.StartMillis != e.StartMillis {
+		e = &entry{knownSince: now, lastCarried: map[string]time.Time{}}
 		r.entries[m.VM] = e
 	}
 	e.Member = m
@@ -142,7 +148,7 @@
 			continue
 		}
 		if e == nil || m.StartMillis > e.StartMillis {
-			e = &entry{Member: m, lastCarried: map[string]time.Time{}}
+			e = &entry{Member: m, knownSince: now, lastCarried: map[string]time.Time{}}
 			r.entries[m.VM] = e
 		}
 		if e.reportedAt == nil {
