Count the idle time of a connection from its last response

What callers saw: a kept connection that closed before the time in the Keep-Alive of its last response had passed, if that response took long, so that a request could meet the close. Cause: the time counted from when the request before was read.

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -57,6 +57,8 @@
 	// further request is started then: the caller will send it again on another
 	// connection, so that it would run twice.
 	closing bool
+	// respondedAt is when the last response was written.
+	respondedAt time.Time
 	// readUntil, if set, is the time after which no request is read.
 	readUntil time.Time
 	// readEnded is set once no request is read any more.
@@ -80,6 +82,7 @@
 	defer c.mu.Unlock()
 	c.pending[0] = nil
 	c.pending = c.pending[1:]
+	c.respondedAt = time.Now()
 }
 
 // closeAfterCurrent reports whether the connection closes after the response that is
@@ -241,8 +244,14 @@
 	return false
 }
 
-// idleTime returns how much longer a connection that is idle since began is kept open.
+// idleTime returns how much longer the connection is kept open. It is idle since the last
+// response, or since began if there was none after that.
 func (c *conn) idleTime(began time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.respondedAt.After(began) {
+		began = c.respondedAt
+	}
 	return c.server.limits().IdleTimeout - time.Since(began) + idleGrace
 }
 
