Bound the timeout of a request

What callers saw: 503 or 504 at once on a route with the longest timeout that the configuration can express. Cause: the time until the deadline overflowed when 100 ms were added.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -241,10 +241,14 @@
 	return x.run(ctx)
 }
 
+// maxTimeout is the longest time that a request may take. A longer one, which stands for
+// none, is replaced by it, so that times can be added without an overflow.
+const maxTimeout = 24 * time.Hour
+
 // newExchange returns the exchange for a request and counts it in the retry budget.
 // The deadline is the earlier of the route's timeout and the caller's own deadline.
 func (r *Relay) newExchange(req *caller.Request, table *route.Table, match *route.Route) *exchange {
-	timeout := match.Timeout
+	timeout := min(match.Timeout, maxTimeout)
 	if left, ok := r.headers.timeLeft(req.Header); ok {
 		timeout = min(timeout, left)
 	}
