Limit the lines of a response head

Targets that send heads of many short fields and never complete them made the daemon keep 1.1 MB for each connection: the limit of 64 KiB counts the text, but each field takes about 100 bytes more in memory. A hundred such requests at once would have taken more than a VM of 64 MB has.

Cause: the limit on heads counts bytes only. A head may now have 256 lines as well; the next read fails and the connection is closed. Lines of a body that were read together with the head do not count.

--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"math"
 	"net"
 	"syscall"
@@ -14,9 +15,17 @@
 // the memory with a head without end.
 const maxHeadBytes = 64 << 10
 
+// maxHeadLines is the maximum number of lines of a response head. In memory, a field
+// takes about 100 bytes in addition to its text, so that 64 KiB of short lines would
+// take more than 1 MiB.
+const maxHeadLines = 256
+
 const bufferSize = 4 << 10
 
-var errHeadTooLarge = errors.New("response head is larger than 64 KiB")
+var (
+	errHeadTooLarge     = errors.New("response head is larger than 64 KiB")
+	errTooManyHeadLines = errors.New("response head has more than 256 lines")
+)
 
 // conn is a connection to a target with its buffers.
 type conn struct {
@@ -30,9 +39,11 @@
 	// keepAliveTimeout is the idle time after which the target closes the
 	// connection, from its Keep-Alive header; 0 if it sent none.
 	keepAliveTimeout time.Duration
-	// headBytesLeft is the number of bytes that response heads may still have. It
-	// applies while readingHead is set.
+	// headBytesLeft is the number of bytes that response heads may still have,
+	// headLinesLeft the number of lines that the current one may still have. Both apply
+	// while readingHead is set.
 	headBytesLeft int64
+	headLinesLeft int
 	readingHead   bool
 }
 
@@ -43,10 +54,11 @@
 	return c
 }
 
-// limitedReader reads from the connection and applies the limit on response heads.
+// limitedReader reads from the connection and applies the limits on response heads.
 type limitedReader struct{ c *conn }
 
-// Read returns errHeadTooLarge once a response head exceeds its limit.
+// Read fails once a response head exceeds a limit. It reads ahead of the head, so the
+// limits are checked when more of the head is needed.
 func (r limitedReader) Read(p []byte) (int, error) {
 	if !r.c.readingHead {
 		return r.c.netConn.Read(p)
@@ -54,8 +66,12 @@
 	if r.c.headBytesLeft <= 0 {
 		return 0, errHeadTooLarge
 	}
+	if r.c.headLinesLeft < 0 {
+		return 0, errTooManyHeadLines
+	}
 	n, err := r.c.netConn.Read(p[:min(int64(len(p)), r.c.headBytesLeft)])
 	r.c.headBytesLeft -= int64(n)
+	r.c.headLinesLeft -= bytes.Count(p[:n], []byte{'\n'})
 	return n, err
 }
 
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -253,6 +253,7 @@
 func (x *exchange) readFinalHead(req *http.Request) (*http.Response, error) {
 	for {
 		x.conn.readingHead = true
+		x.conn.headLinesLeft = maxHeadLines
 		resp, err := http.ReadResponse(x.conn.reader, req)
 		x.conn.readingHead = false
 		if err != nil {
