Wait at most 50 ms for the body of a refusal

A target that refused a request (503 with the header that says it was not run) and then sent its body one byte at a time kept the request until the deadline. The caller got 503 after all its time although another target could have served it, also if the request is not idempotent.

Cause: the body of a refusal is read so that the connection can be reused. The number of bytes was limited, the time was not. Reading now ends after 50 ms, and the connection is closed then.

TestBodyOfRefusalIsNotAwaited failed before for all four forms of 503 (status 503 at the deadline of 4 s instead of 200 within 200 ms); 421 passed.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -157,9 +157,15 @@
 	return r
 }
 
-// refusalBodyLimit is the maximum number of bytes read from the body of a refusal.
-// If a target sends more, its connection is closed instead of reused.
-const refusalBodyLimit = 64 << 10
+const (
+	// discardLimit is the maximum number of bytes read from the body of a response that
+	// is not relayed. If a target sends more, its connection is closed instead of reused.
+	discardLimit = 64 << 10
+	// discardTimeout is the maximum time for reading such a body, because the request may
+	// still be served by another target. Most of these bodies are empty or arrive with
+	// their heads.
+	discardTimeout = 50 * time.Millisecond
+)
 
 // classifyResponse handles refusals by the target, reads the body of any other
 // response and evaluates it.
@@ -172,9 +178,7 @@
 		return t.refusedResult(errors.Newf("address %s now belongs to another target", t.grant.Target.Address), judge.Nothing)
 	}
 	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(names.NotRun) != "" {
-		// The connection can only be reused after the body has been read.
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, refusalBodyLimit))
-		_ = resp.Body.Close()
+		t.discardBody(resp)
 		return t.refusedResult(errors.Newf("target refused the request with status %d", resp.StatusCode), judge.Shed)
 	}
 	buffered, err := t.readResponse(resp)
@@ -184,6 +188,15 @@
 	return t.evaluate(buffered)
 }
 
+// discardBody reads the body of a response that is not relayed, because the connection
+// can only be reused after that. It closes the connection of a long or slow body.
+func (t *attempt) discardBody(resp *link.Response) {
+	timer := time.AfterFunc(discardTimeout, t.cancel)
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, discardLimit))
+	_ = resp.Body.Close()
+}
+
 // refusedResult returns the result of a request that the target refused without
 // running it.
 func (t *attempt) refusedResult(err error, observation judge.Result) *result {
--- /dev/null
+++ b/core/relay/endless_test.go
@@ -0,0 +1,137 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriarelay.example/core/link"
+	"wisteriarelay.example/core/relay"
+	"wisteriarelay.example/core/route"
+)
+
+// endlessTarget is a target that sends prefix and then repeats a text until the connection
+// ends, on the first connections; it serves the requests on all further ones. "{id}" in
+// prefix and repeat stands for the id of the request.
+type endlessTarget struct {
+	prefix, repeat string
+	// pause is the time before each repetition.
+	pause time.Duration
+	// connections is the number of connections that get a response without end.
+	connections int64
+
+	accepted atomic.Int64
+	written  atomic.Int64
+	running  sync.WaitGroup
+}
+
+func (e *endlessTarget) dial(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	c := &endlessConn{target: e, conn: server, serves: e.accepted.Add(1) > e.connections}
+	e.running.Add(1)
+	go c.run()
+	return client, nil
+}
+
+// endlessConn is a connection to an endlessTarget.
+type endlessConn struct {
+	target *endlessTarget
+	conn   net.Conn
+	serves bool
+}
+
+func (c *endlessConn) run() {
+	defer c.target.running.Done()
+	defer c.conn.Close()
+	r := bufio.NewReader(c.conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		id := req.Header.Get("Id")
+		if !c.serves {
+			c.sendEndless(id)
+			return
+		}
+		_, _ = io.WriteString(c.conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nReceipt: r\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+// sendEndless sends the response without end until the connection is closed.
+func (c *endlessConn) sendEndless(id string) {
+	e := c.target
+	n, err := io.WriteString(c.conn, strings.ReplaceAll(e.prefix, "{id}", id))
+	e.written.Add(int64(n))
+	for repeat := strings.ReplaceAll(e.repeat, "{id}", id); err == nil; e.written.Add(int64(n)) {
+		if e.pause > 0 {
+			time.Sleep(e.pause)
+		}
+		n, err = io.WriteString(c.conn, repeat)
+	}
+}
+
+// newRelay returns a relay with two targets that are both served by e. Retries have no
+// limit but that of the route.
+func (e *endlessTarget) newRelay(idempotency route.Idempotency, opts ...relay.Option) *relay.Relay {
+	r := (&largeTarget{}).newRelay(append([]relay.Option{relay.WithLinkOptions(link.WithDial(e.dial))}, opts...)...)
+	r.SetTable(route.Compile(&route.Config{
+		Version:  2,
+		Services: []route.Service{{Name: "archive"}},
+		Hosts: []route.Host{{Name: host, Routes: []route.Route{{
+			Name: "pull", Prefix: "/", Idempotency: idempotency, Timeout: 4 * time.Second, MaxAttempts: 3,
+			Split: []route.WeightedService{{Service: "archive", Weight: 1}},
+		}}}},
+	}))
+	return r
+}
+
+const (
+	endlessLength  = "Content-Length: 600000\r\n\r\n"
+	endlessChunked = "Transfer-Encoding: chunked\r\n\r\n"
+	oneChunk       = "1\r\na\r\n"
+)
+
+// Guards against a refusal whose body is awaited until the deadline: the request fails
+// although another target could serve it.
+func TestBodyOfRefusalIsNotAwaited(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: {id}\r\nNot-Run: 1\r\n"
+	cases := map[string]struct {
+		prefix, repeat string
+		idempotency    route.Idempotency
+	}{
+		"refusal with a length":           {refusal + endlessLength, "a", route.Idempotent},
+		"refusal in chunks":               {refusal + endlessChunked, oneChunk, route.Idempotent},
+		"refusal without a length":        {refusal + "\r\n", "a", route.Idempotent},
+		"refusal of a non-idempotent one": {refusal + endlessLength, "a", route.NotIdempotent},
+		"misdirected":                     {"HTTP/1.1 421 Misdirected Request\r\nId: {id}\r\n" + endlessLength, "a", route.NotIdempotent},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				target := &endlessTarget{prefix: c.prefix, repeat: c.repeat, pause: 10 * time.Millisecond, connections: 1}
+				r := target.newRelay(c.idempotency)
+				defer target.running.Wait()
+				defer r.SetTargets(nil)
+				begin := time.Now()
+				resp := sendRequest(t.Context(), r)
+				g.Expect(resp.Status).To(Equal(http.StatusOK))
+				g.Expect(time.Since(begin)).To(BeNumerically("<", 200*time.Millisecond))
+				_, err := readAll(g, resp)
+				g.Expect(err).NotTo(HaveOccurred())
+			})
+		})
+	}
+}
