Judge a response by its head before reading the body

A target that sent a success without its seal, a success with a Content-Encoding or a 503 that does not say whether the request ran, and then a body that did not end, kept the request until the deadline. The caller got 504 or 503 after all its time although the request was idempotent and another target could have served it.

Cause: the response was buffered up to 1 MiB before the head was looked at.

TestBodyOfUnusableResponseIsNotAwaited, which takes the place of TestBodyOfRefusalIsNotAwaited with three more cases, failed before for these three: status 503, 504 and 504 at the deadline of 4 s instead of 200 within 200 ms.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -181,6 +181,9 @@
 		t.discardBody(resp)
 		return t.refusedResult(errors.Newf("target refused the request with status %d", resp.StatusCode), judge.Shed)
 	}
+	if reason := t.unusableReason(resp); reason != "" {
+		return t.unusableResult(resp, reason)
+	}
 	buffered, err := t.readResponse(resp)
 	if err != nil {
 		return t.classifyError(err)
@@ -203,22 +206,10 @@
 	return &result{attempt: t, observation: observation, notRun: true, kind: fault.TargetShed, err: err}
 }
 
-// evaluate returns the result of an attempt with a response: whether the response
-// can be relayed, and what it shows about the target.
+// evaluate returns the result of an attempt with a response that can be relayed.
 func (t *attempt) evaluate(resp *targetResponse) *result {
-	names := &t.exchange.relay.headers
 	r := &result{attempt: t, response: resp, observation: judge.Served}
-	success := resp.status >= http.StatusOK && resp.status < http.StatusMultipleChoices
-	switch {
-	case success && resp.header.Get(names.ResponseSeal) == "":
-		return t.unusableResult(resp, "successful response without the header that marks it as the target's own")
-	case success && resp.header.Get("Content-Encoding") != "":
-		return t.unusableResult(resp, "successful response with a Content-Encoding")
-	case impliesNotRun(resp.status):
-		// Without the NotRun header the target may have run the request even though
-		// callers take this status as a promise that it did not.
-		return t.unusableResult(resp, "refusal does not state whether the request ran")
-	case resp.status >= http.StatusInternalServerError:
+	if resp.status >= http.StatusInternalServerError {
 		r.observation = judge.Failed
 		r.kind = fault.TargetFailed
 		r.err = errors.Newf("target responded with status %d", resp.status)
@@ -226,15 +217,34 @@
 	return r
 }
 
+// unusableReason returns why the response must not be relayed; it is empty if the response
+// may be relayed. The head alone decides, because the body may have no end.
+func (t *attempt) unusableReason(resp *link.Response) string {
+	names := &t.exchange.relay.headers
+	success := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
+	switch {
+	case success && resp.Header.Get(names.ResponseSeal) == "":
+		return "successful response without the header that marks it as the target's own"
+	case success && resp.Header.Get("Content-Encoding") != "":
+		return "successful response with a Content-Encoding"
+	case impliesNotRun(resp.StatusCode):
+		// Without the NotRun header the target may have run the request even though
+		// callers take this status as a promise that it did not.
+		return "refusal does not state whether the request ran"
+	default:
+		return ""
+	}
+}
+
 // unusableResult discards a response that must not be relayed and returns the
 // result of its attempt.
-func (t *attempt) unusableResult(resp *targetResponse, reason string) *result {
+func (t *attempt) unusableResult(resp *link.Response, reason string) *result {
 	observation := judge.Broken
-	if impliesNotRun(resp.status) {
+	if impliesNotRun(resp.StatusCode) {
 		observation = judge.Failed
 	}
-	resp.discard(observation)
-	return &result{attempt: t, observation: observation, kind: fault.TargetProtocol, err: errors.Newf("status %d: %s", resp.status, reason)}
+	t.discardBody(resp)
+	return &result{attempt: t, observation: observation, kind: fault.TargetProtocol, err: errors.Newf("status %d: %s", resp.StatusCode, reason)}
 }
 
 // impliesNotRun reports whether callers take the status as a promise that the
--- a/core/relay/endless_test.go
+++ b/core/relay/endless_test.go
@@ -103,19 +103,22 @@
 	oneChunk       = "1\r\na\r\n"
 )
 
-// Guards against a refusal whose body is awaited until the deadline: the request fails
-// although another target could serve it.
-func TestBodyOfRefusalIsNotAwaited(t *testing.T) {
+// Guards against a response that its head already shows to be unusable, but whose body is
+// awaited until the deadline: the request fails although another target could serve it.
+func TestBodyOfUnusableResponseIsNotAwaited(t *testing.T) {
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: {id}\r\nNot-Run: 1\r\n"
 	cases := map[string]struct {
 		prefix, repeat string
 		idempotency    route.Idempotency
 	}{
-		"refusal with a length":           {refusal + endlessLength, "a", route.Idempotent},
-		"refusal in chunks":               {refusal + endlessChunked, oneChunk, route.Idempotent},
-		"refusal without a length":        {refusal + "\r\n", "a", route.Idempotent},
-		"refusal of a non-idempotent one": {refusal + endlessLength, "a", route.NotIdempotent},
-		"misdirected":                     {"HTTP/1.1 421 Misdirected Request\r\nId: {id}\r\n" + endlessLength, "a", route.NotIdempotent},
+		"refusal with a length":              {refusal + endlessLength, "a", route.Idempotent},
+		"refusal in chunks":                  {refusal + endlessChunked, oneChunk, route.Idempotent},
+		"refusal without a length":           {refusal + "\r\n", "a", route.Idempotent},
+		"refusal of a non-idempotent one":    {refusal + endlessLength, "a", route.NotIdempotent},
+		"misdirected":                        {"HTTP/1.1 421 Misdirected Request\r\nId: {id}\r\n" + endlessLength, "a", route.NotIdempotent},
+		"refusal that says nothing of a run": {"HTTP/1.1 503 Service Unavailable\r\nId: {id}\r\n" + endlessLength, "a", route.Idempotent},
+		"success without a seal":             {"HTTP/1.1 200 OK\r\nId: {id}\r\n" + endlessChunked, oneChunk, route.Idempotent},
+		"success with an encoding":           {"HTTP/1.1 200 OK\r\nId: {id}\r\nReceipt: r\r\nContent-Encoding: gzip\r\n" + endlessLength, "a", route.Idempotent},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
