Count the capacity of response buffers as memory

With many responses that have no end, the daemon kept twice the memory that its settings allow for responses: 16.4 MiB of 8 MiB.

Cause: the memory was reserved by the bytes read, but a bytes.Buffer has up to twice as much room, and holds the old room as well while it grows. The room is now allocated in the size that was reserved, and a larger one is reserved before the smaller one is copied and released. A response of unknown length may so reserve up to twice its size, which is what it takes.

--- a/core/relay/endless_test.go
+++ b/core/relay/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,9 +16,11 @@
 
 	. "github.com/onsi/gomega"
 
+	"wisteriarelay.example/core/caller"
 	"wisteriarelay.example/core/link"
 	"wisteriarelay.example/core/relay"
 	"wisteriarelay.example/core/route"
+	"wisteriarelay.example/core/sched"
 )
 
 // endlessTarget is a target that sends prefix and then repeats a text until the connection
@@ -138,3 +141,91 @@
 		})
 	}
 }
+
+// manyCallers send requests through a relay at once and read the responses when told to.
+type manyCallers struct {
+	relay   *relay.Relay
+	mu      sync.Mutex
+	open    []*caller.Response
+	pending sync.WaitGroup
+}
+
+// run sends one request and keeps the response.
+func (m *manyCallers) run(ctx context.Context) {
+	defer m.pending.Done()
+	resp := sendRequest(ctx, m.relay)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.open = append(m.open, resp)
+}
+
+// discardAll discards the responses as a server does when their callers disconnect.
+func (m *manyCallers) discardAll() {
+	for _, resp := range m.open {
+		if resp.UnreadBody != nil {
+			_ = resp.UnreadBody.Close()
+		}
+		if resp.Release != nil {
+			resp.Release()
+		}
+	}
+}
+
+// heapInUse returns the number of bytes of reachable objects on the heap.
+func heapInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// Guards against memory beyond the configured one for responses, while many targets send
+// without end and their callers read nothing yet.
+func TestMemoryOfManyEndlessResponsesIsBounded(t *testing.T) {
+	const (
+		requests       = 100
+		responseMemory = 8 << 20
+		perConnection  = 48 << 10
+	)
+	const own = "HTTP/1.1 200 OK\r\nId: {id}\r\nReceipt: r\r\n"
+	piece := strings.Repeat("a", 16<<10)
+	cases := map[string]*endlessTarget{
+		"head":                      {prefix: own + "X: ", repeat: piece},
+		"interim responses":         {repeat: strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 100)},
+		"no HTTP":                   {repeat: piece},
+		"body with a length":        {prefix: own + "Content-Length: 700000\r\n\r\n", repeat: piece},
+		"body with a large length":  {prefix: own + "Content-Length: 60000000\r\n\r\n", repeat: piece},
+		"body in chunks":            {prefix: own + endlessChunked, repeat: "4000\r\n" + piece + "\r\n"},
+		"body without a length":     {prefix: own + "Connection: close\r\n\r\n", repeat: piece},
+		"failure without a length":  {prefix: "HTTP/1.1 500 Internal Server Error\r\nId: {id}\r\n\r\n", repeat: piece},
+		"responses to other ids":    {prefix: "HTTP/1.1 200 OK\r\nId: other\r\n" + endlessChunked, repeat: "4000\r\n" + piece + "\r\n"},
+		"small chunks":              {prefix: own + endlessChunked, repeat: strings.Repeat("20\r\n"+strings.Repeat("a", 32)+"\r\n", 100)},
+		"refusal without an ending": {prefix: "HTTP/1.1 503 Service Unavailable\r\nId: {id}\r\nNot-Run: 1\r\n\r\n", repeat: piece},
+	}
+	for name, target := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				target.connections = 3 * requests
+				m := &manyCallers{relay: target.newRelay(route.Idempotent, relay.WithResponseMemory(responseMemory))}
+				m.relay.SetTargets(map[string][]sched.Target{"archive": {
+					{Key: sched.Key{ID: "t0", StartMillis: 1}, Address: "10.0.0.1:80", DataCentre: "a", Slots: requests},
+					{Key: sched.Key{ID: "t1", StartMillis: 1}, Address: "10.0.0.2:80", DataCentre: "a", Slots: requests},
+				}})
+				defer target.running.Wait()
+				defer m.relay.SetTargets(nil)
+				defer m.discardAll()
+				before := heapInUse()
+				for range requests {
+					m.pending.Add(1)
+					go m.run(t.Context())
+				}
+				m.pending.Wait()
+				used := heapInUse() - before
+				t.Logf("%d KiB in use, %d KiB sent", used>>10, target.written.Load()>>10)
+				g.Expect(used).To(BeNumerically("<", responseMemory+requests*perConnection))
+			})
+		})
+	}
+}
--- a/core/relay/response.go
+++ b/core/relay/response.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 
@@ -16,9 +15,8 @@
 	// its first byte is sent to the caller, so that a truncated one can be replaced by
 	// a retry.
 	bufferLimit = 1 << 20
-	// reserveStep is the number of bytes by which the memory reserved for a response
-	// of unknown length grows.
-	reserveStep = 32 << 10
+	// minBuffer is the size in bytes of the first buffer for a response of unknown length.
+	minBuffer = 32 << 10
 	// responseLimit is the maximum size of a response in bytes, because a target may
 	// send an endless one.
 	responseLimit = 64 << 20
@@ -61,49 +59,65 @@
 		return nil, errResponseTooLarge
 	}
 	out := &targetResponse{status: resp.StatusCode, header: resp.Header, memory: &t.exchange.relay.memory}
-	var b bytes.Buffer
-	for out.reserveNext(int64(b.Len()), resp.ContentLength) {
-		step := out.reserved - int64(b.Len())
-		n, err := b.ReadFrom(io.LimitReader(resp.Body, step))
+	for out.grow(resp.ContentLength) {
+		ended, err := out.fill(resp.Body)
 		if err != nil {
 			_ = resp.Body.Close()
 			out.discard(judge.Nothing)
 			return nil, err
 		}
-		if n < step || int64(b.Len()) == resp.ContentLength {
-			return out.complete(resp, b.Bytes()), nil
+		if ended || int64(len(out.body)) == resp.ContentLength {
+			return out.complete(resp), nil
 		}
 	}
-	out.body = b.Bytes()
 	out.length = resp.ContentLength
-	out.rest = &bodyStream{attempt: t, body: resp.Body, remaining: responseLimit - int64(b.Len())}
+	out.rest = &bodyStream{attempt: t, body: resp.Body, remaining: responseLimit - int64(len(out.body))}
 	return out, nil
 }
 
-// reserveNext reserves memory for the next part of a body, after read bytes of length
-// bytes. It reports whether that part may be buffered: the body must stay within
-// bufferLimit, and the memory must be available. length is below 0 if unknown.
-func (r *targetResponse) reserveNext(read, length int64) bool {
-	step := int64(reserveStep)
+// grow makes room for the next part of a body, of length bytes in all; length is below 0
+// if it is unknown. It reports whether that part may be buffered: the body must stay
+// within bufferLimit, and the memory must be available. The room is reserved in full, so
+// that the memory in use never exceeds the quota.
+func (r *targetResponse) grow(length int64) bool {
+	size := max(2*int64(cap(r.body)), minBuffer)
 	if length >= 0 {
-		step = length - read
+		size = length
 	}
-	if read+step > bufferLimit || !r.memory.reserve(step) {
+	if size > bufferLimit || !r.memory.reserve(size) {
 		return false
 	}
-	r.reserved += step
+	body := make([]byte, len(r.body), size)
+	copy(body, r.body)
+	r.body = body
+	r.memory.release(r.reserved)
+	r.reserved = size
 	return true
 }
 
+// fill reads the body until its room is used up, and reports whether the body has ended.
+func (r *targetResponse) fill(body io.Reader) (ended bool, err error) {
+	for len(r.body) < cap(r.body) {
+		n, err := body.Read(r.body[len(r.body):cap(r.body)])
+		r.body = r.body[:len(r.body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return true, nil
+		case err != nil:
+			return false, err
+		}
+	}
+	return false, nil
+}
+
 // complete closes the target's response after its body was buffered.
-func (r *targetResponse) complete(resp *link.Response, body []byte) *targetResponse {
+func (r *targetResponse) complete(resp *link.Response) *targetResponse {
 	if resp.ContentLength >= 0 {
 		// The connection can only be reused after the end of the body has been read.
 		_, _ = resp.Body.Read(make([]byte, 1))
 	}
 	_ = resp.Body.Close()
-	r.body = body
-	r.length = int64(len(body))
+	r.length = int64(len(r.body))
 	return r
 }
 
