Test streamed responses without end

Nothing tested that a response which is passed on while it arrives ends with the limit of 64 MiB or the deadline of the request, that its caller can tell it from a complete one, and that the slot of its target is free afterwards.

--- a/core/relay/endless_test.go
+++ b/core/relay/endless_test.go
@@ -229,3 +229,40 @@
 		})
 	}
 }
+
+// Guards against a streamed response without end that keeps its connection beyond the
+// limit on responses or the deadline of the request, and that looks complete to its caller.
+func TestStreamedResponseWithoutEndIsAborted(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\r\nId: {id}\r\nReceipt: r\r\n"
+	const maxResponse = 64 << 20
+	piece := strings.Repeat("a", 1<<20)
+	cases := map[string]*endlessTarget{
+		"without a length":               {prefix: own + "\r\n", repeat: piece},
+		"in chunks":                      {prefix: own + endlessChunked, repeat: "100000\r\n" + piece + "\r\n"},
+		"without a length, byte by byte": {prefix: own + "\r\n", repeat: "a", pause: 100 * time.Millisecond},
+		"in chunks, byte by byte":        {prefix: own + endlessChunked, repeat: oneChunk, pause: 100 * time.Millisecond},
+		"with a length, byte by byte":    {prefix: own + endlessLength, repeat: "a", pause: 100 * time.Millisecond},
+	}
+	for name, target := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				target.connections = 1
+				r := target.newRelay(route.Idempotent, relay.WithResponseMemory(1))
+				defer target.running.Wait()
+				defer r.SetTargets(nil)
+				begin := time.Now()
+				resp := sendRequest(t.Context(), r)
+				g.Expect(resp.Status).To(Equal(http.StatusOK))
+				size, err := readAll(g, resp)
+				g.Expect(err).To(HaveOccurred())
+				g.Expect(size).To(BeNumerically("<=", maxResponse))
+				g.Expect(time.Since(begin)).To(BeNumerically("<", 5*time.Second))
+				target.running.Wait()
+				for _, s := range r.TargetPool("archive").State() {
+					g.Expect(s.Own).To(BeZero())
+				}
+			})
+		})
+	}
+}
