Shorten the text of errors of exchanges with targets

An attempt that failed because of an invalid head was logged with the head: a target that sent 64 KiB of bytes that are no response made a log line of 261 KiB, as each byte that cannot be printed is quoted with four. At 400 lines per second the daemon spent its time and memory on its log, and up to 2048 such lines wait if the output is slow (535 MB).

Cause: the errors of net/http quote the line that they reject. The text of link.Error now has at most 512 bytes and a note of the full length.

--- a/core/link/error.go
+++ b/core/link/error.go
@@ -45,9 +45,17 @@
 	Cause    error
 }
 
-// Error returns the stage and the cause.
+// maxErrorBytes is the maximum length of the text of an Error. Causes may quote what the
+// target sent, which takes four times the size of the head if no byte is printable.
+const maxErrorBytes = 512
+
+// Error returns the stage and the cause, shortened to maxErrorBytes.
 func (f *Error) Error() string {
-	return fmt.Sprintf("exchange failed at %s: %v", f.Stage, f.Cause)
+	text := fmt.Sprintf("exchange failed at %s: %v", f.Stage, f.Cause)
+	if len(text) <= maxErrorBytes {
+		return text
+	}
+	return fmt.Sprintf("%s... (%d bytes)", text[:maxErrorBytes], len(text))
 }
 
 // Unwrap returns the cause.
