Shorten log lines to 4 KiB

While the output of a daemon was blocked, up to 2048 lines of any length waited in memory: 1000 lines of 256 KiB took 250 MiB. Lines quote what targets, callers and the store sent, so others decide how long they are.

Cause: the queue limits the number of lines only. A longer line now ends after 4 KiB with a note of its length, so that the queue takes 8 MiB at most.

--- a/core/logs/writer.go
+++ b/core/logs/writer.go
@@ -10,6 +10,9 @@
 const (
 	// maxQueuedLines limits the lines that wait to be written.
 	maxQueuedLines = 2048
+	// maxLineBytes is the maximum length of a line. The queue then takes at most 8 MiB
+	// while the output is blocked.
+	maxLineBytes = 4 << 10
 	// DefaultRate is the default limit in lines per second.
 	DefaultRate = 400
 	// burstSeconds is the capacity of the token bucket, in seconds of the rate.
@@ -18,7 +21,8 @@
 
 // Writer writes lines to an output in the background. Write never blocks; a line
 // that exceeds the queue or the rate limit is dropped, and the next line that is
-// accepted is preceded by one with the number of dropped lines.
+// accepted is preceded by one with the number of dropped lines. A line that exceeds
+// maxLineBytes is shortened.
 type Writer struct {
 	out   io.Writer
 	rate  float64
@@ -59,7 +63,7 @@
 		w.drop()
 		return len(line), nil
 	}
-	queued := append([]byte(nil), line...)
+	queued := shorten(line)
 	if w.pendingDropped > 0 {
 		queued = append(fmt.Appendf(nil, "msg=\"log lines dropped\" count=%d\n", w.pendingDropped), queued...)
 	}
@@ -72,6 +76,14 @@
 	return len(line), nil
 }
 
+// shorten returns a copy of the line with at most maxLineBytes of its text.
+func shorten(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return append([]byte(nil), line...)
+	}
+	return fmt.Appendf(nil, "%s... (line of %d bytes)\n", line[:maxLineBytes], len(line))
+}
+
 func (w *Writer) drop() {
 	w.pendingDropped++
 	w.totalDropped++
