Limit request heads on auxiliary ports to 8 KiB

A caller of the ports for addresses, readiness and metrics could send 1 MiB of head on each connection, and do so on many at once: 64 of them take the memory of a small VM.

Cause: the servers had the default limit of net/http.

--- a/core/node/servers.go
+++ b/core/node/servers.go
@@ -13,6 +13,9 @@
 	// auxHeaderTimeout limits the time to read the header of a request to an auxiliary
 	// server.
 	auxHeaderTimeout = 3 * time.Second
+	// auxMaxHeadBytes limits the head of such a request, which has a short path and few
+	// fields.
+	auxMaxHeadBytes = 8 << 10
 	// auxIdleTimeout is the time after which an auxiliary server closes an idle
 	// connection.
 	auxIdleTimeout = 30 * time.Second
@@ -78,13 +81,23 @@
 	if err != nil {
 		return err
 	}
-	httpServer := &http.Server{Handler: handler, ReadHeaderTimeout: auxHeaderTimeout, IdleTimeout: auxIdleTimeout}
+	httpServer := newAuxServer(handler)
 	a.servers = append(a.servers, httpServer)
 	server := &auxServer{httpServer, l}
 	go server.run()
 	return nil
 }
 
+// newAuxServer returns the HTTP server for an auxiliary port.
+func newAuxServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: auxHeaderTimeout,
+		IdleTimeout:       auxIdleTimeout,
+		MaxHeaderBytes:    auxMaxHeadBytes,
+	}
+}
+
 func (a *auxServers) close() {
 	for _, server := range a.servers {
 		_ = server.Close()
