Limit the time of calls to auxiliary ports

A caller of the ports for addresses, readiness and metrics kept a connection and a goroutine for minutes with a body of one byte per second, and without end, together with the response in memory, by not reading the response.

Cause: only the time for the head was limited. Reading a whole request may now take 5 s, and its response must be written 15 s after the head.

TestDrippedRequestIsEndedByAuxServers failed before in four of seven cases (go test -race -v -run AuxServers ./core/node): open for 24 s to 2 min 30 s, now 6 s at most. TestUnreadResponseIsAbandonedByAuxServers failed before: the whole response was still sent after a minute.

--- a/core/node/servers.go
+++ b/core/node/servers.go
@@ -13,6 +13,10 @@
 	// auxHeaderTimeout limits the time to read the header of a request to an auxiliary
 	// server.
 	auxHeaderTimeout = 3 * time.Second
+	// auxReadTimeout limits the time to read a whole request to an auxiliary server,
+	// auxWriteTimeout that until its response is written.
+	auxReadTimeout  = 5 * time.Second
+	auxWriteTimeout = 15 * time.Second
 	// auxMaxHeadBytes limits the head of such a request, which has a short path and few
 	// fields.
 	auxMaxHeadBytes = 8 << 10
@@ -93,6 +97,8 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: auxHeaderTimeout,
+		ReadTimeout:       auxReadTimeout,
+		WriteTimeout:      auxWriteTimeout,
 		IdleTimeout:       auxIdleTimeout,
 		MaxHeaderBytes:    auxMaxHeadBytes,
 	}
--- a/core/node/servers_test.go
+++ b/core/node/servers_test.go
@@ -107,3 +107,47 @@
 		})
 	}
 }
+
+// Guards against callers of addresses, readiness and metrics that keep connections by
+// sending a request one byte at a time.
+func TestDrippedRequestIsEndedByAuxServers(t *testing.T) {
+	const limit = 200
+	cases := map[string][2]string{
+		"head":                {"GET / HTTP/1.1\r\nHost: h\r\nX: ", "a"},
+		"body with a length":  {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n", "a"},
+		"body in chunks":      {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+		"chunk size":          {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		"trailer":             {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ", "a"},
+		"start of a request":  {"G", "E"},
+		"lines before a head": {"\r\n", "\r\n"},
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				c := connectToAuxServer(t)
+				r := &responseReader{conn: c}
+				go r.run()
+				begin := time.Now()
+				sentBytes(c, text[0], text[1], time.Second, limit)
+				t.Logf("open for %s", time.Since(begin))
+				g.Expect(time.Since(begin)).To(BeNumerically("<", 10*time.Second))
+			})
+		})
+	}
+}
+
+// Guards against callers of addresses, readiness and metrics that keep connections, and
+// the responses to them in memory, by not reading them.
+func TestUnreadResponseIsAbandonedByAuxServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := connectToAuxServer(t)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Minute)
+		_ = c.SetReadDeadline(time.Now().Add(time.Minute))
+		n, _ := io.Copy(io.Discard, c)
+		g.Expect(n).To(BeNumerically("<", auxResponseBytes))
+	})
+}
