Limit the memory of unfinished deltas of the target list

Peers that start deltas of the target list without finishing them made a daemon keep all their parts: 64 senders with 255 parts of 1,300 empty changes, which fit in datagrams of 1,400 bytes, took 784 MB.

Cause: the number of senders and of parts was limited, not the memory of the parts. An assembler now keeps 8 MiB at most; beyond that it gives up all incomplete deltas, as it does for too many senders, and the daemon reads the list from the store.

TestMemoryOfUnfinishedDeltasIsBounded failed before in its three cases (go test -race -v -run Unfinished ./core/watch): 783775, 23371 and 22855 KiB in use, now 5773 KiB or less. Four senders' largest deltas at once still arrive (TestLargeDeltasOfSeveralSendersAreJoined).

--- a/core/watch/assembler.go
+++ b/core/watch/assembler.go
@@ -5,6 +5,15 @@
 	maxParts = 256
 	// maxSenders is the largest number of senders whose parts an [Assembler] keeps.
 	maxSenders = 64
+	// maxKeptBytes is the approximate memory for all parts that an [Assembler] keeps. It
+	// suffices for ten deltas of the largest size that daemons send.
+	maxKeptBytes = 8 << 20
+)
+
+// The sizes in bytes of a change and of an entry in memory without their texts.
+const (
+	changeBytes = 48
+	entryBytes  = 96
 )
 
 // Assembler joins the parts of deltas, of each sender those of the delta with the
@@ -12,6 +21,8 @@
 // reads the list from the store itself.
 type Assembler struct {
 	bySender map[string]*assembly
+	// keptBytes is the approximate memory of the parts in bySender.
+	keptBytes int
 	// abandoned counts the deltas that were given up for a newer one.
 	abandoned int64
 }
@@ -22,6 +33,20 @@
 	version int64
 	parts   [][]Change
 	missing int
+	// bytes is the approximate memory of the parts.
+	bytes int
+}
+
+// memoryOf returns the approximate memory of the changes in bytes.
+func memoryOf(changes []Change) int {
+	n := changeBytes * len(changes)
+	for i := range changes {
+		n += len(changes[i].ID)
+		if e := changes[i].Entry; e != nil {
+			n += entryBytes + len(e.Service) + len(e.Address) + len(e.DataCentre)
+		}
+	}
+	return n
 }
 
 // Abandoned returns the number of deltas of which a part was missing when the first
@@ -36,7 +61,7 @@
 }
 
 // Add adds a part from the sender. It returns the delta and true once all parts have
-// arrived.
+// arrived. If the parts would take too much memory, all incomplete deltas are given up.
 func (a *Assembler) Add(sender string, p Part) (Delta, bool) {
 	if p.Count <= 1 {
 		return p.Delta, true
@@ -48,10 +73,18 @@
 	if s == nil || s.parts[p.Index] != nil {
 		return Delta{}, false
 	}
+	size := memoryOf(p.Changes)
+	if a.keptBytes+size > maxKeptBytes {
+		a.abandonAll()
+		return Delta{}, false
+	}
+	a.keptBytes += size
+	s.bytes += size
 	s.parts[p.Index] = p.Changes
 	if s.missing--; s.missing > 0 {
 		return Delta{}, false
 	}
+	a.keptBytes -= s.bytes
 	delete(a.bySender, sender)
 	joined := p.Delta
 	joined.Changes = nil
@@ -73,10 +106,10 @@
 		return s
 	default:
 		a.abandoned++
+		a.keptBytes -= s.bytes
 	}
 	if s == nil && len(a.bySender) >= maxSenders {
-		a.abandoned += int64(len(a.bySender))
-		clear(a.bySender)
+		a.abandonAll()
 	}
 	if a.bySender == nil {
 		a.bySender = map[string]*assembly{}
@@ -85,3 +118,10 @@
 	a.bySender[sender] = s
 	return s
 }
+
+// abandonAll gives up all incomplete deltas.
+func (a *Assembler) abandonAll() {
+	a.abandoned += int64(len(a.bySender))
+	clear(a.bySender)
+	a.keptBytes = 0
+}
