Release fragments of documents that are given up

Of configurations and target lists whose fragments never all arrived, a daemon kept up to eight each in place of the four that are meant: 21 MB.

Cause: the oldest was cut off the front of a slice, whose array still held it until the next time it grew.

TestMemoryOfUnfinishedDocumentsIsBounded failed before (go test -race -v -run Bounded ./core/gossip): 20854 KiB in use, now 10427 KiB. That documents which expand beyond their limit are rejected (TestDecompressedDocumentIsBounded) held before.

--- a/core/gossip/document.go
+++ b/core/gossip/document.go
@@ -118,7 +118,8 @@
 	})
 	if i < 0 {
 		r.assemblies = append(r.assemblies, &documentAssembly{version: f.Version, hash: f.Hash, fragments: make([][]byte, f.Count), missing: f.Count})
-		r.assemblies = r.assemblies[max(len(r.assemblies)-maxAssemblies, 0):]
+		// Delete clears the forgotten elements, so that they are not kept in memory.
+		r.assemblies = slices.Delete(r.assemblies, 0, max(len(r.assemblies)-maxAssemblies, 0))
 		return r.assemblies[len(r.assemblies)-1]
 	}
 	a := r.assemblies[i]
