Limit the senders whose events are deduplicated

A daemon kept a window for each name of a VM from which it ever received events, also of VMs that were replaced long ago: 200,000 names took 15 MB.

Cause: the map of windows had no limit and nothing removed an entry. It now holds 4,096 senders, six times the VMs of a planned fleet, and is cleared when there are more.

TestMemoryOfSendersIsBounded failed before (go test -race -v -run Senders ./core/gossip): 14638 KiB in use, now below the limit of 4 MiB.

--- a/core/gossip/receiver.go
+++ b/core/gossip/receiver.go
@@ -105,12 +105,19 @@
 	}
 }
 
+// maxWindows is the largest number of senders whose events are deduplicated. Beyond it all
+// are forgotten, so that an event which is on the way twice at that moment may count twice.
+const maxWindows = 4096
+
 // markNew marks the sender's event as received and reports whether it was new.
 func (r *receiver) markNew(report *Report, seq uint64) bool {
 	r.windowsMu.Lock()
 	defer r.windowsMu.Unlock()
 	w := r.windows[report.VM]
 	if w == nil || w.startMillis != report.StartMillis {
+		if w == nil && len(r.windows) >= maxWindows {
+			clear(r.windows)
+		}
 		w = &senderWindow{startMillis: report.StartMillis}
 		r.windows[report.VM] = w
 	}
--- a/core/gossip/unfinished_test.go
+++ b/core/gossip/unfinished_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"fmt"
 	"runtime"
 	"testing"
 
@@ -55,3 +56,19 @@
 	g.Expect(got).To(BeNil())
 	g.Expect(err).To(HaveOccurred())
 }
+
+// Guards against memory that grows with each name of a sender, such as those of replaced
+// VMs or of reports from elsewhere.
+func TestMemoryOfSendersIsBounded(t *testing.T) {
+	const senders, maxBytes = 200_000, 4 << 20
+	g := NewWithT(t)
+	r := &receiver{Transport: &Transport{windows: map[string]*senderWindow{}}}
+	before := heapInUse()
+	for n := range senders {
+		g.Expect(r.markNew(&Report{VM: fmt.Sprint("vm-", n), StartMillis: 1}, 1)).To(BeTrue())
+	}
+	used := heapInUse() - before
+	t.Logf("%d KiB in use", used>>10)
+	g.Expect(used).To(BeNumerically("<", maxBytes))
+	g.Expect(r.markNew(&Report{VM: fmt.Sprint("vm-", senders-1), StartMillis: 1}, 1)).To(BeFalse())
+}
