Keep only the start of long causes of exchange errors

Cause: the text of an error was short, but its cause kept the quoted head of 261 KiB for as long as the request lasted, and formatting it made a copy each time. A long cause is now replaced by its start when the error is made.

TestErrorsOfInvalidHeadsTakeLittleMemory failed before (go test -race -v -run 'TestErrors?Of' ./core/link): 261635 bytes for each error, now 489.

--- a/core/link/error.go
+++ b/core/link/error.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -45,17 +46,22 @@
 	Cause    error
 }
 
-// maxErrorBytes is the maximum length of the text of an Error. Causes may quote what the
-// target sent, which takes four times the size of the head if no byte is printable.
-const maxErrorBytes = 512
-
-// Error returns the stage and the cause, shortened to maxErrorBytes.
+// Error returns the stage and the cause.
 func (f *Error) Error() string {
-	text := fmt.Sprintf("exchange failed at %s: %v", f.Stage, f.Cause)
-	if len(text) <= maxErrorBytes {
-		return text
+	return fmt.Sprintf("exchange failed at %s: %v", f.Stage, f.Cause)
+}
+
+// maxCauseBytes is the maximum length of the text of a cause. The errors of net/http quote
+// what the target sent, which takes four times the size of the head if no byte is printable.
+const maxCauseBytes = 480
+
+// shorten returns the error, or one with the start of its text if that is too long.
+func shorten(err error) error {
+	text := err.Error()
+	if len(text) <= maxCauseBytes {
+		return err
 	}
-	return fmt.Sprintf("%s... (%d bytes)", text[:maxErrorBytes], len(text))
+	return errors.Newf("%s... (%d bytes)", strings.Clone(text[:maxCauseBytes]), len(text))
 }
 
 // Unwrap returns the cause.
@@ -70,7 +76,7 @@
 }
 
 func newError(ctx context.Context, stage Stage, cause error) *Error {
-	f := &Error{Stage: stage, Cause: cause}
+	f := &Error{Stage: stage, Cause: shorten(cause)}
 	f.Refused = errors.Is(cause, syscall.ECONNREFUSED)
 	var netErr net.Error
 	switch {
--- a/core/link/error_test.go
+++ b/core/link/error_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -33,3 +34,21 @@
 		})
 	}
 }
+
+// Guards against errors that keep what targets sent in memory for as long as their
+// requests last.
+func TestErrorsOfInvalidHeadsTakeLittleMemory(t *testing.T) {
+	const exchanges, maxBytes = 100, 4 << 10
+	g := NewWithT(t)
+	reply := strings.Repeat("\x00", maxHeadBytes-200) + "\r\n\r\n"
+	errs := make([]error, exchanges)
+	before := heapInUse()
+	for i := range errs {
+		p := NewPool("target", WithDial(newScriptedTarget(true, reply).dial))
+		_, errs[i] = p.Forward(t.Context(), &RawRequest{Method: http.MethodGet, RequestURI: "/", Host: "h"}, time.Minute)
+	}
+	used := (heapInUse() - before) / exchanges
+	t.Logf("%d bytes for each error", used)
+	g.Expect(used).To(BeNumerically("<", maxBytes))
+	runtime.KeepAlive(errs)
+}
