Limit the heads of probe responses to 64 KiB

A target that answered a probe with a head or interim responses without end was read for 10 MiB each time, once per probed target and second.

Cause: the client of the probes had the default limit of net/http. It is now made in package detect, so that its test uses the same limits.

--- a/core/daemon/provide.go
+++ b/core/daemon/provide.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -114,7 +113,7 @@
 // connectComponents sets.
 func newController(s *config.Settings, inc fleet.Incarnation, o overrides, p Platform, tasks *taskGroup, set *stats.Registry, l log.Logger) *serviceController {
 	sink := &attemptSink{stats: set, logger: l}
-	probes := &http.Client{Transport: &http.Transport{DialContext: o.dial, MaxIdleConnsPerHost: 1}}
+	probes := detect.NewProbeClient(o.dial)
 	return newControllerWithDeps(serviceDeps{
 		self:        s.Self(),
 		incarnation: inc,
--- a/core/detect/prober.go
+++ b/core/detect/prober.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,8 @@
 	// assignInterval is how often the prober checks which targets are assigned
 	// to it.
 	assignInterval = time.Second
+	// maxProbeHead bounds the size of a response head with the interim responses before it.
+	maxProbeHead = 64 << 10
 	// maxProbeBody bounds how much of a response body is read. The body is read
 	// so that the connection can be reused.
 	maxProbeBody = 4 << 10
@@ -238,6 +241,11 @@
 	p.report(ProbeReport{ProbeAnswer: answer, Target: t.ID, Latency: now.Sub(start), At: now})
 }
 
+// NewProbeClient returns a client for HTTPProbe that opens connections with dial.
+func NewProbeClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxProbeHead}}
+}
+
 // HTTPProbe returns a probe that requests the probe path over HTTP. A 2xx
 // status is OK, 429 is Shed, and anything else is a failure; the header
 // Wisteria-Leaving states that the target is leaving, whatever the status.
