Limit the heads of replies of the platform to 64 KiB

The client of the own interface's platform read a head or interim replies without end for 10 MiB or 2 s in each call, like the relay's client of the store.

Cause: the transport had the default limit of net/http.

--- a/core/store/client.go
+++ b/core/store/client.go
@@ -13,6 +13,8 @@
 
 const (
 	defaultTimeout = 2 * time.Second
+	// maxHeadBytes limits the head of a reply with the interim replies before it.
+	maxHeadBytes = 64 << 10
 	// maxReplyBytes limits the body of a reply. The limit of 16 MiB is above the size
 	// of any snapshot of the settings.
 	maxReplyBytes = 16 << 20
@@ -63,7 +65,7 @@
 func NewClient(base string, opts ...Option) *Client {
 	c := &Client{
 		baseURL:     strings.TrimSuffix(base, "/"),
-		http:        &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}},
+		http:        &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes}},
 		timeout:     defaultTimeout,
 		daemons:     func() int { return 1 },
 		fleetRates:  [2]float64{fleetReadRate, fleetWriteRate},
