Quote at most 1 KiB of a reply in an error

A refusal of the platform with a long body made an error of 16 MiB. It went into the log and, as the last error, into the state of the client, where it stayed until the next failure.

Cause: the whole body became the text of the error.

--- a/core/store/endless_test.go
+++ b/core/store/endless_test.go
@@ -95,6 +95,9 @@
 		"head field":        {&endlessPlatform{prefix: head + "X: ", repeat: piece}, maxHeadBytes},
 		"interim responses": {&endlessPlatform{repeat: strings.Repeat("HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n", 1<<10)}, maxHeadBytes},
 		"body":              {&endlessPlatform{prefix: head + "\r\n", repeat: piece}, maxBodyBytes},
+		"conflict":          {&endlessPlatform{prefix: "HTTP/1.1 409 Conflict\r\n\r\n", repeat: piece}, maxBodyBytes},
+		"bad request":       {&endlessPlatform{prefix: "HTTP/1.1 400 Bad Request\r\n\r\n", repeat: piece}, maxBodyBytes},
+		"unavailable":       {&endlessPlatform{prefix: "HTTP/1.1 503 Service Unavailable\r\n\r\n", repeat: piece}, maxBodyBytes},
 		"dripped body":      {&endlessPlatform{prefix: head + "\r\n", repeat: "a", pause: 20 * time.Millisecond}, maxHeadBytes},
 	}
 	for name, c := range cases {
--- a/core/store/exchange.go
+++ b/core/store/exchange.go
@@ -119,16 +119,25 @@
 	case http.StatusNotFound:
 		return true, fault.New(x.notFound, "%s", x.path)
 	case http.StatusConflict:
-		return true, fault.New(fault.StoreConflict, "%s", body)
+		return true, fault.New(fault.StoreConflict, "%s", quote(body))
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
-		return true, fault.New(fault.BadRequest, "%s", body)
+		return true, fault.New(fault.BadRequest, "%s", quote(body))
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return false, fault.New(fault.StoreUnavailable, "status %d from the store: %s", status, body)
+		return false, fault.New(fault.StoreUnavailable, "status %d from the store: %s", status, quote(body))
 	default:
 		return false, x.noReplyError(true, fault.New(fault.StoreUnavailable, "status %d from the store", status))
 	}
 }
 
+// maxQuoteBytes is the maximum length of the part of a reply that an error quotes.
+const maxQuoteBytes = 1 << 10
+
+// quote returns the start of the body of a reply for an error. The state of the client
+// keeps the last error.
+func quote(body []byte) string {
+	return string(body[:min(len(body), maxQuoteBytes)])
+}
+
 // decodeReply stores the body of a successful reply in its destination. It reports
 // whether the body could be decoded.
 func (x *exchange) decodeReply(body []byte) (bool, error) {
