--- a/core/link/error.go
+++ b/core/link/error.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -50,6 +51,19 @@
 	return fmt.Sprintf("exchange failed at %s: %v", f.Stage, f.Cause)
 }
 
+// maxCauseBytes is the maximum length of the text of a cause. The errors of net/http quote
+// what the target sent, which takes four times the size of the head if no byte is printable.
+const maxCauseBytes = 480
+
+// shorten returns the error, or one with the start of its text if that is too long.
+func shorten(err error) error {
+	text := err.Error()
+	if len(text) <= maxCauseBytes {
+		return err
+	}
+	return errors.Newf("%s... (%d bytes)", strings.Clone(text[:maxCauseBytes]), len(text))
+}
+
 // Unwrap returns the cause.
 func (f *Error) Unwrap() error {
 	return f.Cause
@@ -62,7 +76,7 @@
 }
 
 func newError(ctx context.Context, stage Stage, cause error) *Error {
-	f := &Error{Stage: stage, Cause: cause}
+	f := &Error{Stage: stage, Cause: shorten(cause)}
 	f.Refused = errors.Is(cause, syscall.ECONNREFUSED)
 	var netErr net.Error
 	switch {
--- a/core/node/stop_test.go
+++ b/core/node/stop_test.go
@@ -17,33 +17,6 @@
 	"wisteriarelay.example/core/route"
 )
 
-// pipeListener accepts in-memory connections, which work with the clock of a bubble.
-type pipeListener struct {
-	conns chan net.Conn
-	done  chan struct{}
-}
-
-// Accept returns the next connection.
-func (p *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-p.conns:
-		return c, nil
-	case <-p.done:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close ends Accept.
-func (p *pipeListener) Close() error {
-	close(p.done)
-	return nil
-}
-
-// Addr returns no address.
-func (p *pipeListener) Addr() net.Addr {
-	return nil
-}
-
 // get sends a request on a new connection and returns the response and its body. ok is
 // false if the listener is closed.
 func (p *pipeListener) get(g *WithT) (resp *http.Response, body string, ok bool) {
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -165,9 +165,15 @@
 	return r
 }
 
-// refusalBodyLimit is the maximum number of bytes read from the body of a refusal.
-// If a target sends more, its connection is closed instead of reused.
-const refusalBodyLimit = 64 << 10
+const (
+	// discardLimit is the maximum number of bytes read from the body of a response that
+	// is not relayed. If a target sends more, its connection is closed instead of reused.
+	discardLimit = 64 << 10
+	// discardTimeout is the maximum time for reading such a body, because the request may
+	// still be served by another target. Most of these bodies are empty or arrive with
+	// their heads.
+	discardTimeout = 50 * time.Millisecond
+)
 
 // classifyResponse handles refusals by the target, reads the body of any other
 // response and evaluates it.
@@ -180,11 +186,12 @@
 		return t.refusedResult(errors.Newf("address %s now belongs to another target", t.grant.Target.Address), judge.Nothing)
 	}
 	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get(names.NotRun) != "" {
-		// The connection can only be reused after the body has been read.
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, refusalBodyLimit))
-		_ = resp.Body.Close()
+		t.discardBody(resp)
 		return t.refusedResult(errors.Newf("target refused the request with status %d", resp.StatusCode), judge.Shed)
 	}
+	if reason := t.unusableReason(resp); reason != "" {
+		return t.unusableResult(resp, reason)
+	}
 	buffered, err := t.readResponse(resp)
 	if err != nil {
 		return t.classifyError(err)
@@ -192,28 +199,25 @@
 	return t.evaluate(buffered)
 }
 
+// discardBody reads the body of a response that is not relayed, because the connection
+// can only be reused after that. It closes the connection of a long or slow body.
+func (t *attempt) discardBody(resp *link.Response) {
+	timer := time.AfterFunc(discardTimeout, t.cancel)
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, discardLimit))
+	_ = resp.Body.Close()
+}
+
 // refusedResult returns the result of a request that the target refused without
 // running it.
 func (t *attempt) refusedResult(err error, observation judge.Result) *result {
 	return &result{attempt: t, observation: observation, notRun: true, kind: fault.TargetShed, err: err}
 }
 
-// evaluate returns the result of an attempt with a response: whether the response
-// can be relayed, and what it shows about the target.
+// evaluate returns the result of an attempt with a response that can be relayed.
 func (t *attempt) evaluate(resp *targetResponse) *result {
-	names := &t.exchange.relay.headers
 	r := &result{attempt: t, response: resp, observation: judge.Served}
-	success := resp.status >= http.StatusOK && resp.status < http.StatusMultipleChoices
-	switch {
-	case success && resp.header.Get(names.ResponseSeal) == "":
-		return t.unusableResult(resp, "successful response without the header that marks it as the target's own")
-	case success && resp.header.Get("Content-Encoding") != "":
-		return t.unusableResult(resp, "successful response with a Content-Encoding")
-	case impliesNotRun(resp.status):
-		// Without the NotRun header the target may have run the request even though
-		// callers take this status as a promise that it did not.
-		return t.unusableResult(resp, "refusal does not state whether the request ran")
-	case resp.status >= http.StatusInternalServerError:
+	if resp.status >= http.StatusInternalServerError {
 		r.observation = judge.Failed
 		r.kind = fault.TargetFailed
 		r.err = errors.Newf("target responded with status %d", resp.status)
@@ -221,15 +225,34 @@
 	return r
 }
 
+// unusableReason returns why the response must not be relayed; it is empty if the response
+// may be relayed. The head alone decides, because the body may have no end.
+func (t *attempt) unusableReason(resp *link.Response) string {
+	names := &t.exchange.relay.headers
+	success := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
+	switch {
+	case success && resp.Header.Get(names.ResponseSeal) == "":
+		return "successful response without the header that marks it as the target's own"
+	case success && resp.Header.Get("Content-Encoding") != "":
+		return "successful response with a Content-Encoding"
+	case impliesNotRun(resp.StatusCode):
+		// Without the NotRun header the target may have run the request even though
+		// callers take this status as a promise that it did not.
+		return "refusal does not state whether the request ran"
+	default:
+		return ""
+	}
+}
+
 // unusableResult discards a response that must not be relayed and returns the
 // result of its attempt.
-func (t *attempt) unusableResult(resp *targetResponse, reason string) *result {
+func (t *attempt) unusableResult(resp *link.Response, reason string) *result {
 	observation := judge.Broken
-	if impliesNotRun(resp.status) {
+	if impliesNotRun(resp.StatusCode) {
 		observation = judge.Failed
 	}
-	resp.discard(observation)
-	return &result{attempt: t, observation: observation, kind: fault.TargetProtocol, err: errors.Newf("status %d: %s", resp.status, reason)}
+	t.discardBody(resp)
+	return &result{attempt: t, observation: observation, kind: fault.TargetProtocol, err: errors.Newf("status %d: %s", resp.StatusCode, reason)}
 }
 
 // impliesNotRun reports whether callers take the status as a promise that the
