Send callers elsewhere while their whole data centre stops

Cause: a daemon that carries nothing hears no other data centre. It now names the carriers there that a peer told it of in the last 15 s, but only if it leaves itself; otherwise a report of a peer still makes nobody an address.

TestCallersAreSentElsewhereWhenTheirDataCentreLeaves failed before (no address).

--- a/core/roster/carriers.go
+++ b/core/roster/carriers.go
@@ -153,7 +153,8 @@
 
 // CallerAddresses returns the addresses to which a caller in the data centre should
 // connect: those of the carriers there or, if there are none, in the first other data
-// centre that has any.
+// centre that has any. A daemon that does not carry the group hears no other data centre;
+// if it leaves and its own has no carrier left, it names those of which a peer told it.
 func (r *Roster) CallerAddresses(now time.Time, group, dataCentre string, cores float64) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -163,11 +164,35 @@
 		if len(members) == 0 {
 			continue
 		}
-		addresses := make([]string, 0, len(members))
-		for _, m := range members {
-			addresses = append(addresses, m.CallerAddress)
+		return callerAddresses(members)
+	}
+	if !r.leaving {
+		return nil
+	}
+	return callerAddresses(r.reportedCarriers(now, group))
+}
+
+// reportedMemory is how long a daemon that leaves tells callers the carriers that a peer
+// named last, if it knows no other.
+const reportedMemory = 15 * time.Second
+
+// reportedCarriers returns the daemons that a peer recently named as carriers of the group
+// and that did not say themselves that they leave.
+func (r *Roster) reportedCarriers(now time.Time, group string) []Member {
+	var out []Member
+	for _, e := range r.entries {
+		if !e.leaving && now.Sub(e.reportedAt[group]) < reportedMemory {
+			out = append(out, e.Member)
 		}
-		return addresses
 	}
-	return nil
+	slices.SortFunc(out, func(a, b Member) int { return comparePreference(group, a, b) })
+	return out
+}
+
+func callerAddresses(members []Member) []string {
+	var addresses []string
+	for _, m := range members {
+		addresses = append(addresses, m.CallerAddress)
+	}
+	return addresses
 }
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -235,3 +235,18 @@
 	g.Expect(ok).To(BeTrue())
 	g.Expect(r.AnyPeerReady(now.Add(time.Second))).To(BeFalse())
 }
+
+// Guards against callers that are told no address while their data centre is stopped: its
+// daemons that carry nothing hear no other data centre.
+func TestCallersAreSentElsewhereWhenTheirDataCentreLeaves(t *testing.T) {
+	g := NewWithT(t)
+	r := roster.New(member("a", 0))
+	r.SetStatus(true, false)
+	r.RecordHeartbeat(startTime, member("a", 1), roster.Status{Ready: true}, nil)
+	r.RecordRemoteCarriers(startTime, "orders", []roster.Member{member("b", 1), member("b", 2)})
+	now := startTime.Add(5 * time.Second)
+	r.RecordHeartbeat(now, member("a", 1), roster.Status{Leaving: true}, nil)
+	r.SetStatus(false, true)
+	g.Expect(r.CallerAddresses(now, "orders", "a", minimalDemand)).To(ConsistOf(member("b", 1).CallerAddress, member("b", 2).CallerAddress))
+	g.Expect(r.CallerAddresses(now.Add(time.Minute), "orders", "a", minimalDemand)).To(BeEmpty())
+}
