--- a/core/node/shutdown.go
+++ b/core/node/shutdown.go
@@ -80,7 +80,9 @@
 	defer cancel()
 	n.callerServer.Shutdown(closeCtx)
 	n.logOpenRequests("stopped", "after", time.Since(s.began), "before-kill", time.Until(s.kill))
-	return n.app.Stop(ctx)
+	err := n.app.Stop(ctx)
+	_ = n.logger.Log("msg", "ended", "after", time.Since(s.began))
+	return err
 }
 
 // setLeaving makes the daemon count as leaving. It waits for a refresh that may still set
