Give the time in which a caller's connection is read its own type

The deadline of reads is set by the reader, the writer and a shutdown. What they may do to it stood in five methods of the connection; it is now in readWindow.

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -43,6 +43,7 @@
 	headReader *limitedHeadReader
 	reader     *bufio.Reader
 	writer     *bufio.Writer
+	reads      readWindow
 	exchanges  chan *exchange
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -59,10 +60,6 @@
 	closing bool
 	// respondedAt is when the last response was written.
 	respondedAt time.Time
-	// readUntil, if set, is the time after which no request is read.
-	readUntil time.Time
-	// readEnded is set once no request is read any more.
-	readEnded bool
 }
 
 // beginRequest reports whether a request may start, and adds it to the pending ones if so.
@@ -123,53 +120,13 @@
 		headReader: headReader,
 		reader:     bufio.NewReaderSize(headReader, bufferSize),
 		writer:     bufio.NewWriterSize(n, bufferSize),
+		reads:      readWindow{netConn: n},
 		exchanges:  make(chan *exchange, maxPipelined),
 		ctx:        ctx,
 		cancel:     cancel,
 	}
 }
 
-// setReadDeadline sets the time until which reads may block. It returns false, and reads
-// fail at once, if no further request is read.
-func (c *conn) setReadDeadline(t time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.readUntil.IsZero() && t.After(c.readUntil) {
-		t = c.readUntil
-	}
-	_ = c.netConn.SetReadDeadline(t)
-	return t.After(time.Now())
-}
-
-// stopReading ends the wait for another request, and makes the read of one that is not
-// complete fail, at the time until.
-func (c *conn) stopReading(until time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.readUntil.IsZero() && !until.Before(c.readUntil) {
-		return
-	}
-	c.readUntil = until
-	if !c.readEnded {
-		_ = c.netConn.SetReadDeadline(until)
-	}
-}
-
-// endReads lifts the read deadline once no request is read any more.
-func (c *conn) endReads() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.readEnded = true
-	_ = c.netConn.SetReadDeadline(time.Time{})
-}
-
-// readStopped reports whether reads have been given an end.
-func (c *conn) readStopped() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.readUntil.IsZero()
-}
-
 // run reads requests until the caller disconnects or the connection closes.
 func (c *conn) run() {
 	w := &responseWriter{conn: c}
@@ -177,7 +134,7 @@
 	for c.readNext() {
 	}
 	// The writer sets a read deadline of its own once exchanges is closed.
-	c.endReads()
+	c.reads.lift()
 	close(c.exchanges)
 	c.awaitDisconnect()
 }
@@ -227,7 +184,7 @@
 // connection is pending.
 func (c *conn) awaitRequest() bool {
 	began := time.Now()
-	for c.setReadDeadline(time.Now().Add(c.idleTime(began))) {
+	for c.reads.setDeadline(time.Now().Add(c.idleTime(began))) {
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			return true
@@ -256,7 +213,7 @@
 }
 
 func (c *conn) readRequest(limits route.Limits) (*exchange, error) {
-	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.reads.setDeadline(time.Now().Add(limits.HeaderTimeout))
 	c.headReader.remaining = limits.HeaderBytes
 	req, err := http.ReadRequest(c.reader)
 	c.headReader.remaining = -1
@@ -265,7 +222,7 @@
 	}
 	headReadAt := time.Now()
 	x := newExchange(c, req.Close)
-	c.setReadDeadline(headReadAt.Add(bodyTimeout))
+	c.reads.setDeadline(headReadAt.Add(bodyTimeout))
 	if expectsContinue(req) && req.ContentLength <= limits.BodyBytes {
 		c.exchanges <- &exchange{conn: c, interim: true}
 	}
@@ -314,7 +271,7 @@
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, errBodyMemory):
 		status = http.StatusServiceUnavailable
-	case errors.As(err, &netErr) && netErr.Timeout() && c.readStopped():
+	case errors.As(err, &netErr) && netErr.Timeout() && c.reads.hasEnd():
 		status = http.StatusServiceUnavailable
 	case errors.As(err, &netErr) && netErr.Timeout():
 		status = http.StatusRequestTimeout
--- a/core/caller/idle_test.go
+++ b/core/caller/idle_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,8 +21,9 @@
 // pipeListener is a listener for in-memory connections, which work with the virtual clock
 // of a synctest bubble.
 type pipeListener struct {
-	conns chan net.Conn
-	done  chan struct{}
+	conns  chan net.Conn
+	done   chan struct{}
+	closed sync.Once
 }
 
 // Accept returns the next connection.
@@ -36,7 +38,7 @@
 
 // Close ends Accept.
 func (p *pipeListener) Close() error {
-	close(p.done)
+	p.closed.Do(func() { close(p.done) })
 	return nil
 }
 
@@ -47,26 +49,37 @@
 	return callerSide.LocalAddr()
 }
 
+// servePipe starts a server for a test in a bubble, and returns it with the caller's side
+// of a connection.
+func servePipe(t *testing.T, handle caller.Handler, limits func() route.Limits) (*caller.Server, net.Conn, *bufio.Reader) {
+	p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+	s := &runningServer{caller.NewServer(handle, limits), p}
+	go s.run()
+	t.Cleanup(s.server.Close)
+	callerSide, serverSide := net.Pipe()
+	p.conns <- serverSide
+	return s.server, callerSide, bufio.NewReader(callerSide)
+}
+
+func constantLimits() route.Limits {
+	return limits
+}
+
 // Guards against a connection that is closed although a request was sent before the idle
 // timeout, if the request arrives late because of a congested network.
 func TestRequestAtIdleTimeoutIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-		s := &runningServer{caller.NewServer(echo, func() route.Limits { return limits }), p}
-		go s.run()
-		callerSide, serverSide := net.Pipe()
-		p.conns <- serverSide
+		_, callerSide, reader := servePipe(t, echo, constantLimits)
 		time.Sleep(limits.IdleTimeout + 500*time.Millisecond)
 		_, err := fmt.Fprint(callerSide, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
 		g.Expect(err).NotTo(HaveOccurred())
-		resp, err := http.ReadResponse(bufio.NewReader(callerSide), nil)
+		resp, err := http.ReadResponse(reader, nil)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
 		_, _ = io.Copy(io.Discard, resp.Body)
 		time.Sleep(2 * limits.IdleTimeout)
 		_, err = callerSide.Read(make([]byte, 1))
 		g.Expect(errors.Is(err, io.EOF)).To(BeTrue(), "an idle connection is closed in the end")
-		s.server.Close()
 	})
 }
--- a/core/caller/interim_test.go
+++ b/core/caller/interim_test.go
@@ -1,11 +1,9 @@
 package caller_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,7 +12,6 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriarelay.example/core/caller"
-	"wisteriarelay.example/core/route"
 )
 
 const orderWithExpect = "POST /order HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n"
@@ -53,17 +50,11 @@
 			body := &pausedBody{strings.NewReader(half), strings.NewReader(half), release}
 			return &caller.Response{Status: http.StatusOK, Header: http.Header{}, UnreadBody: body, ContentLength: 2 * int64(len(half))}
 		}
-		p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-		s := &runningServer{caller.NewServer(handle, func() route.Limits { return limits }), p}
-		go s.run()
-		defer s.server.Close()
-		callerSide, serverSide := net.Pipe()
-		p.conns <- serverSide
+		_, callerSide, reader := servePipe(t, handle, constantLimits)
 		sendGet(callerSide, "/list")
 		_, _ = fmt.Fprint(callerSide, orderWithExpect)
 		r := &releaser{release}
 		go r.run()
-		reader := bufio.NewReader(callerSide)
 		resp, err := http.ReadResponse(reader, nil)
 		g.Expect(err).NotTo(HaveOccurred())
 		body, err := io.ReadAll(resp.Body)
@@ -96,18 +87,12 @@
 			<-release
 			return caller.TextResponse(http.StatusOK, "last")
 		}
-		p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-		s := &runningServer{caller.NewServer(handle, func() route.Limits { return limits }), p}
-		go s.run()
-		defer s.server.Close()
-		callerSide, serverSide := net.Pipe()
-		p.conns <- serverSide
+		server, callerSide, reader := servePipe(t, handle, constantLimits)
 		sendGet(callerSide, "/1")
 		_, _ = fmt.Fprint(callerSide, orderWithExpect)
 		synctest.Wait()
-		s.server.Drain()
+		server.Drain()
 		close(release)
-		reader := bufio.NewReader(callerSide)
 		resp, body := readResponse(g, reader)
 		g.Expect(body).To(Equal("last"))
 		g.Expect(resp.Close).To(BeTrue())
--- a/core/caller/limits_test.go
+++ b/core/caller/limits_test.go
@@ -13,7 +13,6 @@
 
 	. "github.com/onsi/gomega"
 
-	"wisteriarelay.example/core/caller"
 	"wisteriarelay.example/core/route"
 )
 
@@ -35,13 +34,8 @@
 func startWithChangingLimits(t *testing.T) (*changingLimits, net.Conn, *bufio.Reader) {
 	c := &changingLimits{}
 	c.set(func(*route.Limits) {})
-	p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-	s := &runningServer{caller.NewServer(echo, c.get), p}
-	go s.run()
-	t.Cleanup(s.server.Close)
-	callerSide, serverSide := net.Pipe()
-	p.conns <- serverSide
-	return c, callerSide, bufio.NewReader(callerSide)
+	_, conn, reader := servePipe(t, echo, c.get)
+	return c, conn, reader
 }
 
 // Guards against a request on a kept connection to which limits apply that were in force
--- a/core/caller/server.go
+++ b/core/caller/server.go
@@ -132,7 +132,7 @@
 	readUntil := s.readUntil
 	s.mu.Unlock()
 	if !readUntil.IsZero() {
-		c.stopReading(readUntil)
+		c.reads.endAt(readUntil)
 	}
 	go c.run()
 }
@@ -196,7 +196,7 @@
 	s.Drain()
 	until := time.Now().Add(finalAcceptTime + finalReadTime)
 	for _, c := range s.stop(until) {
-		c.stopReading(until)
+		c.reads.endAt(until)
 	}
 	select {
 	case <-s.allEnded:
--- a/core/caller/shutdown_test.go
+++ b/core/caller/shutdown_test.go
@@ -124,16 +124,10 @@
 			resp.Release = func() { time.Sleep(time.Millisecond) }
 			return resp
 		}
-		p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-		s := &runningServer{caller.NewServer(handle, func() route.Limits { return limits }), p}
-		go s.run()
-		defer s.server.Close()
-		callerSide, serverSide := net.Pipe()
-		p.conns <- serverSide
-		reader := bufio.NewReader(callerSide)
+		server, callerSide, reader := servePipe(t, handle, constantLimits)
 		sendGet(callerSide, "/")
 		synctest.Wait()
-		s.server.Drain()
+		server.Drain()
 		close(release)
 		resp, _ := readResponse(g, reader)
 		g.Expect(resp.Close).To(BeTrue())
@@ -158,18 +152,13 @@
 				return caller.TextResponse(http.StatusGatewayTimeout, "given up")
 			}
 		}
-		p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-		s := &runningServer{caller.NewServer(handle, func() route.Limits { return limits }), p}
-		go s.run()
-		defer s.server.Close()
-		callerSide, serverSide := net.Pipe()
-		p.conns <- serverSide
+		_, callerSide, reader := servePipe(t, handle, constantLimits)
 		_, _ = fmt.Fprint(callerSide, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
 		_, err := callerSide.Write(make([]byte, 1<<20))
 		g.Expect(err).NotTo(HaveOccurred())
 		synctest.Wait()
 		close(release)
-		_, body := readResponse(g, bufio.NewReader(callerSide))
+		_, body := readResponse(g, reader)
 		g.Expect(body).To(Equal("whole"))
 	})
 }
@@ -189,12 +178,7 @@
 			}
 			return caller.TextResponse(http.StatusOK, "")
 		}
-		p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-		s := &runningServer{caller.NewServer(handle, func() route.Limits { return limits }), p}
-		go s.run()
-		defer s.server.Close()
-		callerSide, serverSide := net.Pipe()
-		p.conns <- serverSide
+		_, callerSide, _ := servePipe(t, handle, constantLimits)
 		_, _ = fmt.Fprint(callerSide, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
 		_, _ = callerSide.Write(make([]byte, 1<<20))
 		_ = callerSide.Close()
@@ -249,16 +233,12 @@
 func TestShutdownAnswersRequestOnTheWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-		s := &runningServer{caller.NewServer(echo, func() route.Limits { return limits }), p}
-		go s.run()
-		callerSide, serverSide := net.Pipe()
-		p.conns <- serverSide
+		server, callerSide, reader := servePipe(t, echo, constantLimits)
 		synctest.Wait()
-		shutdown := startShutdown(s.server)
+		shutdown := startShutdown(server)
 		synctest.Wait()
 		sendGet(callerSide, "/1")
-		resp, body := readResponse(g, bufio.NewReader(callerSide))
+		resp, body := readResponse(g, reader)
 		g.Expect(body).To(Equal("GET /1 "))
 		g.Expect(resp.Close).To(BeTrue())
 		<-shutdown.done
@@ -394,22 +374,18 @@
 		handle := func(context.Context, *caller.Request) *caller.Response {
 			return caller.TextResponse(http.StatusOK, strings.Repeat("a", size))
 		}
-		p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-		s := &runningServer{caller.NewServer(handle, func() route.Limits { return limits }), p}
-		go s.run()
-		callerSide, serverSide := net.Pipe()
-		p.conns <- serverSide
+		server, callerSide, reader := servePipe(t, handle, constantLimits)
 		sendGet(callerSide, "/")
-		resp, err := http.ReadResponse(bufio.NewReader(callerSide), nil)
+		resp, err := http.ReadResponse(reader, nil)
 		g.Expect(err).NotTo(HaveOccurred())
-		shutdown := startShutdown(s.server)
+		shutdown := startShutdown(server)
 		for range pieces {
 			time.Sleep(100 * time.Millisecond)
 			n, err := io.CopyN(io.Discard, resp.Body, size/pieces)
 			g.Expect(err).NotTo(HaveOccurred(), "after %d bytes", n)
 		}
 		<-shutdown.done
-		g.Expect(s.server.OpenRequests()).To(BeEmpty())
+		g.Expect(server.OpenRequests()).To(BeEmpty())
 	})
 }
 
@@ -428,11 +404,7 @@
 			time.Sleep(time.Second)
 			return caller.TextResponse(http.StatusOK, r.RequestURI)
 		}
-		p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-		s := &runningServer{caller.NewServer(handle, func() route.Limits { return limits }), p}
-		go s.run()
-		callerSide, serverSide := net.Pipe()
-		p.conns <- serverSide
+		server, callerSide, reader := servePipe(t, handle, constantLimits)
 		var requests strings.Builder
 		for i := range sent {
 			_, _ = fmt.Fprintf(&requests, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i)
@@ -440,8 +412,7 @@
 		_, err := io.WriteString(callerSide, requests.String())
 		g.Expect(err).NotTo(HaveOccurred())
 		synctest.Wait()
-		shutdown := startShutdown(s.server)
-		reader := bufio.NewReader(callerSide)
+		shutdown := startShutdown(server)
 		answered := 0
 		for closes := false; !closes; answered++ {
 			resp, body := readResponse(g, reader)
--- a/core/caller/writer.go
+++ b/core/caller/writer.go
@@ -73,7 +73,7 @@
 	}
 	if closeAfter {
 		w.closed = true
-		w.conn.stopReading(time.Unix(1, 0))
+		w.conn.reads.endAt(time.Unix(1, 0))
 	}
 }
 
