Name what a shutdown does to deadlines

limit and limitDeadline were verbs for a deadline that is returned, and beginShutdown had side effects beside its result. No change of behaviour.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -96,7 +96,7 @@
 func (t *attempt) send() *result {
 	x := t.exchange
 	pool := x.relay.connPools.get(t.grant.Target)
-	deadline, ok := x.relay.shutdown.limitDeadline(x.deadline)
+	deadline, ok := x.relay.shutdown.allowedDeadline(x.deadline)
 	if !ok {
 		return &result{attempt: t, unsent: true, notRun: true, kind: fault.Leaving, observation: judge.Nothing, err: errLeaving}
 	}
--- a/core/relay/exchange.go
+++ b/core/relay/exchange.go
@@ -95,7 +95,7 @@
 			callerDone = nil
 		case <-shutdownBegan:
 			shutdownBegan = nil
-			times := x.beginShutdown()
+			times := x.applyShutdown()
 			recheck = time.After(time.Until(times.recheck))
 			deadlineTimer.Reset(time.Until(times.expiry) + deadlineGrace)
 		case <-recheck:
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -232,11 +232,11 @@
 		return r.refuse(req, fault.RouteUnusable)
 	}
 	x := r.newExchange(req, table, match)
-	limited, ok := r.shutdown.limitDeadline(x.deadline)
+	allowed, ok := r.shutdown.allowedDeadline(x.deadline)
 	if !ok {
 		return r.logRefusal(req, fault.Leaving, r.leavingResponse(0))
 	}
-	x.deadline = limited
+	x.deadline = allowed
 	r.beforeAcquire(ctx, x.service, match.Idempotent())
 	return x.run(ctx)
 }
--- a/core/relay/shutdown.go
+++ b/core/relay/shutdown.go
@@ -24,13 +24,14 @@
 	PeerReady func() bool
 }
 
-// limit returns the deadline for a request that would be sent now and has the given one.
+// allowedDeadline returns the deadline for a request that would be sent now and wants the
+// given one.
 // ok is false if the request has to be refused: the caller then still has time to use
 // another daemon, while a request that is cut off may or may not have run.
-func (p *ShutdownPlan) limit(now, deadline time.Time) (limited time.Time, ok bool) {
+func (p *ShutdownPlan) allowedDeadline(now, wanted time.Time) (allowed time.Time, ok bool) {
 	switch {
-	case !deadline.After(p.End):
-		return deadline, true
+	case !wanted.After(p.End):
+		return wanted, true
 	case p.PeerReady() || !now.Before(p.ShortenUntil):
 		return time.Time{}, false
 	default:
@@ -52,19 +53,19 @@
 	}
 }
 
-// limitDeadline applies the plan of a shutdown to the deadline of a request that was not
-// sent yet, and reports whether the request may be served.
-func (s *shutdown) limitDeadline(deadline time.Time) (limited time.Time, ok bool) {
+// allowedDeadline returns the deadline for a request that was not sent yet and wants the
+// given one, and reports whether the request may be served.
+func (s *shutdown) allowedDeadline(wanted time.Time) (allowed time.Time, ok bool) {
 	if p := s.plan.Load(); p != nil {
-		return p.limit(time.Now(), deadline)
+		return p.allowedDeadline(time.Now(), wanted)
 	}
-	return deadline, true
+	return wanted, true
 }
 
 // mayStart reports whether another attempt may be sent: it must be able to end before the
 // daemon does.
 func (x *exchange) mayStart() bool {
-	_, ok := x.relay.shutdown.limitDeadline(x.deadline)
+	_, ok := x.relay.shutdown.allowedDeadline(x.deadline)
 	return ok
 }
 
@@ -75,8 +76,9 @@
 	recheck, expiry time.Time
 }
 
-// beginShutdown applies a shutdown to the exchange.
-func (x *exchange) beginShutdown() shutdownTimes {
+// applyShutdown ends what the exchange can no longer do because the daemon shuts down, and
+// returns when to look at it again.
+func (x *exchange) applyShutdown() shutdownTimes {
 	p := x.relay.shutdown.plan.Load()
 	times := shutdownTimes{recheck: p.ShortenUntil, expiry: x.deadline}
 	if p.End.Before(x.deadline) {
