Keep the lines of malformed requests out of the log

Cause: the error of a head that cannot be parsed quotes the offending line, and the callers' port logged it. A key that a caller sends in a malformed line would be in the log of each daemon that it tries.

Change: the log says that the request is malformed, without the parser's error.

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -34,6 +34,9 @@
 	errHeadTooLarge = errors.New("request head is too large")
 	errBodyTooLarge = errors.New("request body is too large")
 	errBodyMemory   = errors.New("no memory left for request bodies")
+	// errMalformed replaces the errors of the parser, which quote the request: a malformed
+	// line may contain a key.
+	errMalformed = errors.New("request is malformed")
 )
 
 // conn is a connection of a caller.
@@ -280,6 +283,7 @@
 		return false
 	default:
 		status = http.StatusBadRequest
+		err = errMalformed
 	}
 	_ = c.server.logger.Log("msg", "failed to read request", "status", status, "caller", c.netConn.RemoteAddr(), "err", err)
 	x := newExchange(c, true)
--- a/core/caller/idle_test.go
+++ b/core/caller/idle_test.go
@@ -51,9 +51,9 @@
 
 // servePipe starts a server for a test in a bubble, and returns it with the caller's side
 // of a connection.
-func servePipe(t *testing.T, handle caller.Handler, limits func() route.Limits) (*caller.Server, net.Conn, *bufio.Reader) {
+func servePipe(t *testing.T, handle caller.Handler, limits func() route.Limits, opts ...caller.Option) (*caller.Server, net.Conn, *bufio.Reader) {
 	p := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
-	s := &runningServer{caller.NewServer(handle, limits), p}
+	s := &runningServer{caller.NewServer(handle, limits, opts...), p}
 	go s.run()
 	t.Cleanup(s.server.Close)
 	callerSide, serverSide := net.Pipe()
