Authenticate callers by the keys of workspaces

Cause: workspaces in the configuration were not decoded. On a configuration with workspaces, daemons passed keys on to targets, set no workspace name and served unknown keys.

Change: workspaces and the exemption of routes are decoded and validated entry by entry and are part of the table of a configuration, so that a key is in force exactly when its version is. A request on a route that is not exempt needs one known key, else it gets 401, or 503 if the configuration leaves open whose key it is. Targets receive the name of the workspace in place of the key and of any name that the caller sent. Keys are looked up by digest.

Deployments without workspaces: TestHeadersPassWithoutWorkspaces.

--- a/core/fault/kind.go
+++ b/core/fault/kind.go
@@ -51,6 +51,9 @@
 	ConfigInvalid
 	PeerUnreachable
 	MessageInvalid
+	WorkspaceUnusable
+	QuotaExceeded
+	QuotaUnavailable
 	kindCount
 )
 
@@ -126,6 +129,9 @@
 	ConfigInvalid:      {"config-invalid", "Process settings are not valid", http.StatusInternalServerError, NotRun, RetryNever},
 	PeerUnreachable:    {"peer-unreachable", "Peer daemon is unreachable", http.StatusServiceUnavailable, Unknown, RetryLater},
 	MessageInvalid:     {"message-invalid", "Message is not valid", http.StatusBadRequest, NotRun, RetryNever},
+	WorkspaceUnusable:  {"workspace-unusable", "Configuration of the workspace cannot be used", http.StatusServiceUnavailable, NotRun, RetryLater},
+	QuotaExceeded:      {"quota-exceeded", "Quota of the workspace is used up", http.StatusTooManyRequests, NotRun, RetryLater},
+	QuotaUnavailable:   {"quota-unavailable", "Quota of the workspace cannot be checked now", http.StatusServiceUnavailable, NotRun, RetryOtherAddress},
 }
 
 // Response returns the default response for the kind, and that of Internal for a
--- a/core/relay/error.go
+++ b/core/relay/error.go
@@ -30,6 +30,9 @@
 		status = http.StatusBadGateway
 	}
 	resp := caller.TextResponse(status, info.Name+"\n")
+	if status == http.StatusUnauthorized {
+		resp.Header.Set("WWW-Authenticate", authScheme)
+	}
 	if status == http.StatusServiceUnavailable {
 		wait := max(minRetryAfter, availableIn)
 		wait += rand.N(max(retryAfterJitter, wait/2))
--- a/core/relay/exchange.go
+++ b/core/relay/exchange.go
@@ -25,12 +25,15 @@
 	request       *caller.Request
 	route         *route.Route
 	configVersion route.Version
-	service       string
-	targetPool    *sched.Pool
-	retryBudget   *retry.WindowBudget
-	id            string
-	header        http.Header
-	deadline      time.Time
+	// workspace is the caller's workspace; nil if the route or the configuration asks for
+	// no key.
+	workspace   *route.Workspace
+	service     string
+	targetPool  *sched.Pool
+	retryBudget *retry.WindowBudget
+	id          string
+	header      http.Header
+	deadline    time.Time
 
 	// results receives the result of each attempt, granted each attempt that has
 	// acquired a target.
--- a/core/relay/headers.go
+++ b/core/relay/headers.go
@@ -22,6 +22,10 @@
 	NotRun string
 	// Leaving marks each response of a target that leaves; see leavingValue.
 	Leaving string
+	// APIKey holds the key by which a caller authenticates; targets never receive it.
+	APIKey string
+	// Workspace tells targets the name of the workspace that the request belongs to.
+	Workspace string
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded. Content-Length
--- a/core/relay/record.go
+++ b/core/relay/record.go
@@ -70,6 +70,9 @@
 	if n := len(x.tried); n > 0 {
 		fields = append(fields, "target", x.tried[n-1].ID)
 	}
+	if x.workspace != nil {
+		fields = append(fields, "workspace", x.workspace.Name)
+	}
 	if reason != "" {
 		fields = append(fields, "why", reason)
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -231,7 +231,12 @@
 	case match.Problem != nil:
 		return r.refuse(req, fault.RouteUnusable)
 	}
+	workspace, err := r.authenticate(table, match, req)
+	if err != nil {
+		return r.refuse(req, fault.From(err).Kind)
+	}
 	x := r.newExchange(req, table, match)
+	x.setWorkspace(table, workspace)
 	allowed, ok := r.shutdown.allowedDeadline(x.deadline)
 	if !ok {
 		return r.logRefusal(req, fault.Leaving, r.leavingResponse(0))
--- a/core/route/config.go
+++ b/core/route/config.go
@@ -11,10 +11,16 @@
 	Services []Service
 	Hosts    []Host
 	Limits   Limits
+	// RequiresKeys says that callers have to authenticate: the configuration has a list
+	// of workspaces, which may be empty.
+	RequiresKeys bool
+	Workspaces   []Workspace
 	// Problems has an error for each part that could not be read and is missing here.
 	Problems []error
 	// Partial is set if hosts or routes are among the missing parts.
 	Partial bool
+	// WorkspacesPartial is set if workspaces are among the missing parts.
+	WorkspacesPartial bool
 }
 
 // Service is a group of targets that serve the same requests.
@@ -49,6 +55,8 @@
 	Priority int
 	// MaxAttempts is the maximum number of attempts for one request.
 	MaxAttempts int
+	// KeyExempt says that callers need no key for this route.
+	KeyExempt bool
 	// Split distributes the requests among services by weight.
 	Split []WeightedService
 	// Problem is the reason why the route cannot be served, or nil. While it is set, the
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -15,6 +15,10 @@
 	servicesByHost [][]string
 	// partial is set if hosts or routes of the configuration could not be read.
 	partial bool
+	// requiresKeys says that callers have to authenticate.
+	requiresKeys bool
+	workspaces   []*Workspace
+	keys         keyIndex
 }
 
 // Compile returns the table for a validated configuration.
@@ -25,7 +29,10 @@
 		hosts:    make(map[string][]Route, len(c.Hosts)),
 		services: make(map[string]Service, len(c.Services)),
 		partial:  c.Partial,
+
+		requiresKeys: c.RequiresKeys,
 	}
+	t.workspaces, t.keys = compileWorkspaces(c)
 	for _, s := range c.Services {
 		if s.Name != "" {
 			t.services[s.Name] = s
--- a/core/route/validate.go
+++ b/core/route/validate.go
@@ -19,11 +19,12 @@
 	maxLimitTimeout = 24 * time.Hour
 )
 
-// Validate sets Problem on each route that cannot be served. It returns these problems
-// and all others that leave the rest of the configuration usable. It fails with
-// fault.SettingsInvalid if the configuration must not be applied: if it has no valid
-// version, or if it has routes but none can be served. It also merges hosts of the same
-// name and replaces invalid limits by their defaults.
+// Validate sets Problem on each route that cannot be served, and removes workspaces that
+// cannot be used. It returns these problems and all others that leave the rest of the
+// configuration usable. It fails with fault.SettingsInvalid if the configuration must not
+// be applied: if it has no valid version, or if it has routes or workspaces but none of
+// them can be used. It also merges hosts of the same name and replaces invalid limits by
+// their defaults.
 func (c *Config) Validate() (problems []error, err error) {
 	if c.Version <= 0 {
 		return nil, fault.New(fault.SettingsInvalid, "version %d is not positive", c.Version)
@@ -45,6 +46,10 @@
 	if routes > 0 && servable == 0 {
 		return problems, fault.New(fault.SettingsInvalid, "none of %d routes can be served", routes)
 	}
+	problems = append(problems, c.validateWorkspaces()...)
+	if c.WorkspacesPartial && len(c.Workspaces) == 0 {
+		return problems, fault.New(fault.SettingsInvalid, "none of the workspaces can be used")
+	}
 	return problems, nil
 }
 
