Spare orders the usage floor while the service is well served

In addition, all daemons tried a target at the moment when they expected the end of its episode, and again 2 s after a failed trial, because the estimate went on to expect the end of the first episode.

Change: while at most 7% of the recent requests fail at targets that were expected to serve, the usage floor for requests that cannot be retried leaves out targets that are expected to fail.

--- a/core/sched/floor.go
+++ b/core/sched/floor.go
@@ -18,6 +18,10 @@
 	// retryableUsageFloor is the usage floor for requests that can be retried. It is
 	// higher, because learning about the targets with these costs little.
 	retryableUsageFloor = 0.95
+	// recoveredUsageFloor is the usage floor among the targets that are not expected to
+	// fail, for requests that cannot be retried, while the service is well served. A target
+	// returns into use once its episode has probably ended.
+	recoveredUsageFloor = 0.95
 	// largeUsageFloor is the usage floor for retryable requests that are expensive to
 	// send to another data centre. Above it, up to retryableUsageFloor, they only go to
 	// unused targets of this daemon's data centre.
@@ -56,9 +60,17 @@
 }
 
 // floorFilter returns a filter for the targets to which the request may go to reach
-// the usage floor, or nil if the floor is reached.
+// the usage floor, or nil if the floor is reached. While the service is well served, a
+// request that cannot be retried does not go to a target that is expected to fail: the
+// others suffice, and most of these requests would be lost.
 func (p *Pool) floorFilter(req Request, now time.Time) func(*member, time.Time) bool {
-	used := p.usedShare(now)
+	if req.FinalAttempt && p.outcomes.wellServed(now) {
+		if p.usedShare(now, p.probablyRecovered) < recoveredUsageFloor {
+			return p.unusedRecovered
+		}
+		return nil
+	}
+	used := p.usedShare(now, anyMember)
 	switch {
 	case req.FinalAttempt:
 		if used < p.usageFloor {
@@ -76,6 +88,25 @@
 	return m.target.DataCentre == p.dataCentre && p.unused(m, now)
 }
 
+// recoveryJitterFactor scales the jitter of a target for the trial after its episode. All
+// daemons expect the episode to end at the same moment, and the first of them should know
+// the result of its trial before the next one sends a request.
+const recoveryJitterFactor = 4
+
+// probablyRecovered reports whether the target has not failed, or its episode has probably
+// ended. Daemons find so one after the other.
+func (p *Pool) probablyRecovered(m *member, now time.Time) bool {
+	return m.estimate.FailRate(p.model, now.Add(-recoveryJitterFactor*m.jitter)) < failRateLimit
+}
+
+func (p *Pool) unusedRecovered(m *member, now time.Time) bool {
+	return p.unused(m, now) && p.probablyRecovered(m, now)
+}
+
+func anyMember(*member, time.Time) bool {
+	return true
+}
+
 // needsIntroduction reports whether the target is new and no daemon has used it in time.
 func (p *Pool) needsIntroduction(m *member, now time.Time) bool {
 	return !p.monitoredElsewhere[m.target.DataCentre] && m.usedAt.IsZero() && now.Sub(m.addedAt) > introductionDelay+m.jitter && now.After(m.target.WarmAt)
@@ -98,12 +129,13 @@
 	return now.Sub(last) > floorInterval+m.jitter && now.Sub(m.failedAt) >= failureWindow
 }
 
-// usedShare returns the share of the targets that are in use. Targets that have just
-// failed, targets that want no requests and targets monitored elsewhere are not counted.
-func (p *Pool) usedShare(now time.Time) float64 {
+// usedShare returns the share of the matching targets that are in use. Targets that have
+// just failed, targets that want no requests and targets monitored elsewhere are not
+// counted.
+func (p *Pool) usedShare(now time.Time, matches func(*member, time.Time) bool) float64 {
 	used, all := 0, 0
 	for k, m := range p.members {
-		if p.restrictions.backingOff(k, now) || now.Sub(m.failedAt) < failureWindow || p.monitoredElsewhere[m.target.DataCentre] {
+		if p.restrictions.backingOff(k, now) || now.Sub(m.failedAt) < failureWindow || p.monitoredElsewhere[m.target.DataCentre] || !matches(m, now) {
 			continue
 		}
 		all++
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -38,6 +38,7 @@
 	latency      ewma
 	// slowThreshold is the latency that one answered request in ten exceeds.
 	slowThreshold quantile
+	outcomes      outcomes
 	queue         queue
 	// queueScannedAt is the time of the last scan over all waiters.
 	queueScannedAt time.Time
@@ -175,6 +176,9 @@
 
 // record records a result of a request of any daemon.
 func (p *Pool) record(m *member, now time.Time, r judge.Result, took time.Duration) {
+	if m.failRate(p.model, now) < failRateLimit {
+		p.outcomes.add(now, r)
+	}
 	m.invalidateFailRate()
 	if r.Success() {
 		m.latency.add(now, took)
