Keep the retry budget in every window while demand falls

Each daemon allowed the ratio of the requests of the span before each extra attempt. The window of these requests ends at the attempt, so over the span that follows it is neither the window of the extra attempts nor one of the two earlier ones that the rule compares. With demand that swings by 55% in 13 s and all targets refusing 55%, one daemon made 1984 extra attempts where 1861 were allowed, 16 daemons between which callers moved made 2031.

Each extra attempt is now checked against all windows that contain it, with the mean of the daemon's own requests in the three windows of the rule. This mean adds up over daemons and runs and is never above the largest. The ratio therefore needs no reduction after a restart; the slack after a restart of the fleet is released over the span, so that repeated restarts do not renew it.

--- a/core/node/maintenance.go
+++ b/core/node/maintenance.go
@@ -72,10 +72,19 @@
 		n.relay.TargetPool(s).SetReceivesPeerEvents(carries)
 		n.relay.TargetPool(s).SetMonitoredElsewhere(n.remotelyMonitored(n.eventRecipients(s)))
 		holders := retry.Holders(n.roster.ShareOf(now, group, cores))
-		n.relay.SetBudgetAllocation(s, retry.AllocationFor(holders, start))
+		n.relay.SetBudgetAllocation(s, n.budgetAllocation(holders, start, now))
 	}
 }
 
+// budgetAllocation returns this daemon's part of the fleet's retry budget.
+func (n *Node) budgetAllocation(h retry.Holders, start retry.RestartKind, now time.Time) retry.Allocation {
+	a := retry.AllocationFor(h, start)
+	if start == retry.NoRecentRestart {
+		return a
+	}
+	return a.ReleasedAfter(now.Sub(n.startedAt), seconds(n.settings.Load().RetryBudget.WindowSeconds))
+}
+
 // budgetStart returns how this run of the daemon began, which decides how much of
 // the retry budget earlier runs may have used.
 func (n *Node) budgetStart(now time.Time) retry.RestartKind {
--- a/core/retry/part.go
+++ b/core/retry/part.go
@@ -1,8 +1,10 @@
 package retry
 
+import "time"
+
 // RestartKind says how the current run of a daemon process began. It decides how much
-// of the retry budget is held back for what the earlier run may have used in the same
-// span.
+// of the fleet's slack is held back for what the earlier run may have used in the same
+// span. The ratio needs no such rule: each run uses only what its own requests allow.
 type RestartKind int
 
 // The ways in which a run began.
@@ -18,11 +20,9 @@
 	SingleRestart
 )
 
-// Allocation is the part of the fleet's retry budget that one daemon may use.
+// Allocation is the part of the fleet's retry budget that one daemon may use besides the
+// ratio of its own requests.
 type Allocation struct {
-	// RatioFraction is the fraction used of the budget's ratio, which applies to the
-	// requests that this daemon receives.
-	RatioFraction float64
 	// SlackFraction is the fraction used of the budget's slack, which the whole fleet
 	// shares.
 	SlackFraction float64
@@ -35,11 +35,10 @@
 	// rest is a reserve for moments in which they know different members.
 	regularSlack = 0.65
 	commonSlack  = 0.2
-	// slackFactorFleetRestart reduces both after a start of the whole fleet.
-	slackFactorFleetRestart = 0.3
-	// ratioFractionSingleRestart is the fraction of the ratio for a daemon that was
-	// restarted alone.
-	ratioFractionSingleRestart = 0.2
+	// slackFactorFleetRestart reduces both after a restart of the whole fleet. The runs
+	// before it may have used all of regularSlack and commonSlack in the same span, and
+	// (regularSlack + commonSlack) * (1 + slackFactorFleetRestart) must stay below 1.
+	slackFactorFleetRestart = 0.15
 )
 
 // Holders says among how many daemons the slack for a service is divided.
@@ -63,10 +62,18 @@
 	}
 	switch restart {
 	case NoRecentRestart:
-		return Allocation{RatioFraction: 1, SlackFraction: slack}
+		return Allocation{SlackFraction: slack}
 	case FleetRestart:
-		return Allocation{RatioFraction: 1, SlackFraction: slackFactorFleetRestart * slack}
+		return Allocation{SlackFraction: slackFactorFleetRestart * slack}
 	default:
-		return Allocation{RatioFraction: ratioFractionSingleRestart}
+		return Allocation{}
 	}
 }
+
+// ReleasedAfter returns the part of the allocation that a run may use at an age below the
+// span. It grows with the age, so that a fleet that is restarted again and again within a
+// span does not get the allocation with each restart.
+func (a Allocation) ReleasedAfter(age, span time.Duration) Allocation {
+	a.SlackFraction *= min(max(age.Seconds()/span.Seconds(), 0), 1)
+	return a
+}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -8,17 +9,27 @@
 const (
 	// bucketsPerSpan is the number of buckets that a span is divided into.
 	bucketsPerSpan = 20
-	// bucketCount is one more than bucketsPerSpan, so that an extra attempt is counted
-	// until a full span has passed since it.
-	bucketCount = bucketsPerSpan + 1
+	// extraBuckets is one more than bucketsPerSpan: a window of one span touches so many
+	// buckets, and an extra attempt counts until a full span has passed since it.
+	extraBuckets = bucketsPerSpan + 1
+	// requestBuckets is the number of buckets in two spans: no request that is older than
+	// that counts.
+	requestBuckets = 2 * bucketsPerSpan
+	// comparedWindows is the number of windows of requests that the limit is the mean of:
+	// the window of the extra attempts, the one half a span before it, and the one a span
+	// before it.
+	comparedWindows = 3
 )
 
 // WindowBudget limits the extra attempts, which are retries and hedged attempts, that
-// this daemon makes for one service in a sliding window. The window has the length of
-// the span. The limit is a ratio of the requests that callers sent in the window, plus
-// a part of the slack that the whole fleet shares. The parts of all daemons add up to
-// at most one, so the limit of the fleet holds without coordination between them. It is
-// safe for concurrent use.
+// this daemon makes for one service in any window of the length of the span. The fleet may
+// make at most the ratio of the requests that callers sent in the window, in the one half a
+// span before it or in the one a span before it, whichever has most, plus the slack. A
+// daemon cannot know which of them has most in the fleet, so it uses the mean of its own
+// requests in the three, and a part of the slack. Both can be added up over daemons and
+// over the runs of a daemon, and the mean is never more than the largest. So the limit of
+// the fleet holds without coordination between daemons, whichever of them the callers use.
+// It is safe for concurrent use.
 type WindowBudget struct {
 	span time.Duration
 
@@ -26,19 +37,20 @@
 	ratio      float64
 	slack      float64
 	allocation Allocation
-	// start is when the window was created; bucket 0 begins then.
+	// start is when the window was created; bucket requestBuckets begins then.
 	start         time.Time
-	requests      [bucketCount]int
-	extraAttempts [bucketCount]int
-	// currentBucket counts the buckets since start; buckets are reused in turn.
+	requests      [requestBuckets]int
+	extraAttempts [extraBuckets]int
+	// currentBucket is the number of the newest bucket; buckets are reused in turn.
 	currentBucket int64
+	denied        uint64
 }
 
 // NewWindowBudget returns a budget with a window of the span. It allows ratio extra
 // attempts for each request; slack is the number that the fleet may make besides in one
 // span, of which this daemon gets nothing until [WindowBudget.SetAllocation] is called.
 func NewWindowBudget(span time.Duration, ratio, slack float64, now time.Time) *WindowBudget {
-	return &WindowBudget{span: span, ratio: ratio, slack: slack, allocation: Allocation{RatioFraction: 1}, start: now}
+	return &WindowBudget{span: span, ratio: ratio, slack: slack, start: now, currentBucket: requestBuckets}
 }
 
 // SetBounds sets the ratio and the fleet's slack.
@@ -48,7 +60,7 @@
 	w.ratio, w.slack = ratio, slack
 }
 
-// SetAllocation sets the part of the fleet's retry budget that this daemon may use.
+// SetAllocation sets the part of the fleet's slack that this daemon may use.
 func (w *WindowBudget) SetAllocation(a Allocation) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -60,7 +72,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.slide(now)
-	w.requests[w.currentBucket%bucketCount]++
+	w.requests[w.currentBucket%requestBuckets]++
 }
 
 // RecentRequests returns the number of requests in the window.
@@ -68,14 +80,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.slide(now)
-	return w.recentRequests()
-}
-
-// recentRequests returns the number of requests without the oldest bucket, so that no
-// request older than the span counts.
-func (w *WindowBudget) recentRequests() int {
-	oldest := (w.currentBucket + 1) % bucketCount
-	return sum(w.requests) - w.requests[oldest]
+	return w.requestSums()[bucketsPerSpan]
 }
 
 // Take takes one extra attempt from the budget and reports whether one was available.
@@ -83,28 +88,83 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.slide(now)
-	if !w.available() {
+	if w.available() < 1 {
+		w.denied++
 		return false
 	}
-	w.extraAttempts[w.currentBucket%bucketCount]++
+	w.extraAttempts[w.currentBucket%extraBuckets]++
 	return true
 }
 
+// Return gives back an extra attempt taken at a time, because it was not sent.
+func (w *WindowBudget) Return(taken, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slide(now)
+	w.remove(w.bucketAt(taken))
+}
+
+// Postpone counts an extra attempt that was taken at a time as one of now, because it had
+// to wait before it was sent. It reports whether the budget still allows it; if not, it is
+// given back and must not be sent.
+func (w *WindowBudget) Postpone(taken, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slide(now)
+	bucket := w.bucketAt(taken)
+	if bucket == w.currentBucket {
+		return true
+	}
+	w.remove(bucket)
+	if w.available() < 1 {
+		w.denied++
+		return false
+	}
+	w.extraAttempts[w.currentBucket%extraBuckets]++
+	return true
+}
+
+// remove removes an extra attempt from a bucket that is still counted.
+func (w *WindowBudget) remove(bucket int64) {
+	if bucket > w.currentBucket-extraBuckets && w.extraAttempts[bucket%extraBuckets] > 0 {
+		w.extraAttempts[bucket%extraBuckets]--
+	}
+}
+
 // Available reports whether an extra attempt is available, without taking it.
 func (w *WindowBudget) Available(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.slide(now)
-	return w.available()
+	return w.available() >= 1
 }
 
-func (w *WindowBudget) available() bool {
-	return float64(sum(w.extraAttempts)+1) <= w.allowed()
+// available returns the number of extra attempts that may be made now. An extra attempt
+// made now counts in each window that began within the last span. The requests known so
+// far limit the extra attempts of each of these windows; later requests can only raise the
+// limit. For the windows that began in the same bucket, the extra attempts of the whole
+// bucket count, and only those requests that all of the windows have in common.
+func (w *WindowBudget) available() float64 {
+	perRequest := w.ratio / comparedWindows
+	slack := w.allocation.SlackFraction * w.slack
+	since := w.requestSums()
+	extras := 0
+	least := math.Inf(1)
+	for age := range extraBuckets {
+		extras += w.extraAttempts[(w.currentBucket-int64(age))%extraBuckets]
+		inWindowAndBefore := since[age+bucketsPerSpan]
+		halfSpanBefore := since[age+bucketsPerSpan/2] - since[max(age-bucketsPerSpan/2+1, 0)]
+		least = min(least, perRequest*float64(inWindowAndBefore+halfSpanBefore)+slack-float64(extras))
+	}
+	return least
 }
 
-// allowed returns the number of extra attempts that this daemon may make in the span.
-func (w *WindowBudget) allowed() float64 {
-	return w.allocation.RatioFraction*w.ratio*float64(w.recentRequests()) + w.allocation.SlackFraction*w.slack
+// requestSums returns the number of requests in the newest n buckets for each n.
+func (w *WindowBudget) requestSums() (sums [requestBuckets + 1]int) {
+	for n := range requestBuckets {
+		sums[n+1] = sums[n] + w.requests[(w.currentBucket-int64(n))%requestBuckets]
+	}
+	return sums
 }
 
 // WindowBudgetState is the state of a WindowBudget for the state dump.
@@ -113,8 +173,13 @@
 	// extra attempts made.
 	Requests int `json:"requests"`
 	Extras   int `json:"extras"`
-	// Allowed is the number of extra attempts that this daemon may make in the span.
+	// Allowed is the number of extra attempts that this daemon may make in the span: those
+	// made and those that it may still make now.
 	Allowed float64 `json:"allowed"`
+	// Slack is the part of the fleet's slack that is included in Allowed.
+	Slack float64 `json:"slack"`
+	// Denied is the number of extra attempts that the budget did not allow since the start.
+	Denied uint64 `json:"denied"`
 }
 
 // State returns the current state of the budget.
@@ -122,24 +187,34 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.slide(now)
-	return WindowBudgetState{Requests: w.recentRequests(), Extras: sum(w.extraAttempts), Allowed: w.allowed()}
+	extras := 0
+	for _, n := range w.extraAttempts {
+		extras += n
+	}
+	return WindowBudgetState{
+		Requests: w.requestSums()[bucketsPerSpan],
+		Extras:   extras,
+		Allowed:  float64(extras) + max(w.available(), 0),
+		Slack:    w.allocation.SlackFraction * w.slack,
+		Denied:   w.denied,
+	}
+}
+
+// bucketAt returns the number of the bucket of a time.
+func (w *WindowBudget) bucketAt(t time.Time) int64 {
+	return requestBuckets + int64(t.Sub(w.start)/(w.span/bucketsPerSpan))
 }
 
 // slide moves the window to now and clears the buckets that are reused.
 func (w *WindowBudget) slide(now time.Time) {
-	bucket := int64(now.Sub(w.start) / (w.span / bucketsPerSpan))
-	for steps := 0; w.currentBucket < bucket && steps < bucketCount; steps++ {
-		w.currentBucket++
-		w.requests[w.currentBucket%bucketCount] = 0
-		w.extraAttempts[w.currentBucket%bucketCount] = 0
+	bucket := w.bucketAt(now)
+	if bucket-w.currentBucket >= requestBuckets {
+		w.requests, w.extraAttempts = [requestBuckets]int{}, [extraBuckets]int{}
+		w.currentBucket = bucket
 	}
-	w.currentBucket = max(w.currentBucket, bucket)
-}
-
-func sum(buckets [bucketCount]int) int {
-	total := 0
-	for _, n := range buckets {
-		total += n
+	for w.currentBucket < bucket {
+		w.currentBucket++
+		w.requests[w.currentBucket%requestBuckets] = 0
+		w.extraAttempts[w.currentBucket%extraBuckets] = 0
 	}
-	return total
 }
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -23,7 +23,7 @@
 	windows := make([]*retry.WindowBudget, daemons)
 	for i := range windows {
 		windows[i] = retry.NewWindowBudget(span, ratio, slack, now)
-		windows[i].SetAllocation(retry.Allocation{RatioFraction: 1, SlackFraction: 1.0 / daemons})
+		windows[i].SetAllocation(retry.Allocation{SlackFraction: 1.0 / daemons})
 	}
 	var requests, extras []time.Time
 	for i := range 4000 {
