Withhold immediate attempts at a saturated service

While all targets of a service refuse requests, each refused request was sent again at once until the retry budget was used up, and the targets spent their time on refusals. The pool now counts recent refusals by target, of this daemon and its peers. A service is saturated if even the quarter of its targets that refuse least, and the one that would get the next attempt, refuse half of their requests. A further attempt is then made only if its chance of being served is worth its place in what is left of the budget; otherwise the request waits once for about a service time and is then sent again or refused with a Retry-After. Hedged attempts are not made at all.

Extra attempts now count when they are sent rather than when they begin to wait for a target, and those that are not sent are given back.

--- a/core/relay/again.go
+++ b/core/relay/again.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"wisteriarelay.example/core/judge"
@@ -10,6 +11,7 @@
 // result r. The retry takes one extra attempt from the retry budget, unless r sent no
 // byte: up to maxUnsentAttempts of these are replaced without using the budget.
 func (x *exchange) allowRetry(r *result) bool {
+	x.withheld = false
 	if r.attempt.grant == nil || x.callerGone || !x.mayStart() {
 		return false
 	}
@@ -18,7 +20,10 @@
 	}
 	if r.unsent {
 		x.attemptsUnsent++
-		return x.attemptsUnsent <= maxUnsentAttempts && x.timeForAttempt()
+		if x.attemptsUnsent > maxUnsentAttempts || !x.timeForAttempt() {
+			return false
+		}
+		return r.attempt.extraAt.IsZero() || x.takeBudget()
 	}
 	return x.takeExtraAttempt()
 }
@@ -39,7 +44,49 @@
 	if x.attemptsStarted-x.attemptsUnsent >= x.route.MaxAttempts || !x.timeForAttempt() {
 		return false
 	}
-	return x.retryBudget.Take(time.Now())
+	if !x.targetPool.Saturation(x.acquireParams()).WorthAttempt(x.retryBudget.Left(time.Now())) {
+		x.withheld = true
+		x.count("relay_retries_withheld")
+		return false
+	}
+	return x.takeBudget()
+}
+
+// takeBudget takes one extra attempt from the retry budget for the attempt that is started
+// next, and reports whether one was available.
+func (x *exchange) takeBudget() bool {
+	now := time.Now()
+	if !x.retryBudget.Take(now) {
+		x.count("relay_retries_denied")
+		return false
+	}
+	x.extraAt = now
+	return true
+}
+
+const (
+	// minPause and maxPause bound the time that a request waits before its next attempt
+	// while its service is saturated.
+	minPause = 50 * time.Millisecond
+	maxPause = 500 * time.Millisecond
+)
+
+// pause returns how long the request waits before it is decided again whether to make a
+// further attempt, or 0 if it does not wait. A request waits once, if the last attempt was
+// not followed by another one because the service is saturated: for a mean service time, in
+// which the targets complete what they are running, and a random part of it, so that the
+// requests refused at one moment do not come back at one moment.
+func (x *exchange) pause() time.Duration {
+	if !x.withheld || x.paused {
+		return 0
+	}
+	length := min(max(x.targetPool.ServiceTime(), minPause), maxPause)
+	length += rand.N(length)
+	if time.Until(x.deadline)-length < x.targetPool.ServiceTime()/2 {
+		return 0
+	}
+	x.paused = true
+	return length
 }
 
 // overdueFactor is the multiple of the mean service time after which a request
@@ -88,6 +135,9 @@
 // hedge starts an additional attempt of an idempotent request at another target if
 // every running attempt already has a target and the retry budget allows it.
 func (x *exchange) hedge() {
+	if x.targetPool.Saturation(x.acquireParams()).Saturated {
+		return
+	}
 	if x.route.Idempotent() && x.mayStart() && len(x.inFlight) > 0 && len(x.running) == len(x.inFlight) && x.takeExtraAttempt() {
 		x.start()
 	}
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -28,7 +28,9 @@
 	results       chan<- *result
 	grant         *sched.Grant
 	startedAt     time.Time
-	sentAt        time.Time
+	// extraAt is when the attempt was taken from the retry budget; zero if it was not.
+	extraAt time.Time
+	sentAt  time.Time
 	// headDelay is the time from sentAt until the response header arrived, in
 	// nanoseconds; 0 until then.
 	headDelay atomic.Int64
@@ -53,6 +55,12 @@
 // run acquires a target, sends the request to it and delivers the result.
 func (t *attempt) run() {
 	grant, err := t.exchange.targetPool.Acquire(t.waitCtx, t.acquireParams)
+	if err == nil && !t.mayUseBudget() {
+		grant.Complete(judge.Nothing, 0)
+		err = errBudgetSpent
+	} else if err != nil {
+		t.returnBudget()
+	}
 	if err != nil {
 		t.exchange.deliver(&result{attempt: t, notRun: true, kind: fault.From(err).Kind, err: err})
 		return
@@ -63,12 +71,32 @@
 	t.exchange.relay.recordWait(t)
 	r := t.send()
 	r.duration = time.Since(t.sentAt)
+	if r.unsent {
+		t.returnBudget()
+	}
 	if r.response == nil || r.response.rest == nil {
 		t.settle(r.observation)
 	}
 	t.exchange.deliver(r)
 }
 
+// errBudgetSpent is the error of an extra attempt that waited for a target until the retry
+// budget was used up by others.
+var errBudgetSpent = fault.New(fault.NoTarget, "retry budget is used up")
+
+// mayUseBudget counts an extra attempt in the retry budget at the time at which it is sent,
+// and reports whether the budget allows it.
+func (t *attempt) mayUseBudget() bool {
+	return t.extraAt.IsZero() || t.exchange.retryBudget.Postpone(t.extraAt, time.Now())
+}
+
+// returnBudget gives back an extra attempt that was not sent.
+func (t *attempt) returnBudget() {
+	if !t.extraAt.IsZero() {
+		t.exchange.retryBudget.Return(t.extraAt, time.Now())
+	}
+}
+
 // settle cancels the attempt's context and releases its target, reporting the
 // observation. It is called when nothing more is read from the target.
 func (t *attempt) settle(observation judge.Result) {
--- a/core/relay/exchange.go
+++ b/core/relay/exchange.go
@@ -58,6 +58,17 @@
 	callerGone bool
 	// best is the failed result that the response is based on if no attempt succeeds.
 	best *result
+	// extraAt is when an extra attempt was taken from the retry budget for the attempt that
+	// is started next; zero if it needs none.
+	extraAt time.Time
+	// withheld is set if no further attempt followed the last result because the service is
+	// saturated, paused once the request has waited for that reason. resume fires when the
+	// wait ends.
+	withheld bool
+	paused   bool
+	resume   <-chan time.Time
+	// lastResult is the result after which the request waits.
+	lastResult *result
 	// slowReported is set once the attempts in flight were reported as slow.
 	slowReported bool
 }
@@ -85,6 +96,11 @@
 			if resp := x.handleResult(r); resp != nil {
 				return resp
 			}
+		case <-x.resume:
+			x.resume = nil
+			if resp := x.endPause(); resp != nil {
+				return resp
+			}
 		case <-slowTimer.C:
 			if next := x.reportSlow(); next > 0 {
 				slowTimer.Reset(next)
@@ -115,27 +131,34 @@
 	waitCtx, stopWaiting := context.WithCancel(ctx)
 	x.attemptsStarted++
 	t := &attempt{
-		exchange:    x,
-		ctx:         ctx,
-		cancel:      cancel,
-		waitCtx:     waitCtx,
-		stopWaiting: stopWaiting,
-		startedAt:   time.Now(),
-		results:     x.results,
-		acquireParams: sched.Request{
-			Idempotent:   x.route.Idempotent(),
-			FinalAttempt: !x.canRetry(),
-			Priority:     x.route.Priority,
-			Deadline:     x.deadline,
-			Objective:    x.objective(),
-			Bytes:        x.relay.sizes.mean(x.route.Name),
-			Tried:        x.tried,
-		},
+		exchange:      x,
+		ctx:           ctx,
+		cancel:        cancel,
+		waitCtx:       waitCtx,
+		stopWaiting:   stopWaiting,
+		startedAt:     time.Now(),
+		extraAt:       x.extraAt,
+		results:       x.results,
+		acquireParams: x.acquireParams(),
 	}
+	x.extraAt = time.Time{}
 	x.running[t] = true
 	go t.run()
 }
 
+// acquireParams returns the description of the next attempt for the choice of its target.
+func (x *exchange) acquireParams() sched.Request {
+	return sched.Request{
+		Idempotent:   x.route.Idempotent(),
+		FinalAttempt: !x.canRetry(),
+		Priority:     x.route.Priority,
+		Deadline:     x.deadline,
+		Objective:    x.objective(),
+		Bytes:        x.relay.sizes.mean(x.route.Name),
+		Tried:        x.tried,
+	}
+}
+
 // canRetry reports whether the request could be retried if the attempt that is about
 // to start fails.
 func (x *exchange) canRetry() bool {
--- a/core/relay/record.go
+++ b/core/relay/record.go
@@ -24,6 +24,11 @@
 	_ = r.logger.Log(fields...)
 }
 
+// count counts an event of the exchange's service.
+func (x *exchange) count(name string) {
+	x.relay.metrics.Counter(stats.Label(name, "service", x.service)).Inc(1)
+}
+
 // minLoggedWait is the shortest wait for a target that is logged.
 const minLoggedWait = 20 * time.Millisecond
 
@@ -73,6 +78,9 @@
 	if x.workspace != nil {
 		fields = append(fields, "workspace", x.workspace.Name)
 	}
+	if x.withheld {
+		fields = append(fields, "saturated", true)
+	}
 	if reason != "" {
 		fields = append(fields, "why", reason)
 	}
--- a/core/relay/result.go
+++ b/core/relay/result.go
@@ -31,7 +31,22 @@
 		x.start()
 		return nil
 	}
-	if len(x.running) > 0 {
+	if len(x.running) > 0 || x.resume != nil {
+		return nil
+	}
+	if length := x.pause(); length > 0 {
+		x.lastResult = r
+		x.resume = time.After(length)
+		return nil
+	}
+	return x.finalResponse()
+}
+
+// endPause makes another attempt if the service is no longer saturated. If it still is, it
+// returns the response to the caller, which says when to come back.
+func (x *exchange) endPause() *caller.Response {
+	if x.allowRetry(x.lastResult) {
+		x.start()
 		return nil
 	}
 	return x.finalResponse()
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -139,6 +139,28 @@
 	return w.available() >= 1
 }
 
+// Left returns the share of the budget that is left: of the extra attempts made in the
+// span and those that may be made now, the share of the latter.
+func (w *WindowBudget) Left(now time.Time) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slide(now)
+	available := max(w.available(), 0)
+	if available < 1 {
+		return 0
+	}
+	return available / (available + float64(w.extras()))
+}
+
+// extras returns the number of extra attempts in the span.
+func (w *WindowBudget) extras() int {
+	total := 0
+	for _, n := range w.extraAttempts {
+		total += n
+	}
+	return total
+}
+
 // available returns the number of extra attempts that may be made now. An extra attempt
 // made now counts in each window that began within the last span. The requests known so
 // far limit the extra attempts of each of these windows; later requests can only raise the
@@ -187,10 +209,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.slide(now)
-	extras := 0
-	for _, n := range w.extraAttempts {
-		extras += n
-	}
+	extras := w.extras()
 	return WindowBudgetState{
 		Requests: w.requestSums()[bucketsPerSpan],
 		Extras:   extras,
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -170,6 +170,7 @@
 		m.path.Observe(pathModel, now, judge.Served)
 		m.servedAt = now
 	}
+	m.refusals.add(now, r)
 	p.record(m, now, r, took)
 }
 
@@ -238,6 +239,9 @@
 	}
 	if !p.noPeerEvents {
 		m.setPeerLoad(peer, e.InFlight, now)
+		// Other daemons are told of failures only, so that all results would look like
+		// refusals to them.
+		m.refusals.add(now, e.Result)
 	}
 	m.usedAt = now
 	if e.Result == judge.Shed {
--- a/core/sched/target.go
+++ b/core/sched/target.go
@@ -52,6 +52,7 @@
 	cachedFailRate float64
 	cachedUntil    time.Time
 	latency        ewma
+	refusals       refusals
 	// shedAt is when the target last refused a request.
 	shedAt time.Time
 	// failedAt is when the target last failed a request.
