Divide the slack among data centres before daemons

A daemon divided the slack by the members and carriers that it knew. After a restart it knows all daemons of its own data centre, but at most eight of each other one, and none of those that are cut off. The parts of a fleet of 160 daemons in four data centres added up to 1.15 of the slack where eight were known and to 3.4 where none were. The slack is now divided equally among the data centres that have targets or daemons that may run, and then among the daemons of the own one, all of which a daemon knows.

The state dump says by service whether it is saturated.

--- a/core/node/state.go
+++ b/core/node/state.go
@@ -23,6 +23,7 @@
 	n.stateDump.Add("peers", func() any { return n.roster.State(time.Now()) })
 	n.stateDump.Add("targets", func() any { return n.targetState() })
 	n.stateDump.Add("budget", func() any { return n.budgetState() })
+	n.stateDump.Add("saturation", func() any { return n.saturationState() })
 	n.stateDump.Add("callers", func() any { return n.callerServer.OpenRequests() })
 	n.metrics.Gauge("gossip_events_dropped", n.gossip.Dropped)
 	n.metrics.Gauge("config_age_ms", func() int64 { return n.storeState().ConfigAge.Milliseconds() })
@@ -50,6 +51,16 @@
 	return out
 }
 
+// saturationState returns by service whether its targets refuse requests because the
+// service as a whole lacks capacity.
+func (n *Node) saturationState() map[string]sched.Saturation {
+	out := map[string]sched.Saturation{}
+	for _, s := range n.services() {
+		out[s] = n.relay.TargetPool(s).Saturation(sched.Request{})
+	}
+	return out
+}
+
 // targetState returns the state of the targets by service.
 func (n *Node) targetState() map[string][]sched.TargetState {
 	out := map[string][]sched.TargetState{}
--- a/core/node/target_list.go
+++ b/core/node/target_list.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"wisteriarelay.example/core/gossip"
+	"wisteriarelay.example/core/sched"
 	"wisteriarelay.example/core/watch"
 )
 
@@ -125,6 +128,18 @@
 	index := gossip.NewTargetIndex(targets)
 	n.index.Store(&index)
 	n.relay.SetTargets(targets)
+	n.roster.SetTargetDataCentres(dataCentresOf(targets))
+}
+
+// dataCentresOf returns the data centres of the targets.
+func dataCentresOf(targets map[string][]sched.Target) []string {
+	names := map[string]bool{}
+	for _, list := range targets {
+		for _, t := range list {
+			names[t.DataCentre] = true
+		}
+	}
+	return slices.Collect(maps.Keys(names))
 }
 
 func (n *Node) targetIndex() gossip.TargetIndex {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -81,6 +81,8 @@
 	entries map[string]*entry
 	ready   bool
 	leaving bool
+	// targetDataCentres are the data centres that have targets.
+	targetDataCentres []string
 }
 
 // New returns a roster that contains only the daemon itself.
--- a/core/roster/share.go
+++ b/core/roster/share.go
@@ -19,13 +19,17 @@
 
 // Share says among how many daemons something that the fleet has in common is divided. It
 // does not depend on which of them this daemon can reach now, so that the shares of all
-// daemons add up to at most the whole also while they cannot see each other.
+// daemons add up to at most the whole also while they cannot see each other. The whole is
+// divided equally among the data centres first: a daemon knows all daemons of its own, but
+// of the others only those that it was told of.
 type Share struct {
 	// Regular says that this daemon is one of the carriers of the group while all members
-	// are alive; Regulars is the number of these.
+	// are alive; Regulars is the number of these in this data centre, times the number of
+	// data centres.
 	Regular  bool
 	Regulars int
-	// Members is the number of all members that this daemon has known.
+	// Members is the number of all members that this daemon has known in its data centre,
+	// times the number of data centres.
 	Members int
 }
 
@@ -33,13 +37,42 @@
 func (r *Roster) ShareOf(now time.Time, group string, cores float64) Share {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := Share{Members: len(r.entries) + 1}
-	for _, dc := range r.dataCentres() {
-		regulars := r.regularCarriers(now, group, dc, cores)
-		s.Regulars += len(regulars)
-		s.Regular = s.Regular || slices.ContainsFunc(regulars, func(m Member) bool { return m.VM == r.self.VM })
+	local := 1
+	for _, e := range r.entries {
+		if e.DataCentre == r.self.DataCentre {
+			local++
+		}
+	}
+	regulars := r.regularCarriers(now, group, r.self.DataCentre, cores)
+	dataCentres := r.sharingDataCentres(now, group)
+	return Share{
+		Regular:  slices.ContainsFunc(regulars, func(m Member) bool { return m.VM == r.self.VM }),
+		Regulars: dataCentres * len(regulars),
+		Members:  dataCentres * local,
+	}
+}
+
+// SetTargetDataCentres sets the data centres that have targets. Those have a share also if
+// no daemon there was ever heard, as after a start while they are cut off.
+func (r *Roster) SetTargetDataCentres(names []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.targetDataCentres = names
+}
+
+// sharingDataCentres returns the number of data centres that have targets or daemons that
+// may run, with this one.
+func (r *Roster) sharingDataCentres(now time.Time, group string) int {
+	names := map[string]bool{r.self.DataCentre: true}
+	for _, dc := range r.targetDataCentres {
+		names[dc] = true
+	}
+	for _, e := range r.entries {
+		if e.mayRun(now, group) {
+			names[e.DataCentre] = true
+		}
 	}
-	return s
+	return len(names)
 }
 
 // regularCarriers returns the carriers of the group in a data centre as they would be if
--- a/core/roster/share_test.go
+++ b/core/roster/share_test.go
@@ -59,6 +59,41 @@
 	}
 }
 
+// Guards against daemons that were restarted and know all daemons of their own data centre
+// but few or none of the others, because these were told by a peer or are cut off: their
+// parts add up to at most the whole.
+func TestSlackIsNotExceededByDaemonsThatKnowFew(t *testing.T) {
+	const perDataCentre = 40
+	dataCentres := []string{"a", "b", "c", "d"}
+	for _, known := range []int{0, 8, perDataCentre} {
+		for _, silence := range []time.Duration{0, 9 * time.Minute, time.Hour} {
+			t.Run(fmt.Sprintf("%d of each other data centre, after %s", known, silence), func(t *testing.T) {
+				g := NewWithT(t)
+				now := time.Now()
+				sum := 0.0
+				for i := range len(dataCentres) * perDataCentre {
+					self := member(dataCentres[i/perDataCentre], i%perDataCentre)
+					r := roster.New(self)
+					r.SetTargetDataCentres(dataCentres)
+					for _, dc := range dataCentres {
+						for n := range perDataCentre {
+							if dc == self.DataCentre || n < known {
+								r.Add(member(dc, n))
+							}
+						}
+					}
+					for n := range perDataCentre {
+						r.RecordHeartbeat(now.Add(silence), member(self.DataCentre, n), roster.Status{Ready: true}, nil)
+					}
+					holders := retry.Holders(r.ShareOf(now.Add(silence), "orders", minimalDemand))
+					sum += retry.AllocationFor(holders, retry.NoRecentRestart).SlackFraction
+				}
+				g.Expect(sum).To(And(BeNumerically(">=", 0.8), BeNumerically("<=", 0.9)))
+			})
+		}
+	}
+}
+
 // Guards against slack that is kept for daemons that are gone for good.
 func TestSlackOfGoneDaemonsIsSharedAgain(t *testing.T) {
 	g := NewWithT(t)
