Count extra attempts that arrive late in the next window

An extra attempt is counted when its target is chosen and arrives there after a connection was opened, up to 250 ms later. An attempt that was counted just before a window may so arrive in it. The budget now checks each window with the extra attempts of one bucket more, and has buckets of a fortieth of the span, 250 ms of 10 s, so that this costs no more than the 500 ms of the coarser buckets before.

--- a/core/retry/demand_test.go
+++ b/core/retry/demand_test.go
@@ -31,21 +31,26 @@
 	moveAt  []time.Time
 	// retryAt holds the daemons that may send a refused request again, by tick.
 	retryAt map[int][]int
-	// requests and extras count the fleet's requests and extra attempts by tick.
+	// requests and extras count the fleet's requests and the arrivals of its extra attempts
+	// by tick; arrivals also has those that arrive later.
 	requests []int
 	extras   []int
+	arrivals map[int]int
+	// maxDelay is the longest time from an extra attempt until it arrives at a target.
+	maxDelay time.Duration
 	// restart replaces the budget of a daemon before a tick; nil for no restarts.
 	restart func(r *replay, now time.Time)
 }
 
 func newReplay(seed uint64, daemons int) *replay {
-	r := &replay{random: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0), retryAt: map[int][]int{}}
+	r := &replay{random: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0), retryAt: map[int][]int{}, arrivals: map[int]int{}}
 	r.daemons = make([]*retry.WindowBudget, daemons)
 	for i := range daemons {
 		r.startDaemon(i, r.start.Add(-replaySpan), retry.NoRecentRestart)
 	}
 	r.callers = make([]int, 48)
 	r.moveAt = make([]time.Time, len(r.callers))
+	r.maxDelay = 20 * time.Millisecond
 	return r
 }
 
@@ -70,7 +75,7 @@
 		if r.restart != nil {
 			r.restart(r, now)
 		}
-		r.requests, r.extras = append(r.requests, 0), append(r.extras, 0)
+		r.requests = append(r.requests, 0)
 		for _, daemon := range r.retryAt[tick] {
 			r.attemptAgain(tick, daemon, refused(since))
 		}
@@ -80,6 +85,7 @@
 			r.requests[tick]++
 			r.refuse(tick, daemon, refused(since))
 		}
+		r.extras = append(r.extras, r.arrivals[tick])
 	}
 }
 
@@ -95,7 +101,8 @@
 // attemptAgain sends a refused request again if the budget of its daemon allows it.
 func (r *replay) attemptAgain(tick, daemon int, refused float64) {
 	if r.daemons[daemon].Take(r.start.Add(time.Duration(tick) * replayTick)) {
-		r.extras[tick]++
+		tick += r.random.IntN(int(r.maxDelay/replayTick) + 1)
+		r.arrivals[tick]++
 		r.refuse(tick, daemon, refused)
 	}
 }
@@ -209,6 +216,7 @@
 			g := NewWithT(t)
 			r := newReplay(seed, 1)
 			r.daemons[0].SetAllocation(retry.Allocation{})
+			r.maxDelay = replaySpan / 40
 			r.run(40*time.Second, pulses(r.random, 200), always(r.random.Float64()))
 			span := int(replaySpan / replayTick)
 			requests, extras := prefixSums(r.requests), prefixSums(r.extras)
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -8,10 +8,11 @@
 
 const (
 	// bucketsPerSpan is the number of buckets that a span is divided into.
-	bucketsPerSpan = 20
-	// extraBuckets is one more than bucketsPerSpan: a window of one span touches so many
-	// buckets, and an extra attempt counts until a full span has passed since it.
-	extraBuckets = bucketsPerSpan + 1
+	bucketsPerSpan = 40
+	// extraBuckets is the number of buckets that a window of one span touches, and one
+	// more: an extra attempt arrives at its target up to a bucket's length after it is
+	// counted here.
+	extraBuckets = bucketsPerSpan + 2
 	// requestBuckets is the number of buckets in two spans: no request that is older than
 	// that counts.
 	requestBuckets = 2 * bucketsPerSpan
@@ -164,18 +165,19 @@
 // available returns the number of extra attempts that may be made now. An extra attempt
 // made now counts in each window that began within the last span. The requests known so
 // far limit the extra attempts of each of these windows; later requests can only raise the
-// limit. For the windows that began in the same bucket, the extra attempts of the whole
-// bucket count, and only those requests that all of the windows have in common.
+// limit. For the windows that begin in one bucket, the extra attempts of that bucket and of
+// the one before it count, and only those requests that all of the windows have in common.
 func (w *WindowBudget) available() float64 {
 	perRequest := w.ratio / comparedWindows
 	slack := w.allocation.SlackFraction * w.slack
 	since := w.requestSums()
 	extras := 0
 	least := math.Inf(1)
+	// age is that of the bucket before the one in which the windows begin.
 	for age := range extraBuckets {
 		extras += w.extraAttempts[(w.currentBucket-int64(age))%extraBuckets]
-		inWindowAndBefore := since[age+bucketsPerSpan]
-		halfSpanBefore := since[age+bucketsPerSpan/2] - since[max(age-bucketsPerSpan/2+1, 0)]
+		inWindowAndBefore := since[age+bucketsPerSpan-1]
+		halfSpanBefore := since[age+bucketsPerSpan/2-1] - since[max(age-bucketsPerSpan/2, 0)]
 		least = min(least, perRequest*float64(inWindowAndBefore+halfSpanBefore)+slack-float64(extras))
 	}
 	return least
