Release part of the slack at the start after a fleet restart

A daemon that was restarted with the whole fleet got its reduced slack from 0 upwards over the span, so that a single request just after the start was never sent again: TestDownloadIsRetried, TestLookupIsRetried and TestRefusedOrderIsRetriedOnAnotherTarget in platform failed. A third of the part is now released at once. To leave room for three restarts of the fleet within a span, the part is 0.105 of the regular one: the runs together use at most 0.999 of the slack. The three tests pass.

--- a/core/retry/part.go
+++ b/core/retry/part.go
@@ -36,9 +36,14 @@
 	regularSlack = 0.65
 	commonSlack  = 0.2
 	// slackFactorFleetRestart reduces both after a restart of the whole fleet. The runs
-	// before it may have used all of regularSlack and commonSlack in the same span, and
-	// (regularSlack + commonSlack) * (1 + slackFactorFleetRestart) must stay below 1.
-	slackFactorFleetRestart = 0.15
+	// before it may have used all of regularSlack and commonSlack in the same span.
+	slackFactorFleetRestart = 0.105
+	// releasedAtStart is the fraction of that part that a run may use at once; the rest is
+	// released over the span. With 3 restarts of the fleet within a span, all runs together
+	// use (regularSlack + commonSlack) * (1 + slackFactorFleetRestart * (3 * releasedAtStart +
+	// 1 - releasedAtStart)), which must stay below 1. Without a part that is released at once,
+	// a service with little traffic could not retry at all just after a restart.
+	releasedAtStart = 1.0 / 3
 )
 
 // Holders says among how many daemons the slack for a service is divided.
@@ -70,10 +75,11 @@
 	}
 }
 
-// ReleasedAfter returns the part of the allocation that a run may use at an age below the
-// span. It grows with the age, so that a fleet that is restarted again and again within a
-// span does not get the allocation with each restart.
+// ReleasedAfter returns the part of the allocation that a restarted run may use at an age
+// below the span. It grows with the age, so that a fleet that is restarted several times
+// within a span does not get the whole allocation with each restart.
 func (a Allocation) ReleasedAfter(age, span time.Duration) Allocation {
-	a.SlackFraction *= min(max(age.Seconds()/span.Seconds(), 0), 1)
+	passed := min(max(age.Seconds()/span.Seconds(), 0), 1)
+	a.SlackFraction *= releasedAtStart + (1-releasedAtStart)*passed
 	return a
 }
