--- a/core/sched/saturation.go
+++ b/core/sched/saturation.go
@@ -9,16 +9,16 @@
 )
 
 const (
-	// refusalMemory is the time in which the weight of a result falls to 1/e. Demand that
-	// varies by half changes little within a second, and a target that was full has free
-	// slots again soon after.
-	refusalMemory = time.Second
+	// refusalMemory is the time in which the weight of a result falls to 1/e. With a second,
+	// a service whose targets all began to refuse used up two thirds of its retry budget
+	// before it counted as saturated.
+	refusalMemory = 300 * time.Millisecond
+	// knownFor is how long a target's last result says something about its refusals. An
+	// attempt at a target without one finds out.
+	knownFor = time.Second
 	// minRefusalEvidence is the weight of results from which a service can count as
 	// saturated. With fewer results, chance alone makes half of them refusals.
-	minRefusalEvidence = 10
-	// minTargetEvidence is the weight of results from which something is known about the
-	// refusals of one target. An attempt at a target below it finds out.
-	minTargetEvidence = 0.5
+	minRefusalEvidence = 6
 	// serviceWeight is the number of results that the share of the whole service counts
 	// for in the share of one target, which may have had only a few requests.
 	serviceWeight = 3
@@ -48,6 +48,8 @@
 type refusals struct {
 	refused, ended float64
 	asOf           time.Time
+	// lastAt is when the last result was counted.
+	lastAt time.Time
 }
 
 // add counts a result that shows whether the target refuses requests.
@@ -58,6 +60,7 @@
 		return
 	}
 	*r = r.at(now)
+	r.lastAt = now
 	r.ended++
 	if result == judge.Shed {
 		r.refused++
@@ -67,7 +70,12 @@
 // at returns the counts as they are at a time.
 func (r *refusals) at(now time.Time) refusals {
 	weight := math.Exp(-now.Sub(r.asOf).Seconds() / refusalMemory.Seconds())
-	return refusals{refused: r.refused * weight, ended: r.ended * weight, asOf: now}
+	return refusals{refused: r.refused * weight, ended: r.ended * weight, asOf: now, lastAt: r.lastAt}
+}
+
+// known reports whether something is known about the refusals of the target.
+func (r refusals) known(now time.Time) bool {
+	return now.Sub(r.lastAt) < knownFor
 }
 
 // Saturation says whether the targets of a service refuse requests because the service as
@@ -124,12 +132,12 @@
 	var shares []float64
 	for k, m := range p.members {
 		r := m.refusals.at(now)
-		if r.ended >= minTargetEvidence && !req.hasTried(k) && !p.restrictions.backingOff(k, now) {
+		if r.known(now) && !req.hasTried(k) && !p.restrictions.backingOff(k, now) {
 			shares = append(shares, r.share(serviceShare))
 		}
 	}
 	next, _ := p.cheapest(req, now)
-	if len(shares) == 0 || next.member != nil && next.member.refusals.at(now).ended < minTargetEvidence {
+	if len(shares) == 0 || next.member != nil && !next.member.refusals.known(now) {
 		return 0
 	}
 	slices.Sort(shares)
