--- a/core/retry/demand_test.go
+++ b/core/retry/demand_test.go
@@ -302,10 +302,12 @@
 		traffic time.Duration
 		refused float64
 		least   float64
+		// all is set if no extra attempt may be denied.
+		all bool
 	}{
-		"one of ten targets":          {30 * time.Second, 0.085, 35},
-		"all targets":                 {30 * time.Second, 1, 500},
-		"all targets, 3 s of traffic": {3 * time.Second, 1, 100},
+		"one of ten targets":          {30 * time.Second, 0.085, 35, true},
+		"all targets":                 {30 * time.Second, 1, 500, false},
+		"all targets, 3 s of traffic": {3 * time.Second, 1, 100, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -320,8 +322,13 @@
 				return 0
 			})
 			_, busiest := r.windows()
-			t.Logf("%.0f extra attempts", busiest.extras)
+			denied := uint64(0)
+			for _, d := range r.daemons {
+				denied += d.State(r.start.Add(c.traffic + time.Second)).Denied
+			}
+			t.Logf("%.0f extra attempts, %d denied", busiest.extras, denied)
 			g.Expect(busiest.extras).To(BeNumerically(">=", c.least))
+			g.Expect(denied == 0).To(Equal(c.all), "%d denied", denied)
 		})
 	}
 }
