End the wait at a saturated service when the daemon shuts down

A request that waited for the end of saturation was told that the daemon leaves only at the end of its wait, up to a second later. The wait now ends at once. Tests cover this, a caller that disconnects meanwhile, and hedged attempts: a slow request arrives once while its service is saturated, more than once otherwise.

--- a/core/relay/saturation_test.go
+++ b/core/relay/saturation_test.go
@@ -29,6 +29,8 @@
 	// full holds the addresses of the targets that are full.
 	full     map[string]bool
 	arrivals map[string]int
+	// slow is the id of a request that is accepted and takes a second.
+	slow string
 }
 
 func (c *crowd) dial(_ context.Context, _, address string) (net.Conn, error) {
@@ -47,12 +49,16 @@
 	}
 }
 
-// arrive records the arrival of a request at a target and reports whether it is refused.
-func (c *crowd) arrive(address, id string) bool {
+// arrive records the arrival of a request at a target. It reports whether it is refused
+// and how long it takes otherwise.
+func (c *crowd) arrive(address, id string) (refused bool, length time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.arrivals[id]++
-	return c.full[address]
+	if id == c.slow {
+		return false, time.Second
+	}
+	return c.full[address], 20 * time.Millisecond
 }
 
 func (c *crowd) arrivalsOf(id string) int {
@@ -78,11 +84,12 @@
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
 		id := req.Header.Get("Id")
-		if c.crowd.arrive(c.address, id) {
+		refused, length := c.crowd.arrive(c.address, id)
+		if refused {
 			_, _ = fmt.Fprintf(c.conn, "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
 			continue
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(length)
 		_, _ = fmt.Fprintf(c.conn, "HTTP/1.1 200 OK\r\nId: %s\r\nReceipt: r\r\nContent-Length: 2\r\n\r\nok", id)
 	}
 }
@@ -93,6 +100,14 @@
 	return fmt.Sprintf("10.0.0.%d:80", n+1)
 }
 
+func allAddresses() []string {
+	var out []string
+	for n := range crowdSize {
+		out = append(out, crowdAddress(n))
+	}
+	return out
+}
+
 // newCrowd returns a service and a relay in front of it.
 func newCrowd(idempotency route.Idempotency) (*crowd, *relay.Relay) {
 	c := &crowd{arrivals: map[string]int{}}
@@ -157,11 +172,7 @@
 					g.Expect(result.took).To(BeNumerically("<", 100*time.Millisecond), "sent to another target at once")
 				}
 
-				var all []string
-				for n := range crowdSize {
-					all = append(all, crowdAddress(n))
-				}
-				c.setFull(all...)
+				c.setFull(allAddresses()...)
 				sendToCrowd(t.Context(), r, "begin", 200)
 				extra := 0
 				for _, result := range sendToCrowd(t.Context(), r, "all", 300) {
@@ -191,11 +202,7 @@
 		g := NewWithT(t)
 		c, r := newCrowd(route.Idempotent)
 		defer r.SetTargets(nil)
-		var all []string
-		for n := range crowdSize {
-			all = append(all, crowdAddress(n))
-		}
-		c.setFull(all...)
+		c.setFull(allAddresses()...)
 		sendToCrowd(t.Context(), r, "begin", 300)
 		var waiting sync.WaitGroup
 		var results []crowdResult
@@ -214,3 +221,62 @@
 		g.Expect(served).To(BeNumerically(">=", 3))
 	})
 }
+
+// Guards against hedged attempts that a saturated service refuses. A slow request is hedged
+// while the service is not saturated.
+func TestNoHedgedAttemptsAtSaturatedService(t *testing.T) {
+	for name, full := range map[string][]string{"saturated": allAddresses(), "not saturated": nil} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				c, r := newCrowd(route.Idempotent)
+				defer r.SetTargets(nil)
+				c.slow = "slow-0"
+				sendToCrowd(t.Context(), r, "begin", 200)
+				c.setFull(full...)
+				sendToCrowd(t.Context(), r, "middle", 200)
+				var slow sync.WaitGroup
+				slow.Go(func() { sendToCrowd(t.Context(), r, "slow", 1) })
+				sendToCrowd(t.Context(), r, "end", 200)
+				slow.Wait()
+				if full != nil {
+					g.Expect(c.arrivalsOf(c.slow)).To(Equal(1))
+				} else {
+					g.Expect(c.arrivalsOf(c.slow)).To(BeNumerically(">", 1))
+				}
+			})
+		})
+	}
+}
+
+// Guards against a request that waits for the end of saturation although its caller has
+// gone or the daemon shuts down.
+func TestWaitForEndOfSaturationIsCutShort(t *testing.T) {
+	for name, end := range map[string]func(r *relay.Relay, cancel func()){
+		"caller gone": func(_ *relay.Relay, cancel func()) { cancel() },
+		"shutdown": func(r *relay.Relay, _ func()) {
+			r.BeginShutdown(relay.ShutdownPlan{End: time.Now().Add(time.Second), ShortenUntil: time.Now(), PeerReady: func() bool { return true }})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				c, r := newCrowd(route.Idempotent)
+				defer r.SetTargets(nil)
+				c.setFull(allAddresses()...)
+				sendToCrowd(t.Context(), r, "begin", 300)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				var waiting sync.WaitGroup
+				var results []crowdResult
+				waiting.Go(func() { results = sendToCrowd(ctx, r, "last", 1) })
+				time.Sleep(40 * time.Millisecond)
+				g.Expect(c.arrivalsOf("last-0")).To(Equal(1))
+				end(r, cancel)
+				waiting.Wait()
+				g.Expect(results[0].took).To(BeNumerically("<", 45*time.Millisecond))
+				g.Expect(c.arrivalsOf("last-0")).To(Equal(1))
+			})
+		})
+	}
+}
--- a/core/relay/shutdown.go
+++ b/core/relay/shutdown.go
@@ -88,8 +88,8 @@
 	return times
 }
 
-// endUselessWaits ends the attempts that wait for a target if the exchange may start no
-// attempt any more.
+// endUselessWaits ends the attempts that wait for a target, and the wait for the end of
+// saturation, if the exchange may start no attempt any more.
 func (x *exchange) endUselessWaits() {
 	if x.mayStart() {
 		return
@@ -97,6 +97,9 @@
 	for t := range x.running {
 		t.stopWaiting()
 	}
+	if x.resume != nil {
+		x.resume = time.After(0)
+	}
 }
 
 // leavingResponse returns the response to a request that is refused because the daemon
