Test hedged attempts where refused requests are sent again

The test of hedged attempts at a saturated service passed without the decision that it guards, because the retries had used up the budget. The targets now serve one request in four and the budget is not scarce; without the decision the slow request arrives 4 times instead of once.

--- a/core/relay/saturation_test.go
+++ b/core/relay/saturation_test.go
@@ -31,6 +31,10 @@
 	arrivals map[string]int
 	// slow is the id of a request that is accepted and takes a second.
 	slow string
+	// servedEvery is the number of requests of which full targets serve one; 0 if they serve
+	// none.
+	servedEvery int
+	refused     int
 }
 
 func (c *crowd) dial(_ context.Context, _, address string) (net.Conn, error) {
@@ -58,7 +62,12 @@
 	if id == c.slow {
 		return false, time.Second
 	}
-	return c.full[address], 20 * time.Millisecond
+	refused = c.full[address]
+	if refused {
+		c.refused++
+		refused = c.servedEvery == 0 || c.refused%c.servedEvery != 0
+	}
+	return refused, 20 * time.Millisecond
 }
 
 func (c *crowd) arrivalsOf(id string) int {
@@ -222,8 +231,9 @@
 	})
 }
 
-// Guards against hedged attempts that a saturated service refuses. A slow request is hedged
-// while the service is not saturated.
+// Guards against hedged attempts that a saturated service refuses, also while the budget
+// is not scarce and refused requests are sent again. A slow request is hedged while the
+// service is not saturated.
 func TestNoHedgedAttemptsAtSaturatedService(t *testing.T) {
 	for name, full := range map[string][]string{"saturated": allAddresses(), "not saturated": nil} {
 		t.Run(name, func(t *testing.T) {
@@ -231,7 +241,8 @@
 				g := NewWithT(t)
 				c, r := newCrowd(route.Idempotent)
 				defer r.SetTargets(nil)
-				c.slow = "slow-0"
+				c.slow, c.servedEvery = "slow-0", 4
+				r.SetRetryBudget(relay.RetryBudget{Span: 10 * time.Second, Ratio: 2, Slack: 100_000})
 				sendToCrowd(t.Context(), r, "begin", 200)
 				c.setFull(full...)
 				sendToCrowd(t.Context(), r, "middle", 200)
