Remove callers' workspace names that are spelled with underscores

A target that receives header fields as variables, as with CGI, takes Tenant_Id and Tenant-Id for the same field. The daemon removed the caller's field in any case of letters, but passed on Tenant_Id, so that a caller could name any workspace to such a target, and Api_Key.

If the configuration has workspaces, both headers are now removed in all spellings that differ in case and in underscores for hyphens.

--- a/core/relay/auth.go
+++ b/core/relay/auth.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"net/http"
+	"strings"
+
 	"wisteriarelay.example/core/caller"
 	"wisteriarelay.example/core/route"
 )
@@ -23,9 +26,22 @@
 		return
 	}
 	names := &x.relay.headers
-	x.header.Del(names.APIKey)
-	x.header.Del(names.Workspace)
+	deleteInAnySpelling(x.header, names.APIKey, names.Workspace)
 	if workspace != nil {
 		x.header.Set(names.Workspace, workspace.Name)
 	}
 }
+
+// deleteInAnySpelling deletes the fields whose names differ from one of the names only in
+// case and in underscores for hyphens. Programs that receive header fields as variables, as
+// with CGI, take all these for the same field.
+func deleteInAnySpelling(h http.Header, names ...string) {
+	for field := range h {
+		spelled := strings.ReplaceAll(field, "_", "-")
+		for _, name := range names {
+			if strings.EqualFold(spelled, name) {
+				delete(h, field)
+			}
+		}
+	}
+}
