Accept workspaces whose names and keys have spaces or non-ASCII letters

A workspace is invalid if its name cannot be a header value. The check accepted visible ASCII characters only, so a name like "Bücher & Söhne", which can be a header value, made its workspace unusable: all its callers got 503. A key with such characters was left out and its callers got 401.

Names and keys are now refused only if they are empty, have spaces or tabs around them, which receivers remove, or contain control characters other than tabs.

--- a/core/route/workspace.go
+++ b/core/route/workspace.go
@@ -142,7 +142,7 @@
 // validate returns the reason why the workspace cannot be used, or nil.
 func (w *Workspace) validate() error {
 	if !validHeaderValue(w.Name) {
-		return fault.New(fault.SettingsInvalid, "name must not be empty and must have visible ASCII characters only")
+		return fault.New(fault.SettingsInvalid, "name must not be empty, must not have spaces around it and must have no control characters")
 	}
 	if w.Priority < 0 || w.Rate < 0 || w.Burst < 0 {
 		return fault.New(fault.SettingsInvalid, "priority, rate and burst must not be negative")
@@ -151,10 +151,11 @@
 }
 
 // validHeaderValue reports whether the text is not empty and can be sent unchanged as the
-// value of a header field.
+// value of a header field: it has no control characters but tabs, and no spaces or tabs
+// around it.
 func validHeaderValue(text string) bool {
-	invalid := func(r rune) bool { return r <= ' ' || r > '~' }
-	return text != "" && !strings.ContainsFunc(text, invalid)
+	control := func(r rune) bool { return r < ' ' && r != '\t' || r == '\x7f' }
+	return text != "" && text == strings.Trim(text, " \t") && !strings.ContainsFunc(text, control)
 }
 
 // removeInvalidKeys removes the keys that no caller can send and returns an error for
@@ -165,7 +166,7 @@
 	for i, key := range w.Keys {
 		if !validHeaderValue(key) || len(key) > maxKeyBytes {
 			problems = append(problems, fault.New(fault.SettingsInvalid,
-				"workspace %q: key %d must have 1 to %d visible ASCII characters", w.Name, i+1, maxKeyBytes))
+				"workspace %q: key %d must have 1 to %d bytes, no spaces around it and no control characters", w.Name, i+1, maxKeyBytes))
 			continue
 		}
 		keys = append(keys, key)
