Log why a caller was not authenticated

The log line of a refused request had the kind only, so that operators could not tell a missing key from an unknown one, nor an unreadable workspace from a key that two workspaces hold, nor which configuration decided.

The line now has the version of the configuration and the reason, which contains no key. TestRefusalIsExplainedInTheLog failed before: the line ended after the path. TestErrorsOfConfigurationsHoldNoKeys checks thirteen faulty lists of workspaces; it found no key in an error.

--- a/core/relay/auth.go
+++ b/core/relay/auth.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"wisteriarelay.example/core/caller"
+	"wisteriarelay.example/core/fault"
 	"wisteriarelay.example/core/route"
 )
 
@@ -17,6 +18,13 @@
 	return table.Authenticate(match, req.Header.Values(r.headers.APIKey))
 }
 
+// refuseCaller returns the error response to a request that was not authenticated. The
+// version of the configuration and the reason, which contains no key, go to the log.
+func (r *Relay) refuseCaller(req *caller.Request, table *route.Table, err error) *caller.Response {
+	kind := fault.From(err).Kind
+	return r.logRefusal(req, kind, errorResponse(kind, 0), "config", table.Version, "why", err)
+}
+
 // setWorkspace sets the caller's workspace. If callers have to authenticate, the target
 // receives the name of the workspace in place of the key and of whatever the caller sent
 // as a name, also on routes that need no key.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -233,7 +233,7 @@
 	}
 	workspace, err := r.authenticate(table, match, req)
 	if err != nil {
-		return r.refuse(req, fault.From(err).Kind)
+		return r.refuseCaller(req, table, err)
 	}
 	x := r.newExchange(req, table, match)
 	x.setWorkspace(table, workspace)
@@ -283,10 +283,13 @@
 	return r.logRefusal(req, kind, errorResponse(kind, 0))
 }
 
-// logRefusal counts and logs a refusal and returns its response.
-func (r *Relay) logRefusal(req *caller.Request, kind fault.Kind, resp *caller.Response) *caller.Response {
+// logRefusal counts a refusal, logs it with the fields and returns its response.
+func (r *Relay) logRefusal(req *caller.Request, kind fault.Kind, resp *caller.Response, fields ...any) *caller.Response {
 	r.metrics.Counter(stats.Label("relay_refused", "kind", kind.String())).Inc(1)
-	_ = r.logger.Log("msg", "request refused", "id", req.Header.Get(r.headers.RequestID),
-		"kind", kind, "status", resp.Status, "host", req.Host, "path", req.Path())
+	all := []any{
+		"msg", "request refused", "id", req.Header.Get(r.headers.RequestID),
+		"kind", kind, "status", resp.Status, "host", req.Host, "path", req.Path(),
+	}
+	_ = r.logger.Log(append(all, fields...)...)
 	return resp
 }
