Send the id of a request also if its caller lists it in Connection

The daemon removes the fields that Connection lists. A caller that listed Request-Id there made the target answer without an id. Such a response is not taken for the answer, so the caller got 504 and the target counted as failing for the whole fleet, although it had run the request.

The id is now always sent. TestRequestIDListedInConnectionReachesTheTarget failed with 504 before.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -113,7 +113,8 @@
 }
 
 // buildMessage returns the request for the target: that of the caller with the time until
-// the deadline and the expected target instance in its header.
+// the deadline and the expected target instance in its header. The id is sent also if the
+// caller lists it in Connection: without it, the response is not taken for the answer.
 func (t *attempt) buildMessage(deadline time.Time) *link.RawRequest {
 	x := t.exchange
 	names := &x.relay.headers
@@ -121,6 +122,9 @@
 	left := max(time.Until(deadline).Milliseconds(), 1)
 	h.Set(names.Deadline, strconv.FormatInt(left, 10))
 	h.Set(names.ExpectInstance, t.grant.Target.ID)
+	if ids := x.request.Header.Values(names.RequestID); len(ids) > 0 {
+		h[http.CanonicalHeaderKey(names.RequestID)] = ids
+	}
 	return &link.RawRequest{
 		Method:     x.request.Method,
 		RequestURI: x.request.RequestURI,
