--- a/core/sched/bench_test.go
+++ b/core/sched/bench_test.go
@@ -58,3 +58,34 @@
 		g.Complete(judge.Served, 400*time.Millisecond)
 	}
 }
+
+// Measures the cost of a request that arrives while others wait, and that leaves the queue
+// again.
+func BenchmarkArrivalWhileRequestsWait(b *testing.B) {
+	for _, waiting := range []int{100, 1000, 5000} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			p := fullPool(b, 27, waiting)
+			for b.Loop() {
+				w, _, _ := p.grantOrQueue(Request{FinalAttempt: true, Deadline: time.Now().Add(time.Hour), Objective: time.Now().Add(time.Hour)})
+				p.cancelWait(w)
+			}
+		})
+	}
+}
+
+// Measures the cost of a target's capacity that goes to a waiting request.
+func BenchmarkGrantWhileRequestsWait(b *testing.B) {
+	for _, waiting := range []int{100, 1000, 5000} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			p := fullPool(b, 27, waiting)
+			key := Key{ID: "t7", StartMillis: 1}
+			for b.Loop() {
+				w, _, _ := p.grantOrQueue(Request{FinalAttempt: true, Deadline: time.Now().Add(time.Minute), Objective: time.Now().Add(time.Hour)})
+				p.ApplyPeerEvent("peer", Event{Target: key, InFlight: 7})
+				g := <-w.granted
+				p.ApplyPeerEvent("peer", Event{Target: key, InFlight: 8})
+				g.Complete(judge.Nothing, 0)
+			}
+		})
+	}
+}
