Share capacity among workspaces by start-time fair queueing

Cause: requests waited by priority and deadline alone.

Change: the queue has a level for each priority of workspaces and routes. On a level, the flows of the workspaces share the capacity by weight, the rate of the quota, with SFQ(D) and a credit of two requests; the order within a flow is that of before. New requests are refused at once by the place that they would have, waiting ones when they have been overtaken for 100 ms so that even the most favourable estimate is too late. Refused callers are told to return at the pace of their workspace's share. Places are counted per flow and the oldest waiter is found by arrival order, in place of a pass over all waiters. contention_test.go asks the queue for its length, because there is no single list of waiters any more; what it expects is the same.

--- a/core/relay/auth.go
+++ b/core/relay/auth.go
@@ -19,6 +19,7 @@
 // as a name, also on routes that need no key.
 func (x *exchange) setWorkspace(table *route.Table, workspace *route.Workspace) {
 	x.workspace = workspace
+	x.weight = table.Weight(workspace)
 	if !table.RequiresKeys() {
 		return
 	}
--- a/core/relay/exchange.go
+++ b/core/relay/exchange.go
@@ -27,7 +27,9 @@
 	configVersion route.Version
 	// workspace is the caller's workspace; nil if the route or the configuration asks for
 	// no key.
-	workspace   *route.Workspace
+	workspace *route.Workspace
+	// weight is the weight of the workspace in the sharing of capacity.
+	weight      float64
 	service     string
 	targetPool  *sched.Pool
 	retryBudget *retry.WindowBudget
@@ -123,19 +125,39 @@
 		startedAt:   time.Now(),
 		results:     x.results,
 		acquireParams: sched.Request{
-			Idempotent:   x.route.Idempotent(),
-			FinalAttempt: !x.canRetry(),
-			Priority:     x.route.Priority,
-			Deadline:     x.deadline,
-			Objective:    x.objective(),
-			Bytes:        x.relay.sizes.mean(x.route.Name),
-			Tried:        x.tried,
+			Idempotent:        x.route.Idempotent(),
+			FinalAttempt:      !x.canRetry(),
+			Priority:          x.route.Priority,
+			Workspace:         x.workspaceName(),
+			WorkspacePriority: x.workspacePriority(),
+			Weight:            x.weight,
+			Deadline:          x.deadline,
+			Objective:         x.objective(),
+			Bytes:             x.relay.sizes.mean(x.route.Name),
+			Tried:             x.tried,
 		},
 	}
 	x.running[t] = true
 	go t.run()
 }
 
+// workspaceName returns the name of the caller's workspace, empty if there is none.
+func (x *exchange) workspaceName() string {
+	if x.workspace == nil {
+		return ""
+	}
+	return x.workspace.Name
+}
+
+// workspacePriority returns the priority of the workspace, or that of the route if there
+// is none.
+func (x *exchange) workspacePriority() int {
+	if x.workspace == nil || !x.workspace.HasPriority {
+		return x.route.Priority
+	}
+	return x.workspace.Priority
+}
+
 // canRetry reports whether the request could be retried if the attempt that is about
 // to start fails.
 func (x *exchange) canRetry() bool {
--- a/core/relay/result.go
+++ b/core/relay/result.go
@@ -133,7 +133,16 @@
 
 // fail returns an error response of the relay itself; reason goes only to the log.
 func (x *exchange) fail(kind fault.Kind, reason string) *caller.Response {
-	resp := errorResponse(kind, x.targetPool.AvailableIn())
+	resp := errorResponse(kind, max(x.targetPool.AvailableIn(), x.advisedReturn(kind)))
 	x.relay.recordResponse(x, resp.Status, reason)
 	return resp
 }
+
+// advisedReturn returns the time after which the pool advised the caller of a refused
+// request to return, 0 if it did not.
+func (x *exchange) advisedReturn(kind fault.Kind) time.Duration {
+	if x.best == nil || kind != fault.QueueFull {
+		return 0
+	}
+	return fault.From(x.best.err).RetryAfter
+}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -19,6 +19,8 @@
 	requiresKeys bool
 	workspaces   []*Workspace
 	keys         keyIndex
+	// meanWeight is the weight of workspaces without a quota.
+	meanWeight float64
 }
 
 // Compile returns the table for a validated configuration.
@@ -33,6 +35,7 @@
 		requiresKeys: c.RequiresKeys,
 	}
 	t.workspaces, t.keys = compileWorkspaces(c)
+	t.meanWeight = meanRate(t.workspaces)
 	for _, s := range c.Services {
 		if s.Name != "" {
 			t.services[s.Name] = s
--- a/core/route/workspace.go
+++ b/core/route/workspace.go
@@ -98,6 +98,31 @@
 	return t.requiresKeys
 }
 
+// meanRate returns the mean rate of the workspaces with a quota, or 1 if there are none.
+func meanRate(workspaces []*Workspace) float64 {
+	sum, count := 0.0, 0
+	for _, w := range workspaces {
+		if w.Limited() {
+			sum += w.Rate
+			count++
+		}
+	}
+	if count == 0 {
+		return 1
+	}
+	return sum / float64(count)
+}
+
+// Weight returns the weight of a workspace in the sharing of capacity: the rate of its
+// quota. A workspace without a quota and requests without a workspace, for which w is nil,
+// have the mean of the others.
+func (t *Table) Weight(w *Workspace) float64 {
+	if w == nil || !w.Limited() {
+		return t.meanWeight
+	}
+	return w.Rate
+}
+
 // Workspaces returns all workspaces, without their keys.
 func (t *Table) Workspaces() []*Workspace {
 	return t.workspaces
--- a/core/sched/contention_test.go
+++ b/core/sched/contention_test.go
@@ -25,7 +25,7 @@
 			time.Sleep(time.Millisecond)
 			p.ApplyPeerEvent("peer", Event{Target: Key{ID: fmt.Sprint("t", i%targets), StartMillis: 1}, InFlight: 8, Result: judge.Served, Latency: 400 * time.Millisecond})
 		}
-		g.Expect(p.queue.waiters).To(HaveLen(100))
+		g.Expect(p.queue.len()).To(Equal(100))
 		// One scan every 25 ms, which evaluates all targets for a few requests.
 		g.Expect(p.evaluatedCount - before).To(BeNumerically("<", 40*8*targets))
 	})
@@ -47,7 +47,7 @@
 		g.Expect(second.granted).NotTo(Receive(), "the request was sent to t8 before")
 		p.ApplyPeerEvent("peer", Event{Target: Key{ID: "t9", StartMillis: 1}, InFlight: 7, Result: judge.Served, Latency: 400 * time.Millisecond})
 		g.Expect(second.granted).To(Receive(HaveField("Target.ID", "t9")))
-		g.Expect(p.queue.waiters).To(BeEmpty())
+		g.Expect(p.queue.len()).To(BeZero())
 	})
 }
 
--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -16,6 +16,12 @@
 	FinalAttempt bool
 	// Priority is the priority of the request; 0 is the highest.
 	Priority int
+	// Workspace is the name of the caller's workspace; empty if there is none.
+	Workspace string
+	// WorkspacePriority ranks the request before its own priority; 0 is the highest.
+	WorkspacePriority int
+	// Weight is the weight of the workspace in the sharing of capacity; 0 stands for 1.
+	Weight   float64
 	Deadline time.Time
 	// Objective is the time by which the response should arrive; zero if there is none.
 	Objective time.Time
@@ -77,15 +83,21 @@
 			return nil, fault.New(fault.CallerGone, "request cancelled while waiting for a target")
 		case <-timer.C:
 			p.cancelWait(w)
-			return nil, fault.New(fault.QueueFull, "no target had capacity in time")
+			return nil, p.refuseExpired(req)
 		}
 	}
 }
 
-// latestStart returns the time after which a waiting request is refused, because no
-// target could answer it before its deadline any more.
+// latestStart returns the time after which a waiting request is refused.
 func (p *Pool) latestStart(req Request) time.Time {
-	return req.Deadline.Add(-p.ServiceTime() / 2)
+	return speed{serviceTime: p.ServiceTime()}.latestStart(req)
+}
+
+// refuseExpired returns the error for a request that has waited until its latest start.
+func (p *Pool) refuseExpired(req Request) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.adviseReturn(fault.New(fault.QueueFull, "no target had capacity in time"), req, 0, time.Now())
 }
 
 // grantOrQueue returns a grant if a target can be used at once. Otherwise it adds the
@@ -96,14 +108,14 @@
 	now := time.Now()
 	p.requestCount++
 	req.arrivedAt, req.sequence = now, p.requestCount
-	if g := p.tryGrant(req, now); g != nil {
+	if g := p.grantInTurn(req, now); g != nil {
 		return nil, g, nil
 	}
 	if err := p.checkAvailable(req, now); err != nil {
 		return nil, nil, err
 	}
-	if wait := p.expectedWait(req, now); now.Add(wait + p.serviceTime()).After(req.Deadline) {
-		return nil, nil, fault.New(fault.QueueFull, "wait of %s would outlast the deadline", wait)
+	if err := p.checkWait(req, now); err != nil {
+		return nil, nil, err
 	}
 	w := &waiter{request: req, granted: make(chan *Grant, 1), refused: make(chan error, 1)}
 	p.queue.push(w)
@@ -126,13 +138,23 @@
 	}
 }
 
-// tryGrant chooses a target and grants it, or returns nil if the request has to wait.
-func (p *Pool) tryGrant(req Request, now time.Time) *Grant {
-	c := p.choose(req, now)
-	if c.member == nil {
-		return nil
+// grantInTurn chooses a target for a new request and grants it, or returns nil if the
+// request has to wait. Capacity may have become free without an event, for example when
+// the reported load of a peer has expired. Waiters that are due before the request get it
+// first.
+func (p *Pool) grantInTurn(req Request, now time.Time) *Grant {
+	for {
+		c := p.choose(req, now)
+		if c.member == nil {
+			return nil
+		}
+		w := p.queue.earlierFor(c.member.target.Key, req)
+		if w == nil || c.rate >= failRateLimit {
+			p.queue.charge(req, now)
+			return p.grantChoice(c, now)
+		}
+		p.grantWaiter(w, choice{member: c.member, rate: c.rate, reason: Cheapest}, now)
 	}
-	return p.grantChoice(c, now)
 }
 
 // grantChoice grants the chosen target and sends the event to the peers.
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -39,6 +39,7 @@
 	// slowThreshold is the latency that one answered request in ten exceeds.
 	slowThreshold quantile
 	queue         queue
+	returns       returns
 	// queueScannedAt is the time of the last scan over all waiters.
 	queueScannedAt time.Time
 	// requestCount counts the requests passed to Acquire, evaluatedCount the targets
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"slices"
 	"time"
 )
@@ -10,161 +11,206 @@
 type waiter struct {
 	request Request
 	granted chan *Grant
-	// refused gets the reason if no target may get the request any more.
+	// refused gets the reason if the request is refused while it waits.
 	refused chan error
+	// flow holds the waiter while it is in the queue, arrival is its place among the
+	// flow's arrivals.
+	flow    *flow
+	arrival *list.Element
+	// lateSince is when the request was first expected to be served too late; zero if it
+	// is expected to be served in time.
+	lateSince time.Time
 }
 
-// queue holds the waiters by priority, then by deadline, so that in a burst the least
-// urgent requests are the ones that cannot be served.
+// maxIdleLevels is the number of levels from which those without waiters are forgotten.
+const maxIdleLevels = 64
+
+// queue holds the waiters by the priority of their workspace and that of their route. On
+// each of these levels, the capacity is shared among the workspaces. The requests of one
+// workspace are ordered by deadline. So in a burst, the least urgent requests of the
+// workspaces that ask for more than their share are the ones that cannot be served.
 type queue struct {
-	waiters []*waiter
+	levels []*level
+	// ofWorkspaces is the number of waiters that have a workspace.
+	ofWorkspaces int
+	// passed holds, during a scan, the waiters before the one that the scan looks at. The
+	// scan moves the ones that go on waiting to its front.
+	passed []*waiter
+	// order is reused by scans.
+	order []*waiter
 }
 
-func (q *queue) push(w *waiter) {
-	at, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
-	q.waiters = slices.Insert(q.waiters, at, w)
+// len returns the number of waiters.
+func (q *queue) len() int {
+	n := 0
+	for _, l := range q.levels {
+		n += l.waiting
+	}
+	return n
 }
 
-func compareWaiters(a, b *waiter) int {
-	return a.request.compare(b.request)
+// levelFor returns the level of the rank, creating it on first use.
+func (q *queue) levelFor(r rank) *level {
+	at, found := q.findLevel(r)
+	if found {
+		return q.levels[at]
+	}
+	if len(q.levels) >= maxIdleLevels {
+		q.levels = slices.DeleteFunc(q.levels, func(l *level) bool { return l.waiting == 0 })
+		at, _ = q.findLevel(r)
+	}
+	l := newLevel(r)
+	q.levels = slices.Insert(q.levels, at, l)
+	return l
 }
 
-// compare orders requests by priority, deadline and arrival.
-func (req Request) compare(other Request) int {
-	if req.Priority != other.Priority {
-		return req.Priority - other.Priority
-	}
-	if byDeadline := req.Deadline.Compare(other.Deadline); byDeadline != 0 {
-		return byDeadline
+func (q *queue) findLevel(r rank) (at int, found bool) {
+	return slices.BinarySearchFunc(q.levels, r, func(l *level, r rank) int { return l.rank.compare(r) })
+}
+
+func (q *queue) push(w *waiter) {
+	q.levelFor(w.request.rank()).push(w)
+	if w.request.Workspace != "" {
+		q.ofWorkspaces++
 	}
-	return cmp.Compare(req.sequence, other.sequence)
 }
 
+// remove removes a waiter that was not granted a target. It reports whether the waiter was
+// in the queue.
 func (q *queue) remove(w *waiter) bool {
-	at := slices.Index(q.waiters, w)
-	if at < 0 {
+	if w.flow == nil {
 		return false
 	}
-	q.waiters = slices.Delete(q.waiters, at, at+1)
+	w.flow.level.remove(w)
+	if w.request.Workspace != "" {
+		q.ofWorkspaces--
+	}
 	return true
 }
 
-const (
-	// queueScanInterval is the least time between scans over all waiters that events
-	// trigger. The scans are needed because the best decision for a waiter also changes
-	// as time passes.
-	queueScanInterval = 25 * time.Millisecond
-	// maxMisses is the number of waiters of one class without a target after which a
-	// scan skips the rest of the class, which have the same requirements.
-	maxMisses = 2
-)
+// take removes a waiter that is granted a target.
+func (q *queue) take(w *waiter) {
+	w.flow.level.charge(w.flow)
+	q.remove(w)
+}
 
-// grantWaiting grants free capacity of a target to waiters after an event at that
-// target. It takes a key, because the holder of a grant may still refer to a target that
-// was removed from the pool. When all targets are full and hundreds of requests wait,
-// the events of the whole fleet arrive thousands of times per second. Each of them
-// changes one target only, so evaluating all targets for all waiters each time would be
-// too expensive.
-func (p *Pool) grantWaiting(k Key, now time.Time) {
-	if len(p.queue.waiters) == 0 {
-		return
-	}
-	if now.Sub(p.queueScannedAt) >= queueScanInterval {
-		p.scanQueue(now)
-		return
-	}
-	m := p.members[k]
-	if m == nil || p.restrictions.backingOff(k, now) {
+// charge accounts for a request that is granted a target without waiting. Requests without
+// a workspace are counted only beside those of workspaces.
+func (q *queue) charge(req Request, now time.Time) {
+	at, found := q.findLevel(req.rank())
+	if !found || req.Workspace == "" && len(q.levels[at].flows) < 2 {
 		return
 	}
-	for m.load(now) < m.target.Slots+targetQueueDepth {
-		rate := m.failRate(p.model, now)
-		at := p.queue.firstFor(k)
-		if at < 0 || rate >= failRateLimit {
-			return
-		}
-		w := p.queue.removeAt(at)
-		w.granted <- p.grantChoice(choice{member: m, rate: rate, reason: Cheapest}, now)
-	}
+	q.levels[at].chargeUnqueued(req, now)
 }
 
-// quietScanInterval is the time without a scan after which waiters cause one themselves.
-// Without events at the targets, nothing else notices that the reported load of a peer
-// that ended has expired, or that a failing target may be used again.
-const quietScanInterval = 250 * time.Millisecond
-
-// scanIfQuiet scans the queue if no event did so for quietScanInterval.
-func (p *Pool) scanIfQuiet() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if now := time.Now(); now.Sub(p.queueScannedAt) >= quietScanInterval {
-		p.scanQueue(now)
-	}
+func compareWaiters(a, b *waiter) int {
+	return a.request.compare(b.request)
 }
 
-// scanQueue grants targets to all waiters for which there is one.
-func (p *Pool) scanQueue(now time.Time) {
-	p.queueScannedAt = now
-	missed := map[class]int{}
-	waiting := p.queue.waiters[:0]
-	for _, w := range p.queue.waiters {
-		var g *Grant
-		if missed[w.request.class()] < maxMisses {
-			g = p.tryGrant(w.request, now)
-		}
-		if g == nil {
-			missed[w.request.class()]++
-			waiting = append(waiting, w)
-			continue
-		}
-		w.granted <- g
+// compare orders the requests of one flow by deadline and arrival.
+func (req Request) compare(other Request) int {
+	if byDeadline := req.Deadline.Compare(other.Deadline); byDeadline != 0 {
+		return byDeadline
 	}
-	clear(p.queue.waiters[len(waiting):])
-	p.queue.waiters = waiting
-}
-
-// class groups the requests that have the same requirements on a target.
-type class struct {
-	priority     int
-	finalAttempt bool
+	return cmp.Compare(req.sequence, other.sequence)
 }
 
-func (req Request) class() class {
-	return class{priority: req.Priority, finalAttempt: req.FinalAttempt}
+// inOrder returns all waiters in the order in which they would be served. The result is
+// valid until the next call; the caller clears it, so that it holds no waiters that left.
+func (q *queue) inOrder() []*waiter {
+	q.order = q.order[:0]
+	for _, l := range q.levels {
+		q.order = l.appendInOrder(q.order)
+	}
+	return q.order
 }
 
-// firstFor returns the index of the first waiter that was not sent to the target
-// before, or -1.
-func (q *queue) firstFor(k Key) int {
-	return slices.IndexFunc(q.waiters, func(w *waiter) bool { return !w.request.hasTried(k) })
+// firstFor returns the first waiter that was not sent to the target before, or nil.
+func (q *queue) firstFor(k Key) *waiter {
+	for _, l := range q.levels {
+		if l.waiting == 0 {
+			continue
+		}
+		if w := l.backlogged[0].waiters[0]; !w.request.hasTried(k) {
+			return w
+		}
+		for _, w := range l.appendInOrder(nil) {
+			if !w.request.hasTried(k) {
+				return w
+			}
+		}
+	}
+	return nil
 }
 
-// removeAt removes and returns the waiter at the index.
-func (q *queue) removeAt(at int) *waiter {
-	w := q.waiters[at]
-	q.waiters = slices.Delete(q.waiters, at, at+1)
+// earlierFor returns the first waiter that was not sent to the target before, if it has to
+// be served before a request that is not in the queue; otherwise nil. Without workspaces,
+// a request never has to stand back.
+func (q *queue) earlierFor(k Key, req Request) *waiter {
+	if q.ofWorkspaces == 0 {
+		return nil
+	}
+	w := q.firstFor(k)
+	if w == nil {
+		return nil
+	}
+	l := w.flow.level
+	switch c := l.rank.compare(req.rank()); {
+	case c != 0:
+		if c > 0 {
+			return nil
+		}
+	case w.request.Workspace == req.Workspace:
+		if w.request.compare(req) > 0 {
+			return nil
+		}
+	default:
+		if w.flow.start > l.startOf(req) {
+			return nil
+		}
+	}
 	return w
 }
 
-// expectedWait returns the expected time in the queue of a new request. It is at least
-// as long as any waiter before it has already waited, because the waiters of other
-// daemons are unknown. A slot counts in proportion to the share of requests that its
-// target serves successfully.
-func (p *Pool) expectedWait(req Request, now time.Time) time.Duration {
-	ahead := 1
-	longest := time.Duration(0)
-	for _, w := range p.queue.waiters {
-		if w.request.compare(req) < 0 {
-			ahead++
-			longest = max(longest, now.Sub(w.request.arrivedAt))
+// before returns the number of waiters that would be served before the request, and when
+// the oldest of them arrived whose wait says something about that of the request. The wait
+// of another workspace on the same level does not: it may have asked for more than its
+// share.
+func (q *queue) before(req Request) (ahead int, oldest time.Time) {
+	if q.passed != nil {
+		return q.passedBefore(req)
+	}
+	for _, l := range q.levels {
+		c := l.rank.compare(req.rank())
+		if c > 0 {
+			break
+		}
+		var count int
+		var w *waiter
+		if c == 0 {
+			count, w = l.before(req)
+		} else {
+			count, w = l.waiting, l.oldest()
+		}
+		ahead += count
+		if w != nil && (oldest.IsZero() || w.request.arrivedAt.Before(oldest)) {
+			oldest = w.request.arrivedAt
 		}
 	}
-	slots := 0.0
-	for k, m := range p.members {
-		if p.restrictions.backingOff(k, now) {
+	return ahead, oldest
+}
+
+// passedBefore returns the same as before for the waiter that a scan looks at.
+func (q *queue) passedBefore(req Request) (ahead int, oldest time.Time) {
+	for _, w := range q.passed {
+		other := &w.request
+		if other.Workspace != req.Workspace && other.rank() == req.rank() {
 			continue
 		}
-		slots += float64(m.target.Slots) * (1 - m.failRate(p.model, now))
+		if oldest.IsZero() || other.arrivedAt.Before(oldest) {
+			oldest = other.arrivedAt
+		}
 	}
-	return max(longest, time.Duration(float64(p.serviceTime())*float64(ahead)/max(slots, 1)))
+	return len(q.passed), oldest
 }
--- /dev/null
+++ b/core/sched/refuse.go
@@ -0,0 +1,184 @@
+package sched
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"wisteriarelay.example/core/fault"
+)
+
+// speed is how fast the targets of a pool serve requests.
+type speed struct {
+	serviceTime time.Duration
+	// slots counts each slot in proportion to the share of requests that its target
+	// serves successfully.
+	slots float64
+	// inFlight counts in the same way the requests that are sent to the targets before
+	// they count as full. It is more than the slots.
+	inFlight float64
+}
+
+// wait returns the expected time until a request with the given number of requests before
+// it is served. Slots that other daemons use count as well, so the wait is rather longer.
+func (s speed) wait(ahead int) time.Duration {
+	return time.Duration(float64(s.serviceTime) * float64(ahead+1) / max(s.slots, 1))
+}
+
+// leastWait returns the time that the wait takes at least, if the latency includes the
+// time that requests wait at their target.
+func (s speed) leastWait(ahead int) time.Duration {
+	return time.Duration(float64(s.serviceTime) * float64(ahead) / max(s.inFlight, 1))
+}
+
+// speed returns how fast the targets that want requests serve them.
+func (p *Pool) speed(now time.Time) speed {
+	s := speed{serviceTime: p.serviceTime()}
+	for k, m := range p.members {
+		if p.restrictions.backingOff(k, now) {
+			continue
+		}
+		success := 1 - m.failRate(p.model, now)
+		s.slots += float64(m.target.Slots) * success
+		s.inFlight += float64(m.target.Slots+targetQueueDepth) * success
+	}
+	return s
+}
+
+// expectedWait returns the expected time in the queue of a new request. It is at least
+// as long as a waiter before it has already waited, because the waiters of other daemons
+// are unknown.
+func (p *Pool) expectedWait(req Request, now time.Time) time.Duration {
+	ahead, oldest := p.queue.before(req)
+	wait := p.speed(now).wait(ahead)
+	if !oldest.IsZero() {
+		wait = max(wait, now.Sub(oldest))
+	}
+	return wait
+}
+
+// checkWait fails with fault.QueueFull if the request would be served after its deadline.
+func (p *Pool) checkWait(req Request, now time.Time) error {
+	wait := p.expectedWait(req, now)
+	excess := now.Add(wait + p.serviceTime()).Sub(req.Deadline)
+	if excess <= 0 {
+		return nil
+	}
+	return p.adviseReturn(fault.New(fault.QueueFull, "wait of %s would outlast the deadline", wait), req, excess, now)
+}
+
+// overtakenPeriod is how long a waiter has to be expected to be served too late before it
+// is refused. The estimate follows single latencies, so one that is soon corrected must
+// not end the wait of a request.
+const overtakenPeriod = 100 * time.Millisecond
+
+// overtakenCheck finds waiters that were overtaken by others and cannot be served in time
+// any more. It is used for one scan.
+type overtakenCheck struct {
+	now   time.Time
+	speed speed
+	// off says that no request with a workspace waits. Then nobody is overtaken, except
+	// by more urgent requests, and each waiter waits until its latest start.
+	off bool
+}
+
+func (p *Pool) overtakenCheck(now time.Time) overtakenCheck {
+	if p.queue.ofWorkspaces == 0 {
+		return overtakenCheck{off: true}
+	}
+	return overtakenCheck{now: now, speed: p.speed(now)}
+}
+
+// confirmed reports whether the waiter has been expected to be served after its latest
+// start for overtakenPeriod, even if only this daemon used the targets. ahead is the number of requests before it; those that are
+// refused themselves are not counted, so that no more requests are refused than needed.
+func (c overtakenCheck) confirmed(w *waiter, ahead int) bool {
+	if c.off {
+		return false
+	}
+	if !c.now.Add(c.speed.leastWait(ahead)).After(c.speed.latestStart(w.request)) {
+		w.lateSince = time.Time{}
+		return false
+	}
+	if w.lateSince.IsZero() {
+		w.lateSince = c.now
+	}
+	return c.now.Sub(w.lateSince) >= overtakenPeriod
+}
+
+// latestStart returns the time after which a waiting request is refused, because no
+// target could answer it before its deadline any more.
+func (s speed) latestStart(req Request) time.Time {
+	return req.Deadline.Add(-s.serviceTime / 2)
+}
+
+// refuseOvertaken ends the wait of a request.
+func (p *Pool) refuseOvertaken(w *waiter, now time.Time) {
+	p.queue.remove(w)
+	err := fault.New(fault.QueueFull, "overtaken by requests of other workspaces or of higher priority, %s before the deadline", w.request.Deadline.Sub(now))
+	w.refused <- p.adviseReturn(err, w.request, 0, now)
+}
+
+// adviseReturn adds the time after which the caller of a refused request should return, if
+// the request has a workspace. earliest is when a repetition could be served at the
+// earliest. Each further refusal of the workspace is told to return later by the time that
+// its share of the capacity needs for one request.
+func (p *Pool) adviseReturn(err *fault.Error, req Request, earliest time.Duration, now time.Time) error {
+	if req.Workspace == "" {
+		return err
+	}
+	s := p.speed(now)
+	total := req.weight()
+	if at, found := p.queue.findLevel(req.rank()); found {
+		total = p.queue.levels[at].totalWeight(req)
+	}
+	interval := time.Duration(float64(s.serviceTime) / max(s.slots, 1) * total / req.weight())
+	return err.WithRetryAfter(p.returns.next(req.Workspace, now, earliest, interval))
+}
+
+const (
+	// maxReturn is the longest time after which a refused caller is told to return.
+	// Capacity is short for seconds, and the time of a return is wasted if it is over.
+	maxReturn = 4 * time.Second
+	// minReturnsToSweep is the number of workspaces from which expired times are deleted.
+	minReturnsToSweep = 64
+)
+
+// returns spreads the returns of refused callers over time.
+type returns struct {
+	// last holds, for each workspace, when the caller refused last should return.
+	last    map[string]time.Time
+	sweepAt int
+}
+
+// next returns after how long the next refused caller of the workspace should return: not
+// before earliest, and an interval after the one before. If that is more than maxReturn
+// away, the time is random in the second half of it.
+func (r *returns) next(workspace string, now time.Time, earliest, interval time.Duration) time.Duration {
+	r.sweep(now)
+	at := now.Add(earliest)
+	if after := r.last[workspace].Add(interval); after.After(at) {
+		at = after
+	}
+	wait := at.Sub(now)
+	if wait >= maxReturn {
+		return maxReturn/2 + rand.N(maxReturn/2)
+	}
+	r.last[workspace] = at
+	return max(wait, time.Millisecond)
+}
+
+// sweep deletes the times that have passed.
+func (r *returns) sweep(now time.Time) {
+	if r.last == nil {
+		r.last = map[string]time.Time{}
+	}
+	if len(r.last) < max(r.sweepAt, minReturnsToSweep) {
+		return
+	}
+	for name, at := range r.last {
+		if at.Before(now) {
+			delete(r.last, name)
+		}
+	}
+	r.sweepAt = 2 * len(r.last)
+}
--- a/core/sched/restrict.go
+++ b/core/sched/restrict.go
@@ -156,14 +156,12 @@
 
 // refuseHopeless ends the wait of requests that no target may get now.
 func (p *Pool) refuseHopeless(now time.Time) {
-	waiting := p.queue.waiters[:0]
-	for _, w := range p.queue.waiters {
+	waiting := p.queue.inOrder()
+	defer clear(waiting)
+	for _, w := range waiting {
 		if err := p.checkAvailable(w.request, now); err != nil {
+			p.queue.remove(w)
 			w.refused <- err
-			continue
 		}
-		waiting = append(waiting, w)
 	}
-	clear(p.queue.waiters[len(waiting):])
-	p.queue.waiters = waiting
 }
