Bound the cost of scans while workspaces wait, and count by workspace

Cause: with 5,000 waiting requests of 76 workspaces a scan took 1.8 ms, up to 40 times a second, because it merged all flows to look at a few waiters. Operators did not see whose requests wait or are refused. The place of a new request was counted one too low where start times differ only by rounding.

Change: while requests with a workspace wait, a scan ends a level once further waiters would be skipped anyway, and the check for overtaken waiters, which does need the whole order, runs every 100 ms and only if any waiter can be late.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -52,7 +52,9 @@
 
 // run acquires a target, sends the request to it and delivers the result.
 func (t *attempt) run() {
+	leaveQueue := t.exchange.relay.enterQueue(t.acquireParams.Workspace)
 	grant, err := t.exchange.targetPool.Acquire(t.waitCtx, t.acquireParams)
+	leaveQueue(err)
 	if err != nil {
 		t.exchange.deliver(&result{attempt: t, notRun: true, kind: fault.From(err).Kind, err: err})
 		return
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -50,6 +50,7 @@
 	sizes         sizes
 	memory        memoryQuota
 	shutdown      shutdown
+	queueStats    queueStats
 
 	mu       sync.Mutex
 	services atomic.Pointer[map[string]*serviceState]
--- a/core/route/workspace_test.go
+++ b/core/route/workspace_test.go
@@ -94,6 +94,19 @@
 	NewWithT(t).Expect(fmt.Sprintf("%+v", table.Workspaces()[0])).NotTo(ContainSubstring("secret"))
 }
 
+// Guards against a workspace without a quota that gets no share of the capacity or all of
+// it.
+func TestWeights(t *testing.T) {
+	g := NewWithT(t)
+	table := route.Compile(withWorkspaces(route.Workspace{Name: "a", Rate: 10}, route.Workspace{Name: "b", Rate: 40}, route.Workspace{Name: "c"}))
+	weights := []float64{table.Weight(nil)}
+	for _, w := range table.Workspaces() {
+		weights = append(weights, table.Weight(w))
+	}
+	g.Expect(weights).To(Equal([]float64{25, 10, 40, 25}))
+	g.Expect(route.Compile(withWorkspaces(route.Workspace{Name: "a"})).Weight(nil)).To(Equal(1.0))
+}
+
 // BenchmarkAuthenticate measures the lookup of a key by the number of workspaces.
 func BenchmarkAuthenticate(b *testing.B) {
 	for _, count := range []int{10, 24_000} {
--- a/core/sched/fair.go
+++ b/core/sched/fair.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"container/list"
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -64,7 +65,8 @@
 	flows       map[string]*flow
 	// backlogged holds the flows with waiters, the one to be served next first.
 	backlogged flowHeap
-	waiting    int
+	// waiting is the number of waiters, final that of those in their final attempt.
+	waiting, final int
 	// contendedAt is when requests last waited.
 	contendedAt time.Time
 	sweepAt     int
@@ -154,7 +156,7 @@
 	at, _ := slices.BinarySearchFunc(f.waiters, w, compareWaiters)
 	f.waiters = slices.Insert(f.waiters, at, w)
 	w.flow, w.arrival = f, f.arrivals.PushBack(w)
-	l.waiting++
+	l.count(w.request, 1)
 	l.contendedAt = w.request.arrivedAt
 	if len(f.waiters) == 1 {
 		f.since = w.request.sequence
@@ -169,7 +171,7 @@
 	f.waiters = slices.Delete(f.waiters, at, at+1)
 	f.arrivals.Remove(w.arrival)
 	w.flow, w.arrival = nil, nil
-	l.waiting--
+	l.count(w.request, -1)
 	if len(f.waiters) == 0 {
 		heap.Remove(&l.backlogged, f.index)
 	}
@@ -189,6 +191,13 @@
 	l.charge(l.flowFor(req))
 }
 
+func (l *level) count(req Request, change int) {
+	l.waiting += change
+	if req.FinalAttempt {
+		l.final += change
+	}
+}
+
 // charge accounts for a grant to the flow.
 func (l *level) charge(f *flow) {
 	f.start = l.nextStart(f)
@@ -249,13 +258,15 @@
 	return count, nil
 }
 
+// startTolerance is the part of a request's interval by which virtual start times may
+// differ from rounding.
+const startTolerance = 1e-3
+
 // startingBy returns the number of waiters whose virtual start time is at most the given
 // one.
 func (f *flow) startingBy(start float64) int {
-	if f.start > start {
-		return 0
-	}
-	return int(min((start-f.start)*f.weight+1, float64(len(f.waiters))))
+	count := (start-f.start)*f.weight + 1 + startTolerance
+	return int(min(max(count, 0), float64(len(f.waiters))))
 }
 
 // oldest returns the waiter that arrived first, or nil.
@@ -281,31 +292,25 @@
 	return total
 }
 
-// appendInOrder appends the waiters in the order in which they would be served if no
-// further ones arrived.
-func (l *level) appendInOrder(dst []*waiter) []*waiter {
+// inOrder returns the waiters in the order in which they would be served if no further ones
+// arrived. They must not change meanwhile.
+func (l *level) inOrder() iter.Seq[*waiter] {
 	if len(l.backlogged) == 1 {
-		return append(dst, l.backlogged[0].waiters...)
+		return slices.Values(l.backlogged[0].waiters)
 	}
-	next := make(cursorHeap, 0, len(l.backlogged))
-	for _, f := range l.backlogged {
-		next = append(next, cursor{flow: f, start: f.start})
-	}
-	heap.Init(&next)
-	for len(next) > 0 {
-		c := &next[0]
-		dst = append(dst, c.flow.waiters[c.at])
-		c.at++
-		c.start += 1 / c.flow.weight
-		if c.at == len(c.flow.waiters) {
-			next[0] = next[len(next)-1]
-			next = next[:len(next)-1]
+	return func(yield func(*waiter) bool) {
+		next := make(cursors, 0, len(l.backlogged))
+		for _, f := range l.backlogged {
+			next = append(next, cursor{start: f.start, since: f.since, step: 1 / f.weight, waiters: f.waiters})
 		}
-		if len(next) > 0 {
-			heap.Fix(&next, 0)
+		// The flows are a heap with the same order already.
+		for len(next) > 0 {
+			if !yield(next[0].waiters[0]) {
+				return
+			}
+			next = next.advance()
 		}
 	}
-	return dst
 }
 
 // flowHeap is a heap of flows, see [heap.Interface].
@@ -338,31 +343,44 @@
 	return f
 }
 
-// cursor is a place in the waiters of a flow with the virtual start time of the waiter
-// there.
+// cursor is a place in the waiters of a flow, with the virtual start time of the first of
+// those that are left.
 type cursor struct {
-	flow  *flow
-	start float64
-	at    int
+	start   float64
+	since   uint64
+	step    float64
+	waiters []*waiter
 }
 
-// cursorHeap is a heap of cursors, see [heap.Interface].
-type cursorHeap []cursor
+// cursors is a binary heap of cursors by virtual start time. container/heap would take
+// several times as long for the queue of a whole daemon.
+type cursors []cursor
 
-func (h cursorHeap) Len() int { return len(h) }
-
-func (h cursorHeap) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(h[i].start, h[j].start), cmp.Compare(h[i].flow.since, h[j].flow.since)) < 0
+func (c cursors) less(i, j int) bool {
+	return c[i].start < c[j].start || c[i].start == c[j].start && c[i].since < c[j].since
 }
 
-func (h cursorHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push appends a cursor.
-func (h *cursorHeap) Push(x any) { *h = append(*h, x.(cursor)) }
-
-// Pop removes the last cursor.
-func (h *cursorHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
+// advance moves the first cursor to its next waiter, or removes it after the last one.
+func (c cursors) advance() cursors {
+	first := &c[0]
+	first.start += first.step
+	first.waiters = first.waiters[1:]
+	if len(first.waiters) == 0 {
+		last := len(c) - 1
+		c[0] = c[last]
+		c = c[:last]
+	}
+	for i := 0; ; {
+		least := i
+		for child := 2*i + 1; child <= 2*i+2 && child < len(c); child++ {
+			if c.less(child, least) {
+				least = child
+			}
+		}
+		if least == i {
+			return c
+		}
+		c[i], c[least] = c[least], c[i]
+		i = least
+	}
 }
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -40,6 +40,8 @@
 	slowThreshold quantile
 	queue         queue
 	returns       returns
+	// overtakenCheck finds waiters that cannot be served in time any more.
+	overtakenCheck overtakenCheck
 	// queueScannedAt is the time of the last scan over all waiters.
 	queueScannedAt time.Time
 	// requestCount counts the requests passed to Acquire, evaluatedCount the targets
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -17,9 +17,9 @@
 	// flow's arrivals.
 	flow    *flow
 	arrival *list.Element
-	// lateSince is when the request was first expected to be served too late; zero if it
-	// is expected to be served in time.
-	lateSince time.Time
+	// lateAt is the number of the last check that expected the request to be served too
+	// late.
+	lateAt uint64
 }
 
 // maxIdleLevels is the number of levels from which those without waiters are forgotten.
@@ -33,11 +33,9 @@
 	levels []*level
 	// ofWorkspaces is the number of waiters that have a workspace.
 	ofWorkspaces int
-	// passed holds, during a scan, the waiters before the one that the scan looks at. The
-	// scan moves the ones that go on waiting to its front.
+	// passed holds, during a scan of requests without a workspace, the waiters before the
+	// one that the scan looks at. The scan moves the ones that go on waiting to its front.
 	passed []*waiter
-	// order is reused by scans.
-	order []*waiter
 }
 
 // len returns the number of waiters.
@@ -116,16 +114,6 @@
 	return cmp.Compare(req.sequence, other.sequence)
 }
 
-// inOrder returns all waiters in the order in which they would be served. The result is
-// valid until the next call; the caller clears it, so that it holds no waiters that left.
-func (q *queue) inOrder() []*waiter {
-	q.order = q.order[:0]
-	for _, l := range q.levels {
-		q.order = l.appendInOrder(q.order)
-	}
-	return q.order
-}
-
 // firstFor returns the first waiter that was not sent to the target before, or nil.
 func (q *queue) firstFor(k Key) *waiter {
 	for _, l := range q.levels {
@@ -135,7 +123,7 @@
 		if w := l.backlogged[0].waiters[0]; !w.request.hasTried(k) {
 			return w
 		}
-		for _, w := range l.appendInOrder(nil) {
+		for w := range l.inOrder() {
 			if !w.request.hasTried(k) {
 				return w
 			}
@@ -179,7 +167,7 @@
 // share.
 func (q *queue) before(req Request) (ahead int, oldest time.Time) {
 	if q.passed != nil {
-		return q.passedBefore(req)
+		return q.passedBefore()
 	}
 	for _, l := range q.levels {
 		c := l.rank.compare(req.rank())
@@ -201,15 +189,11 @@
 	return ahead, oldest
 }
 
-// passedBefore returns the same as before for the waiter that a scan looks at.
-func (q *queue) passedBefore(req Request) (ahead int, oldest time.Time) {
+// passedBefore returns the same for the waiter that a scan looks at.
+func (q *queue) passedBefore() (ahead int, oldest time.Time) {
 	for _, w := range q.passed {
-		other := &w.request
-		if other.Workspace != req.Workspace && other.rank() == req.rank() {
-			continue
-		}
-		if oldest.IsZero() || other.arrivedAt.Before(oldest) {
-			oldest = other.arrivedAt
+		if at := w.request.arrivedAt; oldest.IsZero() || at.Before(oldest) {
+			oldest = at
 		}
 	}
 	return len(q.passed), oldest
--- a/core/sched/refuse.go
+++ b/core/sched/refuse.go
@@ -66,43 +66,76 @@
 	return p.adviseReturn(fault.New(fault.QueueFull, "wait of %s would outlast the deadline", wait), req, excess, now)
 }
 
-// overtakenPeriod is how long a waiter has to be expected to be served too late before it
-// is refused. The estimate follows single latencies, so one that is soon corrected must
-// not end the wait of a request.
-const overtakenPeriod = 100 * time.Millisecond
+// overtakenInterval is the time between two checks for waiters that were overtaken and
+// cannot be served in time any more. A waiter is refused if two checks in a row find it. The
+// estimate follows single latencies, so one that is soon corrected must not end the wait of
+// a request.
+const overtakenInterval = 100 * time.Millisecond
+
+// refuseOvertaken refuses the waiters that were overtaken by others and cannot be served
+// in time any more. Unless requests with a workspace wait, it does nothing: then each
+// waiter waits until its latest start.
+func (p *Pool) refuseOvertaken(now time.Time) {
+	q := &p.queue
+	if q.ofWorkspaces == 0 || now.Sub(p.overtakenCheck.at) < overtakenInterval {
+		return
+	}
+	p.overtakenCheck.at = now
+	p.overtakenCheck.number++
+	for _, w := range p.overtakenCheck.find(q, p.speed(now)) {
+		q.remove(w)
+		err := fault.New(fault.QueueFull, "overtaken by requests of other workspaces or of higher priority, %s before the deadline", w.request.Deadline.Sub(now))
+		w.refused <- p.adviseReturn(err, w.request, 0, now)
+	}
+}
 
-// overtakenCheck finds waiters that were overtaken by others and cannot be served in time
-// any more. It is used for one scan.
+// overtakenCheck finds waiters that were overtaken.
 type overtakenCheck struct {
-	now   time.Time
-	speed speed
-	// off says that no request with a workspace waits. Then nobody is overtaken, except
-	// by more urgent requests, and each waiter waits until its latest start.
-	off bool
+	at     time.Time
+	number uint64
 }
 
-func (p *Pool) overtakenCheck(now time.Time) overtakenCheck {
-	if p.queue.ofWorkspaces == 0 {
-		return overtakenCheck{off: true}
+// find returns the waiters that this check and the one before it expect to be served after
+// their latest start, even if only this daemon used the targets. Waiters that are returned
+// do not count as served before others, so that no more are refused than needed.
+func (c *overtakenCheck) find(q *queue, s speed) []*waiter {
+	var found []*waiter
+	if !c.anyLate(q, s) {
+		return nil
+	}
+	ahead := 0
+	for _, l := range q.levels {
+		for w := range l.inOrder() {
+			late := c.late(w, ahead, s)
+			if late && w.lateAt > 0 && w.lateAt == c.number-1 {
+				found = append(found, w)
+				continue
+			}
+			if late {
+				w.lateAt = c.number
+			}
+			ahead++
+		}
 	}
-	return overtakenCheck{now: now, speed: p.speed(now)}
+	return found
 }
 
-// confirmed reports whether the waiter has been expected to be served after its latest
-// start for overtakenPeriod, even if only this daemon used the targets. ahead is the number of requests before it; those that are
-// refused themselves are not counted, so that no more requests are refused than needed.
-func (c overtakenCheck) confirmed(w *waiter, ahead int) bool {
-	if c.off {
-		return false
-	}
-	if !c.now.Add(c.speed.leastWait(ahead)).After(c.speed.latestStart(w.request)) {
-		w.lateSince = time.Time{}
-		return false
-	}
-	if w.lateSince.IsZero() {
-		w.lateSince = c.now
+func (c *overtakenCheck) late(w *waiter, ahead int, s speed) bool {
+	return c.at.Add(s.leastWait(ahead)).After(s.latestStart(w.request))
+}
+
+// anyLate reports whether any waiter may be late, to save the pass over all of them: the
+// first of each flow has its earliest deadline, and none waits longer than the last.
+func (c *overtakenCheck) anyLate(q *queue, s speed) bool {
+	ahead := q.len()
+	for _, l := range q.levels {
+		for _, f := range l.backlogged {
+			if c.late(f.waiters[0], ahead, s) {
+				return true
+			}
+		}
 	}
-	return c.now.Sub(w.lateSince) >= overtakenPeriod
+	return false
 }
 
 // latestStart returns the time after which a waiting request is refused, because no
@@ -111,13 +144,6 @@
 	return req.Deadline.Add(-s.serviceTime / 2)
 }
 
-// refuseOvertaken ends the wait of a request.
-func (p *Pool) refuseOvertaken(w *waiter, now time.Time) {
-	p.queue.remove(w)
-	err := fault.New(fault.QueueFull, "overtaken by requests of other workspaces or of higher priority, %s before the deadline", w.request.Deadline.Sub(now))
-	w.refused <- p.adviseReturn(err, w.request, 0, now)
-}
-
 // adviseReturn adds the time after which the caller of a refused request should return, if
 // the request has a workspace. earliest is when a repetition could be served at the
 // earliest. Each further refusal of the workspace is told to return later by the time that
--- a/core/sched/restrict.go
+++ b/core/sched/restrict.go
@@ -156,12 +156,16 @@
 
 // refuseHopeless ends the wait of requests that no target may get now.
 func (p *Pool) refuseHopeless(now time.Time) {
-	waiting := p.queue.inOrder()
-	defer clear(waiting)
-	for _, w := range waiting {
-		if err := p.checkAvailable(w.request, now); err != nil {
-			p.queue.remove(w)
-			w.refused <- err
+	var hopeless []*waiter
+	for _, l := range p.queue.levels {
+		for w := range l.inOrder() {
+			if err := p.checkAvailable(w.request, now); err != nil {
+				w.refused <- err
+				hopeless = append(hopeless, w)
+			}
 		}
 	}
+	for _, w := range hopeless {
+		p.queue.remove(w)
+	}
 }
--- a/core/sched/scan.go
+++ b/core/sched/scan.go
@@ -64,29 +64,77 @@
 // have been overtaken by others and cannot be served in time any more.
 func (p *Pool) scanQueue(now time.Time) {
 	p.queueScannedAt = now
-	missed := map[class]int{}
-	order := p.queue.inOrder()
-	waiting := order[:0]
-	overtaken := p.overtakenCheck(now)
-	for i, w := range order {
-		p.queue.passed = order[:i]
-		var c choice
-		if missed[w.request.class()] < maxMisses {
-			c = p.choose(w.request, now)
+	s := &scan{pool: p, now: now, fair: p.queue.ofWorkspaces > 0, missed: map[class]int{}}
+	s.grantAll()
+	p.refuseOvertaken(now)
+}
+
+// scan is one scan over the waiters.
+type scan struct {
+	pool *Pool
+	now  time.Time
+	// fair says that requests with a workspace wait.
+	fair bool
+	// missed counts the waiters without a target.
+	missed  map[class]int
+	granted []grantedWaiter
+	// passed and waiting are the waiters seen so far, see [queue].
+	passed  []*waiter
+	waiting int
+}
+
+// grantedWaiter is a waiter with the target that it gets.
+type grantedWaiter struct {
+	waiter *waiter
+	grant  *Grant
+}
+
+func (s *scan) grantAll() {
+	q := &s.pool.queue
+	if !s.fair {
+		s.passed = make([]*waiter, 0, q.len())
+	}
+	for _, l := range q.levels {
+		for w := range l.inOrder() {
+			if s.fair && s.exhausted(l) {
+				break
+			}
+			s.visit(w)
 		}
-		if c.member != nil {
-			p.grantWaiter(w, c, now)
-			continue
+		for _, g := range s.granted {
+			q.take(g.waiter)
+			g.waiter.granted <- g.grant
 		}
-		missed[w.request.class()]++
-		if overtaken.confirmed(w, len(waiting)) {
-			p.refuseOvertaken(w, now)
-			continue
+		s.granted = s.granted[:0]
+	}
+	q.passed = nil
+}
+
+// visit grants a target to the waiter if there is one.
+func (s *scan) visit(w *waiter) {
+	p := s.pool
+	if !s.fair {
+		p.queue.passed = s.passed
+		s.passed = append(s.passed, w)
+	}
+	if s.missed[w.request.class()] < maxMisses {
+		if c := p.choose(w.request, s.now); c.member != nil {
+			s.granted = append(s.granted, grantedWaiter{w, p.grantChoice(c, s.now)})
+			return
 		}
-		waiting = append(waiting, w)
 	}
-	p.queue.passed = nil
-	clear(order)
+	s.missed[w.request.class()]++
+	if !s.fair {
+		s.passed[s.waiting] = w
+		s.waiting++
+	}
+}
+
+// exhausted reports whether the scan would skip all further waiters of the level.
+func (s *scan) exhausted(l *level) bool {
+	final := class{priority: l.rank.route, finalAttempt: true}
+	other := class{priority: l.rank.route}
+	return (l.final == 0 || s.missed[final] >= maxMisses) && (l.final == l.waiting || s.missed[other] >= maxMisses)
 }
 
 // class groups the requests that have the same requirements on a target.
