--- a/core/sched/scan.go
+++ b/core/sched/scan.go
@@ -117,13 +117,14 @@
 		p.queue.passed = s.passed
 		s.passed = append(s.passed, w)
 	}
-	if s.missed[w.request.class()] < maxMisses {
+	class := w.request.class()
+	if missed := s.missed[class]; missed < maxMisses {
 		if c := p.choose(w.request, s.now); c.member != nil {
 			s.granted = append(s.granted, grantedWaiter{w, p.grantChoice(c, s.now)})
 			return
 		}
+		s.missed[class] = missed + 1
 	}
-	s.missed[w.request.class()]++
 	if !s.fair {
 		s.passed[s.waiting] = w
 		s.waiting++
