Estimate the wait of a workspace by the pace at which it is served

Cause: the slots of a pool do not show what other daemons, more urgent requests and workspaces below their share take.

Change: a new request with a workspace is expected to wait at least as long as the waiters of its flow, and those of more urgent levels, take at the mean interval between their grants, times 1.3.

--- a/core/sched/fair.go
+++ b/core/sched/fair.go
@@ -87,6 +87,8 @@
 	// waiters are ordered by deadline and arrival, arrivals by arrival only.
 	waiters  []*waiter
 	arrivals list.List
+	// pace is how fast the waiters are served.
+	pace pace
 	// index is the position among the backlogged flows.
 	index int
 }
@@ -160,6 +162,7 @@
 	l.contendedAt = w.request.arrivedAt
 	if len(f.waiters) == 1 {
 		f.since = w.request.sequence
+		f.pace.begin(w.request.arrivedAt)
 		heap.Push(&l.backlogged, f)
 	}
 }
@@ -220,21 +223,52 @@
 	heap.Init(&l.backlogged)
 }
 
-// before returns the number of waiters that would be served before the request, and the
-// oldest one of its own flow among them, or nil.
-func (l *level) before(req Request) (ahead int, oldest *waiter) {
+// place is the place of a request in the queue.
+type place struct {
+	// ahead is the number of waiters that would be served before the request.
+	ahead int
+	// oldest is when the oldest of them arrived whose wait says something about that of the
+	// request; zero if there is none.
+	oldest time.Time
+	// paced is how long the waiters before the request take at the pace of their flows, as
+	// far as it is known, on more urgent levels and in its own flow.
+	paced time.Duration
+}
+
+// addOldest considers a waiter, which may be nil, for the oldest one.
+func (p *place) addOldest(w *waiter) {
+	if w != nil && (p.oldest.IsZero() || w.request.arrivedAt.Before(p.oldest)) {
+		p.oldest = w.request.arrivedAt
+	}
+}
+
+// addPlace adds to a place what is before the request on the level.
+func (l *level) addPlace(p *place, req Request) {
 	own := l.flows[req.Workspace]
 	start := l.startOf(req)
 	if own != nil {
-		ahead, oldest = own.before(req)
-		start += float64(ahead) / req.weight()
+		count, oldest := own.before(req)
+		p.ahead += count
+		p.addOldest(oldest)
+		if count > 0 {
+			p.paced = max(p.paced, own.pace.wait(count))
+		}
+		start += float64(count) / req.weight()
 	}
 	for _, f := range l.backlogged {
 		if f != own {
-			ahead += f.startingBy(start)
+			p.ahead += f.startingBy(start)
 		}
 	}
-	return ahead, oldest
+}
+
+// addWhole adds to a place the whole level.
+func (l *level) addWhole(p *place) {
+	p.ahead += l.waiting
+	for _, f := range l.backlogged {
+		p.addOldest(f.arrivals.Front().Value.(*waiter))
+		p.paced = max(p.paced, f.pace.wait(len(f.waiters)))
+	}
 }
 
 // before returns the number of waiters of the flow with an earlier place than the request,
@@ -269,17 +303,6 @@
 	return int(min(max(count, 0), float64(len(f.waiters))))
 }
 
-// oldest returns the waiter that arrived first, or nil.
-func (l *level) oldest() *waiter {
-	var oldest *waiter
-	for _, f := range l.backlogged {
-		if w := f.arrivals.Front().Value.(*waiter); oldest == nil || w.request.sequence < oldest.request.sequence {
-			oldest = w
-		}
-	}
-	return oldest
-}
-
 // totalWeight returns the sum of the weights of all flows with waiters and of the flow of
 // the request.
 func (l *level) totalWeight(req Request) float64 {
--- a/core/sched/fair_test.go
+++ b/core/sched/fair_test.go
@@ -35,7 +35,9 @@
 	// pools are the queues that its requests arrive at.
 	pools []*sched.Pool
 
-	waits     []time.Duration
+	waits []time.Duration
+	// late counts the served requests that ended after their deadline.
+	late      int
 	refused   int
 	refusedIn []time.Duration
 }
@@ -47,7 +49,7 @@
 
 // summary says how the requests of several senders were served.
 type summary struct {
-	served, refused int
+	served, refused, late int
 	// wait99 is the wait that one served request in a hundred exceeds.
 	wait99 time.Duration
 }
@@ -57,6 +59,7 @@
 	var waits []time.Duration
 	for _, s := range senders {
 		sum.refused += s.refused
+		sum.late += s.late
 		waits = append(waits, s.waits...)
 	}
 	slices.Sort(waits)
@@ -120,6 +123,7 @@
 	arrived time.Time
 	ended   chan *sent
 	refused bool
+	late    bool
 	waited  time.Duration
 }
 
@@ -134,6 +138,7 @@
 		sentAt := time.Now()
 		time.Sleep(time.Until(r.servers.begin(grant.Target.Key)))
 		grant.Complete(judge.Served, time.Since(sentAt))
+		r.late = time.Now().After(req.Deadline)
 	}
 	r.ended <- r
 }
@@ -170,6 +175,9 @@
 			r.sender.refusedIn = append(r.sender.refusedIn, r.waited)
 			continue
 		}
+		if r.late {
+			r.sender.late++
+		}
 		r.sender.waits = append(r.sender.waits, r.waited)
 	}
 }
@@ -214,6 +222,8 @@
 		g.Expect(others.wait99).To(BeNumerically("<", 50*time.Millisecond))
 		// What the others leave is 360 per second in the 7 s.
 		g.Expect(float64(len(hot.waits))).To(BeNumerically(">", 0.95*(7*(loadCapacity-240)+3*120)))
+		// The time of a target for a response after the deadline is lost.
+		g.Expect(hot.late).To(BeNumerically("<", len(hot.waits)/10))
 	})
 }
 
@@ -420,6 +430,8 @@
 			least, most := relativeShares(senders)
 			g.Expect(least).To(BeNumerically(">", 0.85))
 			g.Expect(most).To(BeNumerically("<", 1.3))
+			all := summarize(senders)
+			g.Expect(all.late).To(BeNumerically("<", all.served/20))
 		})
 	})
 }
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -87,8 +87,9 @@
 }
 
 // take removes a waiter that is granted a target.
-func (q *queue) take(w *waiter) {
+func (q *queue) take(w *waiter, now time.Time) {
 	w.flow.level.charge(w.flow)
+	w.flow.pace.add(now)
 	q.remove(w)
 }
 
@@ -161,40 +162,24 @@
 	return w
 }
 
-// before returns the number of waiters that would be served before the request, and when
-// the oldest of them arrived whose wait says something about that of the request. The wait
-// of another workspace on the same level does not: it may have asked for more than its
-// share.
-func (q *queue) before(req Request) (ahead int, oldest time.Time) {
+// placeOf returns the place of a request. The wait of another workspace on the same level
+// says nothing about that of the request: it may have asked for more than its share.
+func (q *queue) placeOf(req Request) place {
+	var p place
 	if q.passed != nil {
-		return q.passedBefore()
-	}
-	for _, l := range q.levels {
-		c := l.rank.compare(req.rank())
-		if c > 0 {
-			break
-		}
-		var count int
-		var w *waiter
-		if c == 0 {
-			count, w = l.before(req)
-		} else {
-			count, w = l.waiting, l.oldest()
-		}
-		ahead += count
-		if w != nil && (oldest.IsZero() || w.request.arrivedAt.Before(oldest)) {
-			oldest = w.request.arrivedAt
+		for _, w := range q.passed {
+			p.addOldest(w)
 		}
+		p.ahead = len(q.passed)
+		return p
 	}
-	return ahead, oldest
-}
-
-// passedBefore returns the same for the waiter that a scan looks at.
-func (q *queue) passedBefore() (ahead int, oldest time.Time) {
-	for _, w := range q.passed {
-		if at := w.request.arrivedAt; oldest.IsZero() || at.Before(oldest) {
-			oldest = at
+	for _, l := range q.levels {
+		switch c := l.rank.compare(req.rank()); {
+		case c < 0:
+			l.addWhole(&p)
+		case c == 0:
+			l.addPlace(&p, req)
 		}
 	}
-	return len(q.passed), oldest
+	return p
 }
--- a/core/sched/queue_test.go
+++ b/core/sched/queue_test.go
@@ -40,7 +40,7 @@
 	waiting := map[*waiter]bool{}
 	for sequence := range uint64(4000) {
 		w := randomWaiter(random, sequence)
-		ahead, _ := q.before(w.request)
+		ahead := q.placeOf(w.request).ahead
 		q.push(w)
 		waiting[w] = true
 		all := allInOrder(q)
@@ -51,7 +51,7 @@
 		g.Expect(ahead).To(BeNumerically("<=", place+8))
 		for _, first := range all[:min(random.IntN(3), len(all))] {
 			g.Expect(q.firstFor(Key{})).To(BeIdenticalTo(first))
-			q.take(first)
+			q.take(first, w.request.arrivedAt)
 			delete(waiting, first)
 		}
 		if all = allInOrder(q); len(all) > 60 {
@@ -62,7 +62,7 @@
 		}
 	}
 	for w := q.firstFor(Key{}); w != nil; w = q.firstFor(Key{}) {
-		q.take(w)
+		q.take(w, time.Unix(1, 0))
 		delete(waiting, w)
 	}
 	g.Expect(waiting).To(BeEmpty())
@@ -83,7 +83,7 @@
 		now = now.Add(time.Second)
 		w := &waiter{request: Request{Workspace: fmt.Sprint("w", i), Weight: 1, Priority: i % 500, arrivedAt: now, sequence: uint64(i)}}
 		q.push(w)
-		q.take(w)
+		q.take(w, now)
 		r.next(w.request.Workspace, now, 0, time.Millisecond)
 	}
 	flows := 0
@@ -113,7 +113,7 @@
 	for range 10_000 {
 		w := q.firstFor(Key{})
 		served[w.request.Workspace]++
-		q.take(w)
+		q.take(w, time.Unix(0, 0))
 		push(w.request.Workspace, w.request.Weight)
 	}
 	g.Expect(q.levels[0].virtualTime).To(BeNumerically("<", 2*maxVirtualTime))
@@ -137,3 +137,29 @@
 		g.Expect(r.next("w", now, 0, 20*time.Millisecond)).To(BeNumerically("<=", maxReturn))
 	}
 }
+
+// Guards against a pace that is taken from too few grants or from a time long past, and
+// against one that does not follow the capacity.
+func TestPaceFollowsGrants(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	var p pace
+	p.begin(now)
+	for i := range 100 {
+		if i < minPaceSamples {
+			g.Expect(p.wait(0)).To(BeZero())
+		}
+		now = now.Add(10 * time.Millisecond)
+		p.add(now)
+	}
+	g.Expect(p.wait(9)).To(BeNumerically("~", 130*time.Millisecond, time.Millisecond))
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		p.add(now)
+	}
+	g.Expect(p.wait(9)).To(BeNumerically("~", 650*time.Millisecond, 5*time.Millisecond))
+	p.begin(now.Add(paceMemory / 2))
+	g.Expect(p.wait(9)).NotTo(BeZero())
+	p.begin(now.Add(2 * paceMemory))
+	g.Expect(p.wait(9)).To(BeZero())
+}
--- a/core/sched/refuse.go
+++ b/core/sched/refuse.go
@@ -46,12 +46,17 @@
 
 // expectedWait returns the expected time in the queue of a new request. It is at least
 // as long as a waiter before it has already waited, because the waiters of other daemons
-// are unknown.
+// are unknown. If the request has a workspace, it is also at least as long as the requests
+// of the workspace before it take at their present pace, and those of more urgent levels
+// at theirs, so that no request is refused for its pace while a less urgent one is not.
 func (p *Pool) expectedWait(req Request, now time.Time) time.Duration {
-	ahead, oldest := p.queue.before(req)
-	wait := p.speed(now).wait(ahead)
-	if !oldest.IsZero() {
-		wait = max(wait, now.Sub(oldest))
+	place := p.queue.placeOf(req)
+	wait := p.speed(now).wait(place.ahead)
+	if !place.oldest.IsZero() {
+		wait = max(wait, now.Sub(place.oldest))
+	}
+	if req.Workspace != "" {
+		wait = max(wait, place.paced)
 	}
 	return wait
 }
@@ -97,12 +102,14 @@
 
 // find returns the waiters that this check and the one before it expect to be served after
 // their latest start, even if only this daemon used the targets. Waiters that are returned
-// do not count as served before others, so that no more are refused than needed.
+// do not count as served before others, so that no more are refused than needed. The pace
+// of a workspace is not used here: it would refuse waiters although less urgent ones, whose
+// pace is unknown, go on waiting and are served if capacity comes free.
 func (c *overtakenCheck) find(q *queue, s speed) []*waiter {
-	var found []*waiter
 	if !c.anyLate(q, s) {
 		return nil
 	}
+	var found []*waiter
 	ahead := 0
 	for _, l := range q.levels {
 		for w := range l.inOrder() {
--- a/core/sched/scan.go
+++ b/core/sched/scan.go
@@ -42,7 +42,7 @@
 
 // grantWaiter grants the chosen target to a waiter.
 func (p *Pool) grantWaiter(w *waiter, c choice, now time.Time) {
-	p.queue.take(w)
+	p.queue.take(w, now)
 	w.granted <- p.grantChoice(c, now)
 }
 
@@ -102,7 +102,7 @@
 			s.visit(w)
 		}
 		for _, g := range s.granted {
-			q.take(g.waiter)
+			q.take(g.waiter, s.now)
 			g.waiter.granted <- g.grant
 		}
 		s.granted = s.granted[:0]
