--- a/core/sched/fair_test.go
+++ b/core/sched/fair_test.go
@@ -286,30 +286,43 @@
 	})
 }
 
+// mixedSenders returns senders that together ask for twice the capacity, two for each pair
+// of two priorities of workspaces and three of routes, the most urgent ones first.
+func mixedSenders(pools ...*sched.Pool) []*sender {
+	var senders []*sender
+	for workspace := range 2 {
+		for route := range 3 {
+			for i := range 2 {
+				s := workspaceSender(fmt.Sprint("w", workspace, i), 100, steady(loadCapacity*2/12), pools...)
+				s.request.WorkspacePriority, s.request.Priority = workspace, route
+				senders = append(senders, s)
+			}
+		}
+	}
+	return senders
+}
+
 // Guards against a less urgent request that is served while a more urgent one is refused.
-// It answers twice the capacity over two priorities of workspaces and three of routes.
+// It answers twice the capacity over two priorities of workspaces and three of routes, at
+// one daemon and over eight.
 func TestMixedPrioritiesAreServedInOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		p := loadPool()
-		var senders []*sender
-		for workspace := range 2 {
-			for route := range 3 {
-				for i := range 2 {
-					s := workspaceSender(fmt.Sprint("w", workspace, i), 100, steady(loadCapacity*2/12), p)
-					s.request.WorkspacePriority, s.request.Priority = workspace, route
-					senders = append(senders, s)
+	for _, size := range []int{1, 8} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := newLoadFleet(size, peerDelay)
+				defer f.stop()
+				senders := mixedSenders(f.pools...)
+				runLoad(t, senders)
+				for i := 2; i < len(senders); i++ {
+					g.Expect(senders[i].servedShare()).To(BeNumerically("<=", senders[i-2].servedShare()+0.02))
 				}
-			}
-		}
-		runLoad(t, senders)
-		for i := 2; i < len(senders); i++ {
-			g.Expect(senders[i].servedShare()).To(BeNumerically("<=", senders[i-2].servedShare()+0.02))
-		}
-		for _, s := range senders[:4] {
-			g.Expect(s.servedShare()).To(BeNumerically(">", 0.995))
-		}
-	})
+				for _, s := range senders[:4] {
+					g.Expect(s.servedShare()).To(BeNumerically(">", 0.995))
+				}
+			})
+		})
+	}
 }
 
 // Guards against waiting requests that are overtaken and refused only when their time is
