--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -54,7 +54,9 @@
 
 // run acquires a target, sends the request to it and delivers the result.
 func (t *attempt) run() {
+	leaveQueue := t.exchange.relay.enterQueue(t.acquireParams.Workspace)
 	grant, err := t.exchange.targetPool.Acquire(t.waitCtx, t.acquireParams)
+	leaveQueue(err)
 	if err == nil && !t.mayUseBudget() {
 		grant.Complete(judge.Nothing, 0)
 		err = errBudgetSpent
--- a/core/relay/auth.go
+++ b/core/relay/auth.go
@@ -30,6 +30,7 @@
 // as a name, also on routes that need no key.
 func (x *exchange) setWorkspace(table *route.Table, workspace *route.Workspace) {
 	x.workspace = workspace
+	x.weight = table.Weight(workspace)
 	if !table.RequiresKeys() {
 		return
 	}
--- a/core/sched/restrict.go
+++ b/core/sched/restrict.go
@@ -156,14 +156,16 @@
 
 // refuseHopeless ends the wait of requests that no target may get now.
 func (p *Pool) refuseHopeless(now time.Time) {
-	waiting := p.queue.waiters[:0]
-	for _, w := range p.queue.waiters {
-		if err := p.checkAvailable(w.request, now); err != nil {
-			w.refused <- err
-			continue
+	var hopeless []*waiter
+	for _, l := range p.queue.levels {
+		for w := range l.inOrder() {
+			if err := p.checkAvailable(w.request, now); err != nil {
+				w.refused <- err
+				hopeless = append(hopeless, w)
+			}
 		}
-		waiting = append(waiting, w)
 	}
-	clear(p.queue.waiters[len(waiting):])
-	p.queue.waiters = waiting
+	for _, w := range hopeless {
+		p.queue.remove(w)
+	}
 }
