--- a/core/sched/floor.go
+++ b/core/sched/floor.go
@@ -19,8 +19,8 @@
 	// higher, because learning about the targets with these costs little.
 	retryableUsageFloor = 0.95
 	// recoveredUsageFloor is the usage floor among the targets that are not expected to
-	// fail, for requests that cannot be retried, while the service is well served. A target
-	// returns into use once its episode has probably ended.
+	// fail, for requests that cannot be retried. A target returns into use once its episode
+	// has probably ended.
 	recoveredUsageFloor = 0.95
 	// largeUsageFloor is the usage floor for retryable requests that are expensive to
 	// send to another data centre. Above it, up to retryableUsageFloor, they only go to
@@ -29,6 +29,9 @@
 	// expensiveRemotePenalty is the remote penalty from which a request is expensive
 	// to send to another data centre.
 	expensiveRemotePenalty = 250 * time.Millisecond
+	// failureJitterDivisor reduces the jitter after failureWindow, in which all daemons may
+	// find that the same target is needed: a target counts again two seconds after it failed.
+	failureJitterDivisor = 5
 	// failureWindow is how long a target that failed is left out of the usage floor.
 	failureWindow = 1900 * time.Millisecond
 	// introductionDelay is the time after which a new target that no daemon has used
@@ -60,15 +63,12 @@
 }
 
 // floorFilter returns a filter for the targets to which the request may go to reach
-// the usage floor, or nil if the floor is reached. While the service is well served, a
-// request that cannot be retried does not go to a target that is expected to fail: the
-// others suffice, and most of these requests would be lost.
+// the usage floor, or nil if the floor is reached. Requests that cannot be retried first
+// bring the targets back into use that have probably recovered, because most of those that
+// are sent to a failing target are lost.
 func (p *Pool) floorFilter(req Request, now time.Time) func(*member, time.Time) bool {
-	if req.FinalAttempt && p.outcomes.wellServed(now) {
-		if p.usedShare(now, p.probablyRecovered) < recoveredUsageFloor {
-			return p.unusedRecovered
-		}
-		return nil
+	if req.FinalAttempt && p.usedShare(now, p.probablyRecovered) < recoveredUsageFloor {
+		return p.unusedRecovered
 	}
 	used := p.usedShare(now, anyMember)
 	switch {
@@ -126,7 +126,7 @@
 	if m.addedAt.After(last) {
 		last = m.addedAt
 	}
-	return now.Sub(last) > floorInterval+m.jitter && now.Sub(m.failedAt) >= failureWindow
+	return now.Sub(last) > floorInterval+m.jitter && now.Sub(m.failedAt) >= failureWindow+m.jitter/failureJitterDivisor
 }
 
 // usedShare returns the share of the matching targets that are in use. Targets that have
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -38,7 +38,6 @@
 	latency      ewma
 	// slowThreshold is the latency that one answered request in ten exceeds.
 	slowThreshold quantile
-	outcomes      outcomes
 	queue         queue
 	returns       returns
 	// overtakenCheck finds waiters that cannot be served in time any more.
@@ -180,9 +179,6 @@
 
 // record records a result of a request of any daemon.
 func (p *Pool) record(m *member, now time.Time, r judge.Result, took time.Duration) {
-	if m.failRate(p.model, now) < failRateLimit {
-		p.outcomes.add(now, r)
-	}
 	m.invalidateFailRate()
 	if r.Success() {
 		m.latency.add(now, took)
