Bound the memory held for callers and targets as a whole

Buffers of connections, heads, pipelined responses and requests that wait for their responses were outside any bound; bodies and buffered responses had an eighth of the VM's memory each. Hundreds of callers that do not read could exceed the memory of a small VM.

One budget now counts connections, heads, requests, bodies, exchanges with targets, idle connections to targets and buffered responses. A buffered response is written in pieces of 16 KiB with a write timeout each, so that a slow reader is not cut off after 10 s. Without memory-mb the limits are the former ones.

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"wisteriarelay.example/core/memory"
 	"wisteriarelay.example/core/route"
 )
 
@@ -33,7 +34,7 @@
 var (
 	errHeadTooLarge = errors.New("request head is too large")
 	errBodyTooLarge = errors.New("request body is too large")
-	errBodyMemory   = errors.New("no memory left for request bodies")
+	errMemory       = errors.New("no memory left for requests")
 	// errMalformed replaces the errors of the parser, which quote the request: a malformed
 	// line may contain a key.
 	errMalformed = errors.New("request is malformed")
@@ -61,6 +62,9 @@
 	// further request is started then: the caller will send it again on another
 	// connection, so that it would run twice.
 	closing bool
+	// surplus is set if the connection was accepted beyond the memory budget. It closes
+	// after its first response.
+	surplus bool
 	// respondedAt is when the last response was written.
 	respondedAt time.Time
 }
@@ -165,17 +169,17 @@
 	x, err := c.readRequest(c.server.limits())
 	if err != nil {
 		c.endReading()
-		return c.respondError(err)
+		return c.respondError(x, err)
 	}
 	started := c.beginRequest(x)
 	c.endReading()
 	if !started {
-		c.server.releaseBodyMemory(x.reservedBytes)
+		x.holding.release()
 		return false
 	}
 	// The requests of a connection whose caller never waits for a response are pending
 	// without a gap, so that it would never close.
-	x.closeAfter = x.closeAfter || c.server.draining.Load()
+	x.closeAfter = x.closeAfter || c.surplus || c.server.draining.Load()
 	closeAfter := x.closeAfter
 	c.exchanges <- x
 	go x.run()
@@ -212,27 +216,34 @@
 	if c.respondedAt.After(began) {
 		began = c.respondedAt
 	}
-	return c.server.limits().IdleTimeout - time.Since(began) + idleGrace
+	limits := c.server.limits()
+	timeout := limits.IdleTimeout
+	if c.surplus {
+		timeout = min(timeout, limits.HeaderTimeout)
+	}
+	return timeout - time.Since(began) + idleGrace
 }
 
+// readRequest reads a request. If it fails, the exchange has the id of the request if its
+// head was read.
 func (c *conn) readRequest(limits route.Limits) (*exchange, error) {
-	c.reads.setDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.headReader.remaining = limits.HeaderBytes
-	req, err := http.ReadRequest(c.reader)
-	c.headReader.remaining = -1
+	x := newExchange(c, false)
+	req, err := c.readHead(limits)
 	if err != nil {
-		return nil, c.readError(err)
+		return x, err
+	}
+	x.closeAfter = req.Close
+	x.id = req.Header.Get(c.server.requestIDHeader)
+	if !x.holding.reserve(headMemory(req)) {
+		return x, errMemory
 	}
-	headReadAt := time.Now()
-	x := newExchange(c, req.Close)
-	c.reads.setDeadline(headReadAt.Add(bodyTimeout))
+	c.reads.setDeadline(time.Now().Add(bodyTimeout))
 	if expectsContinue(req) && req.ContentLength <= limits.BodyBytes {
 		c.exchanges <- &exchange{conn: c, interim: true}
 	}
 	body, err := x.readBody(req, limits.BodyBytes)
 	if err != nil {
-		c.server.releaseBodyMemory(x.reservedBytes)
-		return nil, c.readError(err)
+		return x, c.readError(err)
 	}
 	x.request = &Request{
 		Method:     req.Method,
@@ -246,11 +257,30 @@
 	return x, nil
 }
 
+// readHead reads the head of a request.
+func (c *conn) readHead(limits route.Limits) (*http.Request, error) {
+	if c.server.memory.Bounded() {
+		size := int64(limits.HeaderBytes)
+		if !c.server.memory.Reserve(memory.Heads, size) {
+			return nil, errMemory
+		}
+		defer c.server.memory.Release(memory.Heads, size)
+	}
+	c.reads.setDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.headReader.remaining = limits.HeaderBytes
+	req, err := http.ReadRequest(c.reader)
+	c.headReader.remaining = -1
+	if err != nil {
+		return nil, c.readError(err)
+	}
+	return req, nil
+}
+
 // readError returns the reason why a request could not be read: the error of the
 // connection if there is one, and err otherwise. net/http reports a head or a trailer that
 // an error of the connection cuts short as malformed.
 func (c *conn) readError(err error) error {
-	if c.headReader.err != nil && !errors.Is(err, errBodyTooLarge) && !errors.Is(err, errBodyMemory) {
+	if c.headReader.err != nil && !errors.Is(err, errBodyTooLarge) && !errors.Is(err, errMemory) {
 		return c.headReader.err
 	}
 	return err
@@ -264,7 +294,8 @@
 
 // respondError responds to a request that could not be read. The connection closes,
 // because it is not known where the next request starts. It always returns false.
-func (c *conn) respondError(err error) bool {
+func (c *conn) respondError(failed *exchange, err error) bool {
+	failed.holding.release()
 	status := 0
 	var netErr net.Error
 	switch {
@@ -272,7 +303,7 @@
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, errBodyTooLarge):
 		status = http.StatusRequestEntityTooLarge
-	case errors.Is(err, errBodyMemory):
+	case errors.Is(err, errMemory):
 		status = http.StatusServiceUnavailable
 	case errors.As(err, &netErr) && netErr.Timeout() && c.reads.hasEnd():
 		status = http.StatusServiceUnavailable
@@ -285,12 +316,16 @@
 		status = http.StatusBadRequest
 		err = errMalformed
 	}
-	_ = c.server.logger.Log("msg", "failed to read request", "status", status, "caller", c.netConn.RemoteAddr(), "err", err)
+	_ = c.server.logger.Log("msg", "failed to read request", "id", failed.id, "status", status, "caller", c.netConn.RemoteAddr(), "err", err)
 	x := newExchange(c, true)
 	if !c.beginRequest(x) {
 		return false
 	}
-	x.response <- TextResponse(status, http.StatusText(status)+"\n")
+	if errors.Is(err, errMemory) {
+		x.response <- memoryResponse()
+	} else {
+		x.response <- TextResponse(status, http.StatusText(status)+"\n")
+	}
 	c.exchanges <- x
 	return false
 }
--- a/core/caller/exchange.go
+++ b/core/caller/exchange.go
@@ -1,14 +1,14 @@
 package caller
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
 )
 
-// bodyReadStep is the size of the steps in which a body is read and memory for it is
-// reserved.
+// bodyReadStep is the size of the first buffer for a body.
 const bodyReadStep = 64 << 10
 
 // exchange is one request and the response to it.
@@ -16,9 +16,11 @@
 	conn *conn
 	// interim is set if this is not a request, but the interim response to the next one,
 	// which must not come in between the bytes of an earlier response.
-	interim       bool
-	request       *Request
-	reservedBytes int64
+	interim bool
+	request *Request
+	// id is the request id, also of a request that could not be read completely.
+	id      string
+	holding holding
 	// closeAfter is set if the connection closes after this response.
 	closeAfter bool
 	response   chan *Response
@@ -27,11 +29,13 @@
 }
 
 func newExchange(c *conn, closeAfter bool) *exchange {
-	return &exchange{conn: c, closeAfter: closeAfter, response: make(chan *Response, 1)}
+	return &exchange{conn: c, closeAfter: closeAfter, response: make(chan *Response, 1), holding: holding{budget: c.server.memory}}
 }
 
 // readBody reads the whole body. It fails if the body exceeds the limit, which may be
-// raised meanwhile, or the memory that the server has for bodies.
+// raised meanwhile, or the memory that the server has left. The memory is reserved in full
+// before it is allocated, and grows with what has arrived: a caller takes none by a
+// Content-Length alone.
 func (x *exchange) readBody(req *http.Request, limit int64) ([]byte, error) {
 	if req.ContentLength == 0 || req.Body == nil {
 		return nil, nil
@@ -39,33 +43,53 @@
 	if req.ContentLength > limit {
 		return nil, errBodyTooLarge
 	}
-	var b bytes.Buffer
+	var body []byte
 	for {
-		step := int64(bodyReadStep)
-		if req.ContentLength > 0 {
-			step = min(step, req.ContentLength-int64(b.Len()))
-		}
-		if !x.conn.server.reserveBodyMemory(step) {
-			return nil, errBodyMemory
+		if len(body) == cap(body) {
+			grown, err := x.growBody(body, req.ContentLength)
+			if err != nil {
+				return nil, err
+			}
+			body = grown
 		}
-		x.reservedBytes += step
-		n, err := b.ReadFrom(io.LimitReader(req.Body, step))
-		if err != nil {
+		n, err := req.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err != nil && !errors.Is(err, io.EOF) {
 			return nil, err
 		}
 		limit = max(limit, x.conn.server.limits().BodyBytes)
-		if int64(b.Len()) > limit {
+		if int64(len(body)) > limit {
 			return nil, errBodyTooLarge
 		}
-		if n < step || int64(b.Len()) == req.ContentLength {
-			return b.Bytes(), nil
+		if err != nil {
+			return body, nil
 		}
 	}
 }
 
+// growBody returns a copy of the body with more room, of at most length bytes if that is
+// known. It fails if there is no memory left.
+func (x *exchange) growBody(body []byte, length int64) ([]byte, error) {
+	size := max(2*int64(cap(body)), bodyReadStep)
+	if length > 0 {
+		size = min(size, length+1)
+	}
+	if !x.holding.growBody(size) {
+		return nil, errMemory
+	}
+	grown := make([]byte, len(body), size)
+	copy(grown, body)
+	return grown, nil
+}
+
 // run calls the handler and passes its response to the writer.
 func (x *exchange) run() {
 	resp := x.conn.server.handle(x.conn.ctx, x.request)
-	x.conn.server.releaseBodyMemory(x.reservedBytes)
+	if resp.UnreadBody == nil {
+		x.holding.releaseExchange()
+	}
+	if !x.holding.budget.Bounded() {
+		x.holding.releaseBody()
+	}
 	x.response <- resp
 }
--- a/core/caller/server.go
+++ b/core/caller/server.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
+	"wisteriarelay.example/core/memory"
 	"wisteriarelay.example/core/route"
 )
 
@@ -27,10 +28,12 @@
 	logger          log.Logger
 	requestIDHeader string
 	draining        atomic.Bool
-	bodyMemory      atomic.Int64
-	maxBodyMemory   int64
-	mu              sync.Mutex
-	listener        net.Listener
+	memory          *memory.Budget
+	// refusals limits the connections beyond the memory budget, on which requests are
+	// refused; each takes one element while it is open.
+	refusals chan struct{}
+	mu       sync.Mutex
+	listener net.Listener
 	// serving is the number of calls of Serve that may still register a connection.
 	serving int
 	conns   map[*conn]struct{}
@@ -56,7 +59,12 @@
 // WithMaxBodyMemory sets the maximum memory, in bytes, for the bodies of all requests
 // in progress.
 func WithMaxBodyMemory(bytes int64) Option {
-	return func(s *Server) { s.maxBodyMemory = bytes }
+	return WithMemory(memory.New(memory.Limits{Bodies: bytes}))
+}
+
+// WithMemory sets the budget for the memory of connections, requests and bodies.
+func WithMemory(b *memory.Budget) Option {
+	return func(s *Server) { s.memory = b }
 }
 
 // defaultMaxBodyMemory is the default of WithMaxBodyMemory, in bytes.
@@ -65,16 +73,17 @@
 // NewServer returns a server. It calls limits for the current limits.
 func NewServer(handle Handler, limits func() route.Limits, opts ...Option) *Server {
 	s := &Server{
-		handle:        handle,
-		limits:        limits,
-		logger:        log.NewNopLogger(),
-		maxBodyMemory: defaultMaxBodyMemory,
-		conns:         map[*conn]struct{}{},
-		allEnded:      make(chan struct{}),
+		handle:   handle,
+		limits:   limits,
+		logger:   log.NewNopLogger(),
+		memory:   memory.New(memory.Limits{Bodies: defaultMaxBodyMemory}),
+		conns:    map[*conn]struct{}{},
+		allEnded: make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(s)
 	}
+	s.refusals = make(chan struct{}, maxRefusals(s.memory))
 	return s
 }
 
@@ -125,8 +134,22 @@
 	s.checkAllEnded()
 }
 
+// maxRefusals returns the maximum number of connections beyond the memory budget. They may
+// take half of what the budget keeps for running work. Further ones are accepted when one
+// of these has ended, after a few seconds at most.
+func maxRefusals(b *memory.Budget) int64 {
+	return max(b.Limits().Spare()/2/connectionMemory, 1)
+}
+
+// startConn serves a connection. If the budget has no memory left for it, its only request
+// is refused.
 func (s *Server) startConn(n net.Conn) {
 	c := newConn(s, n)
+	if !s.memory.Reserve(memory.Connections, connectionMemory) {
+		s.refusals <- struct{}{}
+		s.memory.Add(memory.Connections, connectionMemory)
+		c.surplus = true
+	}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	readUntil := s.readUntil
@@ -138,6 +161,10 @@
 }
 
 func (s *Server) removeConn(c *conn) {
+	s.memory.Release(memory.Connections, connectionMemory)
+	if c.surplus {
+		<-s.refusals
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
@@ -246,17 +273,3 @@
 	line := []any{"msg", event, "id", r.ID, "state", r.State, "age", r.Age, "caller", r.Caller}
 	_ = s.logger.Log(append(line, fields...)...)
 }
-
-// reserveBodyMemory reserves memory for a request body and reports whether enough was
-// left.
-func (s *Server) reserveBodyMemory(n int64) bool {
-	if s.bodyMemory.Add(n) <= s.maxBodyMemory {
-		return true
-	}
-	s.bodyMemory.Add(-n)
-	return false
-}
-
-func (s *Server) releaseBodyMemory(n int64) {
-	s.bodyMemory.Add(-n)
-}
--- a/core/caller/writer.go
+++ b/core/caller/writer.go
@@ -44,6 +44,7 @@
 }
 
 func (w *responseWriter) writeNext(x *exchange, resp *Response) {
+	defer x.holding.release()
 	if resp.Release != nil {
 		defer resp.Release()
 	}
@@ -147,7 +148,7 @@
 		out = chunkWriter{w.conn.writer}
 	}
 	if len(resp.Body) > 0 {
-		if _, err := out.Write(resp.Body); err != nil {
+		if err := w.writeBuffered(out, resp.Body); err != nil {
 			return err
 		}
 	}
@@ -163,6 +164,28 @@
 	return nil
 }
 
+// writePiece is the size in bytes of the pieces of a buffered body for each of which the
+// write deadline is renewed.
+const writePiece = 16 << 10
+
+// writeBuffered writes a buffered body. With a bounded memory many callers read slowly, so
+// the write timeout applies to each piece: a caller that reads at all is not cut off.
+func (w *responseWriter) writeBuffered(out io.Writer, body []byte) error {
+	if !w.conn.server.memory.Bounded() {
+		_, err := out.Write(body)
+		return err
+	}
+	for len(body) > 0 {
+		n, err := out.Write(body[:min(len(body), writePiece)])
+		if err != nil {
+			return err
+		}
+		body = body[n:]
+		_ = w.conn.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	}
+	return nil
+}
+
 // deadlineExtender extends the write deadline while a long body makes progress.
 type deadlineExtender struct {
 	io.Reader
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -32,6 +32,10 @@
 	idle        stack[*conn]
 	idleTimeout time.Duration
 	dialTimeout time.Duration
+	// reserveIdle reserves the memory of a connection that becomes idle, releaseIdle
+	// returns it.
+	reserveIdle func() bool
+	releaseIdle func()
 	closed      atomic.Bool
 	open        atomic.Int64
 	dials       atomic.Int64
@@ -62,6 +66,12 @@
 	return func(p *Pool) { p.dialTimeout = d }
 }
 
+// WithIdleMemory sets the functions that reserve and release the memory of one idle
+// connection. A connection for which reserve returns false is closed instead of kept.
+func WithIdleMemory(reserve func() bool, release func()) Option {
+	return func(p *Pool) { p.reserveIdle, p.releaseIdle = reserve, release }
+}
+
 // NewPool returns a pool of connections to the address.
 func NewPool(address string, opts ...Option) *Pool {
 	p := &Pool{
@@ -70,6 +80,8 @@
 		idle:        stack[*conn]{limit: defaultMaxIdleConns},
 		idleTimeout: defaultIdleTimeout,
 		dialTimeout: defaultDialTimeout,
+		reserveIdle: func() bool { return true },
+		releaseIdle: func() {},
 	}
 	for _, o := range opts {
 		o(p)
@@ -96,6 +108,7 @@
 func (p *Pool) Close() {
 	p.closed.Store(true)
 	for _, c := range p.idle.removeIf(func(*conn) bool { return true }) {
+		p.releaseIdle()
 		p.closeConn(c)
 	}
 }
@@ -104,6 +117,7 @@
 func (p *Pool) Prune(now time.Time) {
 	expired := func(c *conn) bool { return now.Sub(c.lastUsed) > p.idleTimeout }
 	for _, c := range p.idle.removeIf(expired) {
+		p.releaseIdle()
 		p.closeConn(c)
 	}
 }
@@ -146,6 +160,7 @@
 		if !ok {
 			return p.dialConn(ctx)
 		}
+		p.releaseIdle()
 		idle := time.Since(c.lastUsed)
 		if idle <= maxIdle && idle <= c.maxIdle() && c.alive() {
 			c.reused = true
@@ -176,8 +191,17 @@
 
 func (p *Pool) put(c *conn) {
 	c.lastUsed = time.Now()
-	if p.closed.Load() || !p.idle.push(c) {
+	if p.closed.Load() || !p.reserveIdle() {
+		p.closeConn(c)
+		return
+	}
+	if !p.idle.push(c) {
+		p.releaseIdle()
 		p.closeConn(c)
+		return
+	}
+	if p.closed.Load() {
+		p.Close() // The pool was closed between the check above and the push.
 	}
 }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -12,6 +12,7 @@
 
 	"wisteriarelay.example/core/caller"
 	"wisteriarelay.example/core/gossip"
+	"wisteriarelay.example/core/memory"
 	"wisteriarelay.example/core/relay"
 	"wisteriarelay.example/core/roster"
 	"wisteriarelay.example/core/sched"
@@ -31,11 +32,14 @@
 
 	relay        *relay.Relay
 	callerServer *caller.Server
-	roster       *roster.Roster
-	targetList   *watch.List
-	gossip       *gossip.Transport
-	gossipConn   *net.UDPConn
-	auxServers   *auxServers
+	// memory is the budget for what is held for callers and targets; nil if the memory of
+	// the VM is not known.
+	memory     *memory.Budget
+	roster     *roster.Roster
+	targetList *watch.List
+	gossip     *gossip.Transport
+	gossipConn *net.UDPConn
+	auxServers *auxServers
 
 	startedAt time.Time
 	leaving   atomic.Bool
@@ -108,6 +112,9 @@
 		startedAt: time.Now(),
 	}
 	n.settings.Store(settings)
+	if m := settings.MemoryBytes(); m > 0 {
+		n.memory = memory.New(memory.LimitsOf(m))
+	}
 	n.healthQueries = newHealthQueries(n)
 	n.startupSender = newStartupSender(n)
 	n.configResends = newResendLimiter(peerResendInterval)
@@ -143,16 +150,12 @@
 		relay.WithEmit(func(e sched.Event) { n.gossip.QueueEvent(e) }),
 		relay.WithBeforeAcquire(n.healthQueries.wait),
 	}
-	if m := n.settings.Load().MemoryBytes(); m > 0 {
-		opts = append(opts, relay.WithResponseMemory(m/bodyMemoryDivisor))
+	if n.memory != nil {
+		opts = append(opts, relay.WithMemory(n.memory))
 	}
 	return relay.New(n.self.DataCentre, n.platform.Headers, opts...)
 }
 
-// bodyMemoryDivisor divides the VM's memory into equal parts: request bodies may
-// take one part, and responses another.
-const bodyMemoryDivisor = 8
-
 func relayBudget(s *Settings) relay.RetryBudget {
 	b := s.RetryBudget
 	return relay.RetryBudget{Span: seconds(b.WindowSeconds), Ratio: b.Ratio, Slack: b.Slack}
@@ -160,8 +163,8 @@
 
 func (n *Node) newCallerServer(r *relay.Relay) *caller.Server {
 	opts := []caller.Option{caller.WithLogger(n.logger), caller.WithRequestIDHeader(n.platform.Headers.RequestID)}
-	if m := n.settings.Load().MemoryBytes(); m > 0 {
-		opts = append(opts, caller.WithMaxBodyMemory(m/bodyMemoryDivisor))
+	if n.memory != nil {
+		opts = append(opts, caller.WithMemory(n.memory))
 	}
 	return caller.NewServer(n.handle, r.Limits, opts...)
 }
--- a/core/node/state.go
+++ b/core/node/state.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"wisteriarelay.example/core/memory"
 	"wisteriarelay.example/core/retry"
 	"wisteriarelay.example/core/route"
 	"wisteriarelay.example/core/sched"
+	"wisteriarelay.example/core/stats"
 )
 
 // storeState is what the daemon knows from the store, for the state dump.
@@ -24,6 +26,7 @@
 	n.stateDump.Add("targets", func() any { return n.targetState() })
 	n.stateDump.Add("budget", func() any { return n.budgetState() })
 	n.stateDump.Add("callers", func() any { return n.callerServer.OpenRequests() })
+	n.registerMemory()
 	n.metrics.Gauge("gossip_events_dropped", n.gossip.Dropped)
 	n.metrics.Gauge("config_age_ms", func() int64 { return n.storeState().ConfigAge.Milliseconds() })
 	n.metrics.Gauge("list_age_ms", func() int64 { return n.storeState().ListAge.Milliseconds() })
@@ -31,6 +34,21 @@
 	n.metrics.Gauge("caller_requests_open", func() int64 { return int64(n.callerServer.PendingRequests()) })
 }
 
+// registerMemory registers what is held for callers and targets, by kind, and how often
+// its bound was reached, if there is one.
+func (n *Node) registerMemory() {
+	if n.memory == nil {
+		return
+	}
+	n.stateDump.Add("memory", func() any { return n.memory.State() })
+	n.metrics.Gauge("memory_held_peak_bytes", func() int64 { return n.memory.State().Peak })
+	n.metrics.Gauge("memory_bound_bytes", func() int64 { return n.memory.State().Limits.Total })
+	for _, k := range memory.Kinds() {
+		n.metrics.Gauge(stats.Label("memory_held_bytes", "kind", k.String()), func() int64 { return n.memory.Held(k) })
+		n.metrics.Gauge(stats.Label("memory_denied_total", "kind", k.String()), func() int64 { return n.memory.Denied(k) })
+	}
+}
+
 func (n *Node) storeState() storeState {
 	version, asOf := n.targetList.Position()
 	s := storeState{ListVersion: version, ListAge: time.Since(asOf), Ready: n.Ready()}
--- a/core/relay/again.go
+++ b/core/relay/again.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriarelay.example/core/judge"
+	"wisteriarelay.example/core/memory"
 )
 
 // allowRetry reports whether the request may be sent to another target after the
@@ -88,7 +89,22 @@
 // hedge starts an additional attempt of an idempotent request at another target if
 // every running attempt already has a target and the retry budget allows it.
 func (x *exchange) hedge() {
-	if x.route.Idempotent() && x.mayStart() && len(x.inFlight) > 0 && len(x.running) == len(x.inFlight) && x.takeExtraAttempt() {
-		x.start()
+	if !x.route.Idempotent() || !x.mayStart() || len(x.inFlight) == 0 || len(x.running) != len(x.inFlight) {
+		return
 	}
+	// The memory of the request covers one exchange with a target at a time.
+	if !x.relay.reserveExchange() {
+		return
+	}
+	if !x.takeExtraAttempt() {
+		x.relay.memory.Release(memory.Exchanges, memory.ExchangeBytes)
+		return
+	}
+	x.start(memory.ExchangeBytes)
+}
+
+// reserveExchange reserves the memory of an exchange with a target beyond the one that
+// belongs to the request, and reports whether it succeeded.
+func (r *Relay) reserveExchange() bool {
+	return r.memory.Reserve(memory.Exchanges, memory.ExchangeBytes)
 }
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -13,6 +13,7 @@
 	"wisteriarelay.example/core/fault"
 	"wisteriarelay.example/core/judge"
 	"wisteriarelay.example/core/link"
+	"wisteriarelay.example/core/memory"
 	"wisteriarelay.example/core/sched"
 )
 
@@ -32,6 +33,8 @@
 	// headDelay is the time from sentAt until the response header arrived, in
 	// nanoseconds; 0 until then.
 	headDelay atomic.Int64
+	// reserved is the number of bytes reserved for the attempt.
+	reserved atomic.Int64
 }
 
 // result is the result of an attempt.
@@ -54,6 +57,7 @@
 func (t *attempt) run() {
 	grant, err := t.exchange.targetPool.Acquire(t.waitCtx, t.acquireParams)
 	if err != nil {
+		t.releaseMemory()
 		t.exchange.deliver(&result{attempt: t, notRun: true, kind: fault.From(err).Kind, err: err})
 		return
 	}
@@ -73,9 +77,15 @@
 // observation. It is called when nothing more is read from the target.
 func (t *attempt) settle(observation judge.Result) {
 	t.cancel()
+	t.releaseMemory()
 	t.grant.Complete(observation, t.latency())
 }
 
+// releaseMemory returns the memory that was reserved for the attempt.
+func (t *attempt) releaseMemory() {
+	t.exchange.relay.memory.Release(memory.Exchanges, t.reserved.Swap(0))
+}
+
 // latency returns the time until the response header arrived, or until now if none
 // has. The body is left out because the transfer time of a large body says nothing
 // about the speed of the target.
--- a/core/relay/exchange.go
+++ b/core/relay/exchange.go
@@ -73,7 +73,7 @@
 	callerDone := ctx.Done()
 	shutdownBegan := x.relay.shutdown.began
 	var recheck <-chan time.Time
-	x.start()
+	x.start(0)
 	for {
 		select {
 		case t := <-x.granted:
@@ -109,8 +109,9 @@
 	}
 }
 
-// start starts an attempt; its result arrives on x.results.
-func (x *exchange) start() {
+// start starts an attempt; its result arrives on x.results. reserved is the number of bytes
+// that were reserved for it and are released at its end.
+func (x *exchange) start(reserved int64) {
 	ctx, cancel := context.WithDeadline(context.Background(), x.deadline.Add(deadlineGrace))
 	waitCtx, stopWaiting := context.WithCancel(ctx)
 	x.attemptsStarted++
@@ -132,6 +133,7 @@
 			Tried:        x.tried,
 		},
 	}
+	t.reserved.Store(reserved)
 	x.running[t] = true
 	go t.run()
 }
--- a/core/relay/pools.go
+++ b/core/relay/pools.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wisteriarelay.example/core/link"
+	"wisteriarelay.example/core/memory"
 	"wisteriarelay.example/core/sched"
 )
 
@@ -27,9 +28,10 @@
 // connPools holds one connection pool for each target; opts are added to the options
 // of each pool.
 type connPools struct {
-	mu    sync.Mutex
-	byKey map[string]*link.Pool
-	opts  []link.Option
+	mu     sync.Mutex
+	byKey  map[string]*link.Pool
+	opts   []link.Option
+	memory *memory.Budget
 }
 
 // connPoolKey returns the key of a target's connection pool. It differs between the
@@ -53,11 +55,29 @@
 		link.WithDialTimeout(dialTimeout),
 		link.WithMaxIdleConns(maxIdleConns),
 		link.WithIdleTimeout(idleTimeout),
+		link.WithIdleMemory(p.reserveIdle, p.releaseIdle),
 	}, p.opts...)...)
 	p.byKey[key] = pool
 	return pool
 }
 
+// idleConnMemory is the memory in bytes of an idle connection to a target: two buffers of
+// 4 KiB and the state of the connection.
+const idleConnMemory = 12 << 10
+
+// reserveIdle reserves the memory of a connection that becomes idle. Without memory for
+// it the connection is closed. One in use is counted with its request.
+func (p *connPools) reserveIdle() bool {
+	return !p.memory.Bounded() || p.memory.Reserve(memory.IdleConnections, idleConnMemory)
+}
+
+// releaseIdle returns the memory of a connection that is no longer idle.
+func (p *connPools) releaseIdle() {
+	if p.memory.Bounded() {
+		p.memory.Release(memory.IdleConnections, idleConnMemory)
+	}
+}
+
 // close closes the connection pool of a target.
 func (p *connPools) close(t sched.Target) {
 	p.mu.Lock()
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -12,6 +12,7 @@
 	"wisteriarelay.example/core/caller"
 	"wisteriarelay.example/core/fault"
 	"wisteriarelay.example/core/link"
+	"wisteriarelay.example/core/memory"
 	"wisteriarelay.example/core/retry"
 	"wisteriarelay.example/core/route"
 	"wisteriarelay.example/core/sched"
@@ -48,7 +49,7 @@
 	table         atomic.Pointer[route.Table]
 	connPools     connPools
 	sizes         sizes
-	memory        memoryQuota
+	memory        *memory.Budget
 	shutdown      shutdown
 
 	mu       sync.Mutex
@@ -94,9 +95,18 @@
 // WithResponseMemory sets the maximum number of bytes of responses that are buffered
 // until their callers have read them.
 func WithResponseMemory(bytes int64) Option {
-	return func(r *Relay) { r.memory.available.Store(bytes) }
+	return WithMemory(memory.New(memory.Limits{Responses: bytes}))
 }
 
+// WithMemory sets the budget for the memory of responses and connections to targets.
+func WithMemory(b *memory.Budget) Option {
+	return func(r *Relay) { r.memory = b }
+}
+
+// defaultResponseMemory is the maximum number of bytes of buffered responses if the
+// memory of the VM is not known.
+const defaultResponseMemory = 32 << 20
+
 // defaultBudget is the retry budget if the settings have none.
 var defaultBudget = RetryBudget{Span: 10 * time.Second, Ratio: 0.2, Slack: 20}
 
@@ -110,13 +120,14 @@
 		metrics:       stats.New(),
 		emit:          func(sched.Event) {},
 		beforeAcquire: func(context.Context, string, bool) {},
+		memory:        memory.New(memory.Limits{Responses: defaultResponseMemory}),
 		shutdown:      shutdown{began: make(chan struct{})},
 	}
 	r.services.Store(&map[string]*serviceState{})
-	r.memory.available.Store(defaultResponseMemory)
 	for _, o := range opts {
 		o(r)
 	}
+	r.connPools.memory = r.memory
 	return r
 }
 
--- a/core/relay/response.go
+++ b/core/relay/response.go
@@ -9,6 +9,7 @@
 
 	"wisteriarelay.example/core/judge"
 	"wisteriarelay.example/core/link"
+	"wisteriarelay.example/core/memory"
 )
 
 const (
@@ -35,21 +36,40 @@
 	rest *bodyStream
 	// length is the length of the whole body in bytes; below 0 if it is not known.
 	length int64
-	memory *memoryQuota
-	// reserved is the number of bytes reserved from memory.
-	reserved int64
+	memory *memory.Budget
+	// reserved is the number of bytes reserved for the body, head those counted for the
+	// header.
+	reserved, head int64
 }
 
 // discard releases the memory and the connection of a response that is not relayed.
 // observation is reported for the target if a part of the body was not read yet.
 func (r *targetResponse) discard(observation judge.Result) {
-	r.memory.release(r.reserved)
-	r.reserved = 0
+	r.release()
 	if r.rest != nil {
 		r.rest.settle(observation)
 	}
 }
 
+// release returns the memory of the response.
+func (r *targetResponse) release() {
+	r.memory.Release(memory.Responses, r.reserved+r.head)
+	r.reserved, r.head = 0, 0
+}
+
+// fieldMemory is the memory of a field of a head in addition to its text.
+const fieldMemory = 128
+
+// countHead counts the memory of the header, which is held already.
+func (r *targetResponse) countHead() {
+	for name, values := range r.header {
+		for _, value := range values {
+			r.head += int64(len(name)+len(value)) + fieldMemory
+		}
+	}
+	r.memory.Add(memory.Responses, r.head)
+}
+
 // readResponse buffers the response completely, or only its start if it is large or
 // the memory quota is used up. The rest is then streamed to the caller, and such a
 // response can no longer be replaced by a retry. This keeps memory bounded when many
@@ -59,7 +79,10 @@
 		_ = resp.Body.Close()
 		return nil, errResponseTooLarge
 	}
-	out := &targetResponse{status: resp.StatusCode, header: resp.Header, memory: &t.exchange.relay.memory}
+	out := &targetResponse{status: resp.StatusCode, header: resp.Header, memory: t.exchange.relay.memory}
+	if out.memory.Bounded() {
+		out.countHead()
+	}
 	for out.grow(resp.ContentLength) {
 		ended, err := out.fill(resp.Body)
 		if err != nil {
@@ -85,13 +108,13 @@
 	if length >= 0 {
 		size = length
 	}
-	if size > bufferLimit || !r.memory.reserve(size) {
+	if size > bufferLimit || !r.memory.Reserve(memory.Responses, size) {
 		return false
 	}
 	body := make([]byte, len(r.body), size)
 	copy(body, r.body)
 	r.body = body
-	r.memory.release(r.reserved)
+	r.memory.Release(memory.Responses, r.reserved)
 	r.reserved = size
 	return true
 }
--- a/core/relay/result.go
+++ b/core/relay/result.go
@@ -28,7 +28,7 @@
 		x.best = r
 	}
 	if x.allowRetry(r) {
-		x.start()
+		x.start(0)
 		return nil
 	}
 	if len(x.running) > 0 {
@@ -127,7 +127,7 @@
 	if r.rest != nil && x.route.Idempotent() {
 		resp.Abort = r.rest.abort
 	}
-	resp.Release = func() { r.memory.release(r.reserved) }
+	resp.Release = r.release
 	return resp
 }
 
