Buffer the rest of a streamed response once memory is available

A target cuts off a response that stays unread for some seconds. A response for which there was no memory was streamed at its caller's speed to its end.

Only with a bounded memory.

--- a/core/relay/held_test.go
+++ b/core/relay/held_test.go
@@ -130,6 +130,7 @@
 	r := relay.New("a", headerNames, append([]relay.Option{relay.WithLinkOptions(link.WithDial(a.dial))}, relayOpts...)...)
 	r.SetTable(route.Compile(&route.Config{
 		Version:  1,
+		Limits:   route.DefaultLimits,
 		Services: []route.Service{{Name: "archive"}},
 		Hosts: []route.Host{{Name: host, Routes: []route.Route{{
 			Name: "pull", Prefix: "/", Idempotency: route.NotIdempotent, Timeout: heldTimeout, MaxAttempts: 1,
@@ -291,6 +292,117 @@
 	g.Eventually(func() int64 { return b.Total() - b.Held(memory.IdleConnections) }).WithTimeout(heldTimeout).Should(BeZero())
 }
 
+// Guards against responses that are cut off although their callers go on reading, in very
+// small amounts and for longer than the write timeout.
+func TestCallersThatDripAreServedWhole(t *testing.T) {
+	const count = 40
+	g := NewWithT(t)
+	a := newArchiveTarget(t)
+	d, b := newBoundedDaemon(t, a)
+	callers := d.callAll(t, count, strconv.Itoa(archiveBytes), 16<<10, 350*time.Millisecond)
+	served, refused := finishAll(g, callers)
+	g.Expect(served + refused).To(Equal(count))
+	g.Expect(refused).To(BeZero())
+	g.Expect(b.Denied(memory.Responses)).To(BeNumerically(">", 0), "some responses were streamed")
+	g.Expect(b.State().Peak).To(BeNumerically("<=", memory.LimitsOf(heldVM).Total))
+}
+
+// Guards against memory that stays counted after callers have left in every state of their
+// requests, so that the bound is reached for good.
+func TestMemoryOfCallersThatLeaveIsReturned(t *testing.T) {
+	const count = 60
+	g := NewWithT(t)
+	a := newArchiveTarget(t)
+	defer close(a.release)
+	d, b := newBoundedDaemon(t, a)
+	var conns []net.Conn
+	for i := range count {
+		conn := d.dial(t)
+		conns = append(conns, conn)
+		switch i % 4 {
+		case 0:
+			askFor(conn, i, strconv.Itoa(archiveBytes))
+		case 1:
+			askFor(conn, i, "100")
+			askFor(conn, i, strconv.Itoa(endlessBytes))
+		case 2:
+			_, _ = fmt.Fprintf(conn, "POST /1 HTTP/1.1\r\nHost: %s\r\nContent-Length: 600000\r\n\r\n%s", host, strings.Repeat("a", 100_000))
+		default:
+			_, _ = io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("a", 5000))
+		}
+	}
+	g.Eventually(func() int64 { return b.Held(memory.Bodies) }).WithTimeout(heldTimeout).Should(BeNumerically(">=", count/4*100_000))
+	g.Eventually(func() int64 { return b.Held(memory.Responses) }).WithTimeout(heldTimeout).Should(BeNumerically(">=", count/8*archiveBytes))
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	g.Eventually(func() map[string]int64 {
+		held := b.State().Held
+		delete(held, memory.IdleConnections.String())
+		return held
+	}).WithTimeout(heldTimeout).Should(HaveEach(BeZero()))
+}
+
+// Guards against request bodies beyond the bound while targets do not read them: the first
+// ones run, the others are refused, and no request that was sent is cut off.
+func TestLargeBodiesForSlowTargetsStayWithinBound(t *testing.T) {
+	const count, bodyBytes = 120, 900_000
+	g := NewWithT(t)
+	a := newArchiveTarget(t)
+	a.unread = make(chan struct{})
+	d, b := newBoundedDaemon(t, a)
+	limits := memory.LimitsOf(heldVM)
+	var callers []*heldCaller
+	for i := range count {
+		c := &heldCaller{conn: d.dial(t), step: 64 << 10, done: make(chan heldAnswer, 1)}
+		callers = append(callers, c)
+		u := &upload{conn: c.conn, id: i, bytes: bodyBytes}
+		go u.run()
+	}
+	settled := func() bool {
+		denied := b.Denied(memory.Requests) + b.Denied(memory.Exchanges) + b.Denied(memory.Bodies)
+		return int64(caller.Count(d.server.OpenRequests()).Sent)+denied == count
+	}
+	g.Eventually(settled).WithTimeout(heldTimeout).Should(BeTrue())
+	g.Expect(b.Held(memory.Bodies)).To(BeNumerically(">", limits.Admit/2))
+	g.Expect(b.State().Peak).To(BeNumerically("<=", limits.Total))
+	close(a.unread)
+	served, refused := finishUploads(g, callers)
+	t.Logf("%d served, %d refused, %d reached the target; held %+v", served, refused, a.requests.Load(), b.State())
+	g.Expect(int64(served)).To(Equal(a.requests.Load()))
+	g.Expect(served).To(BeNumerically(">", 0))
+	g.Expect(refused).To(BeNumerically(">", 0))
+}
+
+// upload is a request with a large body.
+type upload struct {
+	conn      net.Conn
+	id, bytes int
+}
+
+func (u *upload) run() {
+	_, _ = fmt.Fprintf(u.conn, "POST /100 HTTP/1.1\r\nHost: %s\r\nId: id%d\r\nContent-Length: %d\r\n\r\n", host, u.id, u.bytes)
+	_, _ = u.conn.Write(make([]byte, u.bytes))
+}
+
+// finishUploads reads the responses to uploads and returns how many were served and how
+// many got a refusal. A refused caller that still sends may lose the response.
+func finishUploads(g *WithT, callers []*heldCaller) (served, refused int) {
+	for _, c := range callers {
+		go c.run()
+	}
+	for _, c := range callers {
+		switch a := <-c.done; {
+		case a.err != nil || a.status == http.StatusServiceUnavailable:
+			refused++
+		default:
+			g.Expect(a.status).To(Equal(http.StatusOK))
+			served++
+		}
+	}
+	return served, refused
+}
+
 // heldCase is a state of callers' connections whose memory is measured.
 type heldCase struct {
 	// path is what each connection asks for; it asks for nothing if that is empty.
--- a/core/relay/large_test.go
+++ b/core/relay/large_test.go
@@ -17,6 +17,7 @@
 
 	"wisteriarelay.example/core/caller"
 	"wisteriarelay.example/core/link"
+	"wisteriarelay.example/core/memory"
 	"wisteriarelay.example/core/relay"
 	"wisteriarelay.example/core/route"
 	"wisteriarelay.example/core/sched"
@@ -144,6 +145,74 @@
 	})
 }
 
+// Guards against a response that its target cuts off because the caller reads slowly,
+// although memory to buffer it became available meanwhile.
+func TestStreamedResponseIsBufferedOnceMemoryIsAvailable(t *testing.T) {
+	for name, broken := range map[string]bool{"whole": false, "truncated": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				a := &largeTarget{}
+				b := memory.New(memory.Limits{Buffer: largeBytes + largeBytes/2, Admit: 1 << 20, Total: 1 << 20})
+				r := a.newRelay(relay.WithMemory(b))
+				defer r.SetTargets(nil)
+				first := sendRequest(t.Context(), r)
+				g.Expect(first.UnreadBody).To(BeNil())
+				a.broken = broken
+				second := sendRequest(t.Context(), r)
+				g.Expect(second.UnreadBody).NotTo(BeNil())
+				time.Sleep(time.Second)
+				g.Expect(ownLoad(r)).To(Equal(1), "the target waits for the caller")
+				_, _ = readAll(g, first)
+				time.Sleep(time.Second)
+				g.Expect(ownLoad(r)).To(BeZero(), "the target is done, the caller has read nothing")
+				size, err := readAll(g, second)
+				if broken {
+					g.Expect(err).To(HaveOccurred())
+				} else {
+					g.Expect(err).NotTo(HaveOccurred())
+					g.Expect(size).To(Equal(largeBytes))
+				}
+				g.Expect(b.Held(memory.Responses)).To(BeZero())
+			})
+		})
+	}
+}
+
+// Guards against a stream whose buffering goes on, and keeps its memory, after its caller
+// has left.
+func TestBufferingOfStreamEndsWithItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		a := &largeTarget{length: 2 * largeBytes, pause: 5 * time.Second}
+		b := memory.New(memory.Limits{Buffer: largeBytes, Admit: 1 << 20, Total: 1 << 20})
+		r := a.newRelay(relay.WithMemory(b))
+		defer r.SetTargets(nil)
+		resp := sendRequest(t.Context(), r)
+		g.Expect(resp.UnreadBody).NotTo(BeNil())
+		b.Release(memory.Responses, 2*largeBytes) // Memory becomes available.
+		time.Sleep(time.Second)
+		g.Expect(b.Held(memory.Responses)).To(BeNumerically(">", 0), "the rest is being read")
+		began := time.Now()
+		_ = resp.UnreadBody.Close()
+		resp.Release()
+		g.Expect(time.Since(began)).To(BeZero())
+		b.Add(memory.Responses, 2*largeBytes)
+		g.Expect(b.Held(memory.Responses)).To(BeZero())
+		g.Expect(ownLoad(r)).To(BeZero())
+		time.Sleep(a.pause) // until the goroutine of the target has ended
+	})
+}
+
+// ownLoad returns the number of the relay's requests in flight at all targets.
+func ownLoad(r *relay.Relay) int {
+	load := 0
+	for _, s := range r.TargetPool("archive").State() {
+		load += s.Own
+	}
+	return load
+}
+
 // Guards against a truncated response that looks complete to its caller, and against
 // failed attempts that do not release their memory.
 func TestTruncatedLargeResponses(t *testing.T) {
--- a/core/relay/response.go
+++ b/core/relay/response.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -47,7 +46,7 @@
 func (r *targetResponse) discard(observation judge.Result) {
 	r.release()
 	if r.rest != nil {
-		r.rest.settle(observation)
+		r.rest.discard(observation)
 	}
 }
 
@@ -95,7 +94,7 @@
 		}
 	}
 	out.length = resp.ContentLength
-	out.rest = &bodyStream{attempt: t, body: resp.Body, remaining: responseLimit - int64(len(out.body))}
+	out.rest = newBodyStream(t, resp, int64(len(out.body)))
 	return out, nil
 }
 
@@ -144,50 +143,3 @@
 	r.length = int64(len(r.body))
 	return r
 }
-
-// bodyStream is the part of a body that is streamed to the caller without buffering.
-type bodyStream struct {
-	attempt   *attempt
-	body      io.ReadCloser
-	remaining int64
-	failed    bool
-	aborted   atomic.Bool
-}
-
-// Read reads from the body and fails once the response exceeds responseLimit.
-func (s *bodyStream) Read(p []byte) (int, error) {
-	if s.remaining <= 0 {
-		s.failed = true
-		return 0, errResponseTooLarge
-	}
-	n, err := s.body.Read(p[:min(int64(len(p)), s.remaining)])
-	s.remaining -= int64(n)
-	s.failed = s.failed || err != nil && !errors.Is(err, io.EOF)
-	return n, err
-}
-
-// abort makes the current and all further reads fail.
-func (s *bodyStream) abort() {
-	s.aborted.Store(true)
-	s.attempt.cancel()
-}
-
-// Close closes the body and settles the attempt: as served, as broken if a read failed, or
-// without a result if the stream was aborted.
-func (s *bodyStream) Close() error {
-	observation := judge.Served
-	switch {
-	case s.aborted.Load():
-		observation = judge.Nothing
-	case s.failed:
-		observation = judge.Broken
-	}
-	s.settle(observation)
-	return nil
-}
-
-// settle closes the body and reports the observation for the target.
-func (s *bodyStream) settle(observation judge.Result) {
-	_ = s.body.Close()
-	s.attempt.settle(observation)
-}
