--- a/core/caller/caller_test.go
+++ b/core/caller/caller_test.go
@@ -12,9 +12,11 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	. "github.com/onsi/gomega"
 
 	"wisteriarelay.example/core/caller"
+	"wisteriarelay.example/core/memory"
 	"wisteriarelay.example/core/route"
 )
 
@@ -231,3 +233,72 @@
 	resp, _ := readResponse(g, r)
 	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
 }
+
+// Guards against requests that run although there is no memory for them, and against
+// refusals that do not say when to come back or cannot be found in the log by their id.
+func TestRequestsBeyondMemoryAreRefused(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n\r\n"
+	cases := map[string]struct {
+		free int64
+		id   string
+	}{
+		"no memory for the request":    {20 << 10, "r1"},
+		"no memory for the connection": {0, "r1"},
+		"no memory for the head":       {-100 << 10, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			const admit = 200 << 10
+			b := memory.New(memory.Limits{Buffer: admit, Admit: admit, Total: admit + 100<<10})
+			b.Add(memory.Responses, admit-c.free)
+			logs := &lineLog{}
+			ran := false
+			_, dial := serve(t, func(ctx context.Context, r *caller.Request) *caller.Response {
+				ran = true
+				return echo(ctx, r)
+			}, caller.WithMemory(b), caller.WithLogger(log.NewLogfmtLogger(logs)), caller.WithRequestIDHeader("Request-Id"))
+			conn, r := dial()
+			_, _ = io.WriteString(conn, request)
+			resp, _ := readResponse(g, r)
+			g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			g.Expect(resp.Header.Get("Retry-After")).To(MatchRegexp(`^1\.\d+$`))
+			g.Expect(resp.Close).To(BeTrue())
+			_ = conn.Close()
+			g.Eventually(b.Total).WithTimeout(waitTimeout).Should(Equal(int64(admit - c.free)))
+			g.Expect(ran).To(BeFalse())
+			g.Expect(logs.String()).To(ContainSubstring(`msg="failed to read request" id=` + c.id + " status=503"))
+			b.Release(memory.Responses, admit-c.free)
+			conn, r = dial()
+			_, _ = io.WriteString(conn, request)
+			resp, _ = readResponse(g, r)
+			g.Expect(resp.StatusCode).To(Equal(http.StatusOK), "memory is available again")
+		})
+	}
+}
+
+// Guards against a request on a connection that has responses in progress: it is refused
+// without cutting them off.
+func TestRefusalForMemoryLetsEarlierResponsesFinish(t *testing.T) {
+	g := NewWithT(t)
+	const admit = 300 << 10
+	b := memory.New(memory.Limits{Buffer: admit, Admit: admit, Total: admit + 100<<10})
+	release := make(chan struct{})
+	_, dial := serve(t, func(ctx context.Context, r *caller.Request) *caller.Response {
+		<-release
+		return echo(ctx, r)
+	}, caller.WithMemory(b))
+	conn, r := dial()
+	_, _ = io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Eventually(func() int64 { return b.Held(memory.Requests) }).WithTimeout(waitTimeout).Should(BeNumerically(">", 0))
+	b.Add(memory.Responses, admit)
+	_, _ = io.WriteString(conn, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Eventually(func() int64 { return b.Denied(memory.Requests) }).WithTimeout(waitTimeout).Should(Equal(int64(1)))
+	close(release)
+	resp, body := readResponse(g, r)
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(body).To(Equal("GET /1 "))
+	resp, _ = readResponse(g, r)
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	b.Release(memory.Responses, admit)
+}
