--- a/core/relay/held_test.go
+++ b/core/relay/held_test.go
@@ -200,11 +200,12 @@
 }
 
 // heldCaller asks for a response on its own connection and reads it in steps of step bytes
-// with a pause in between.
+// with a pause in between, until drip has passed, and the rest at once.
 type heldCaller struct {
 	conn  net.Conn
 	step  int
 	pause time.Duration
+	drip  time.Duration
 	done  chan heldAnswer
 }
 
@@ -216,11 +217,13 @@
 		return
 	}
 	answer := heldAnswer{status: resp.StatusCode, retryAfter: resp.Header.Get("Retry-After")}
-	for answer.err == nil {
+	for began := time.Now(); answer.err == nil; {
 		n, err := io.CopyN(io.Discard, resp.Body, int64(c.step))
 		answer.bytes += int(n)
 		answer.err = err
-		time.Sleep(c.pause)
+		if time.Since(began) < c.drip {
+			time.Sleep(c.pause)
+		}
 	}
 	if answer.err == io.EOF {
 		answer.err = nil
@@ -229,10 +232,10 @@
 }
 
 // callAll opens count connections that each ask for the path.
-func (d *heldDaemon) callAll(t testing.TB, count int, path string, step int, pause time.Duration) []*heldCaller {
+func (d *heldDaemon) callAll(t testing.TB, count int, path string) []*heldCaller {
 	var callers []*heldCaller
 	for i := range count {
-		c := &heldCaller{conn: d.dial(t), step: step, pause: pause, done: make(chan heldAnswer, 1)}
+		c := &heldCaller{conn: d.dial(t), step: 64 << 10, done: make(chan heldAnswer, 1)}
 		askFor(c.conn, i, path)
 		callers = append(callers, c)
 	}
@@ -271,7 +274,7 @@
 	d, b := newBoundedDaemon(t, a)
 	limits := memory.LimitsOf(heldVM)
 	before := processMemory()
-	callers := d.callAll(t, count, strconv.Itoa(archiveBytes), 64<<10, 0)
+	callers := d.callAll(t, count, strconv.Itoa(archiveBytes))
 	g.Eventually(func() int {
 		c := caller.Count(d.server.OpenRequests())
 		return c.Reading + c.Waiting + c.Sent
@@ -299,7 +302,10 @@
 	g := NewWithT(t)
 	a := newArchiveTarget(t)
 	d, b := newBoundedDaemon(t, a)
-	callers := d.callAll(t, count, strconv.Itoa(archiveBytes), 16<<10, 350*time.Millisecond)
+	callers := d.callAll(t, count, strconv.Itoa(archiveBytes))
+	for _, c := range callers {
+		c.step, c.pause, c.drip = 4<<10, 350*time.Millisecond, 13*time.Second
+	}
 	served, refused := finishAll(g, callers)
 	g.Expect(served + refused).To(Equal(count))
 	g.Expect(refused).To(BeZero())
