Count the fields of request heads that are being read

A head of 16 KiB with 4,000 short fields takes about half a megabyte while it is read, and was counted as 16 KiB.

--- a/core/caller/caller_test.go
+++ b/core/caller/caller_test.go
@@ -302,3 +302,18 @@
 	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
 	b.Release(memory.Responses, admit)
 }
+
+// Guards against heads that take a multiple of their size in memory because they consist
+// of many short fields, while many callers send such heads slowly and never complete them.
+func TestMemoryOfUnfinishedHeadsIsBounded(t *testing.T) {
+	const lines = 600
+	g := NewWithT(t)
+	b := memory.New(memory.Limits{Buffer: 64 << 10, Admit: 64 << 10, Total: 64 << 10})
+	_, dial := serve(t, echo, caller.WithMemory(b))
+	conn, r := dial()
+	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", lines))
+	resp, _ := readResponse(g, r)
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	_ = conn.Close()
+	g.Eventually(b.Total).WithTimeout(waitTimeout).Should(BeZero())
+}
--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -12,7 +13,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"wisteriarelay.example/core/memory"
 	"wisteriarelay.example/core/route"
 )
 
@@ -260,11 +260,13 @@
 // readHead reads the head of a request.
 func (c *conn) readHead(limits route.Limits) (*http.Request, error) {
 	if c.server.memory.Bounded() {
-		size := int64(limits.HeaderBytes)
-		if !c.server.memory.Reserve(memory.Heads, size) {
+		head := &headHolding{budget: c.server.memory}
+		defer head.release()
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		if !head.reserve(int64(limits.HeaderBytes)) || !head.reserveLines(bytes.Count(buffered, newline)) {
 			return nil, errMemory
 		}
-		defer c.server.memory.Release(memory.Heads, size)
+		c.headReader.reserveLines = head.reserveLines
 	}
 	c.reads.setDeadline(time.Now().Add(limits.HeaderTimeout))
 	c.headReader.remaining = limits.HeaderBytes
--- a/core/caller/head.go
+++ b/core/caller/head.go
@@ -1,12 +1,20 @@
 package caller
 
-import "io"
+import (
+	"bytes"
+	"io"
+)
+
+var newline = []byte{'\n'}
 
 // limitedHeadReader reads from source and, while remaining is not negative, applies the
 // limit on request heads.
 type limitedHeadReader struct {
 	source    io.Reader
 	remaining int
+	// reserveLines reserves memory for lines of a head that were read, and reports whether
+	// it succeeded; nil if the memory is not limited.
+	reserveLines func(lines int) bool
 	// err is the error of the last read.
 	err error
 }
@@ -23,6 +31,9 @@
 	n, err := h.source.Read(p)
 	if h.remaining > 0 {
 		h.remaining -= n
+		if h.reserveLines != nil && !h.reserveLines(bytes.Count(p[:n], newline)) {
+			err = errMemory
+		}
 	}
 	h.err = err
 	return n, err
--- a/core/caller/memory.go
+++ b/core/caller/memory.go
@@ -38,6 +38,31 @@
 	return headCopies * size
 }
 
+// headHolding is the memory that is reserved for a head that is being read: its text, and
+// its fields, which take a multiple of their text if they are short.
+type headHolding struct {
+	budget *memory.Budget
+	bytes  int64
+}
+
+func (h *headHolding) reserve(n int64) bool {
+	if !h.budget.Reserve(memory.Heads, n) {
+		return false
+	}
+	h.bytes += n
+	return true
+}
+
+// reserveLines reserves memory for the fields in so many lines.
+func (h *headHolding) reserveLines(lines int) bool {
+	return h.reserve(int64(lines) * headFieldMemory)
+}
+
+func (h *headHolding) release() {
+	h.budget.Release(memory.Heads, h.bytes)
+	h.bytes = 0
+}
+
 // holding is the memory that is reserved for one request.
 type holding struct {
 	budget                  *memory.Budget
