--- a/core/memory/memory_test.go
+++ b/core/memory/memory_test.go
@@ -81,3 +81,17 @@
 	g.Expect(b.Reserve(memory.Responses, 1)).To(BeFalse())
 	g.Expect(b.Reserve(memory.Connections, 1<<40)).To(BeTrue())
 }
+
+// BenchmarkReserve measures what a request costs: six reservations with their releases.
+func BenchmarkReserve(b *testing.B) {
+	budget := memory.New(memory.LimitsOf(smallVM))
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			for range 6 {
+				budget.Reserve(memory.Responses, 90<<10)
+				budget.Release(memory.Responses, 90<<10)
+			}
+		}
+	})
+	b.ReportMetric(float64(budget.State().Peak), "peak-B")
+}
--- a/core/relay/held_test.go
+++ b/core/relay/held_test.go
@@ -36,6 +36,7 @@
 // response in bytes, or "wait" for a response that comes once release is closed.
 type archiveTarget struct {
 	listener net.Listener
+	slots    int
 	body     []byte
 	release  chan struct{}
 	// unread, if set, is closed when the target may read the bodies of requests.
@@ -49,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := &archiveTarget{listener: l, body: make([]byte, endlessBytes), release: make(chan struct{})}
+	a := &archiveTarget{listener: l, slots: 2000, body: make([]byte, endlessBytes), release: make(chan struct{})}
 	t.Cleanup(func() { _ = l.Close() })
 	go a.run()
 	return a
@@ -138,7 +139,7 @@
 		}}}},
 	}))
 	r.SetTargets(map[string][]sched.Target{"archive": {
-		{Key: sched.Key{ID: "t0", StartMillis: 1}, Address: "10.0.0.1:80", DataCentre: "a", Slots: 2000},
+		{Key: sched.Key{ID: "t0", StartMillis: 1}, Address: "10.0.0.1:80", DataCentre: "a", Slots: a.slots},
 	}})
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -380,6 +381,29 @@
 	g.Expect(refused).To(BeNumerically(">", 0))
 }
 
+// Guards against a target that crashes because one daemon sends it more large requests than
+// its slots and queue hold, and against requests that are refused because they wait.
+func TestTargetHoldsOnlyTheBodiesOfItsSlots(t *testing.T) {
+	const count, slots, queued = 20, 6, 2
+	g := NewWithT(t)
+	a := newArchiveTarget(t)
+	a.slots, a.unread = slots, make(chan struct{})
+	d, _ := newBoundedDaemon(t, a)
+	var callers []*heldCaller
+	for i := range count {
+		c := &heldCaller{conn: d.dial(t), step: 64 << 10, done: make(chan heldAnswer, 1)}
+		callers = append(callers, c)
+		u := &upload{conn: c.conn, id: i, bytes: 900_000}
+		go u.run()
+	}
+	g.Eventually(func() caller.Counts { return caller.Count(d.server.OpenRequests()) }).WithTimeout(heldTimeout).
+		Should(Equal(caller.Counts{Sent: slots + queued, Waiting: count - slots - queued}))
+	g.Consistently(a.requests.Load).WithTimeout(200 * time.Millisecond).Should(BeNumerically("<=", slots+queued))
+	close(a.unread)
+	served, _ := finishUploads(g, callers)
+	g.Expect(served).To(Equal(count))
+}
+
 // upload is a request with a large body.
 type upload struct {
 	conn      net.Conn
