Refuse a head without memory at its next read

The error came together with the last bytes of the head and stayed in the buffered reader, from where it could have ended the connection with its requests in progress. No run showed that; bufio drops the error when it reads on.

--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -272,10 +272,16 @@
 	c.headReader.remaining = limits.HeaderBytes
 	req, err := http.ReadRequest(c.reader)
 	c.headReader.remaining = -1
-	if err != nil {
+	denied := c.headReader.denied
+	c.headReader.denied = false
+	switch {
+	case err != nil:
 		return nil, c.readError(err)
+	case denied:
+		return nil, errMemory
+	default:
+		return req, nil
 	}
-	return req, nil
 }
 
 // readError returns the reason why a request could not be read: the error of the
--- a/core/caller/head.go
+++ b/core/caller/head.go
@@ -15,6 +15,9 @@
 	// reserveLines reserves memory for lines of a head that were read, and reports whether
 	// it succeeded; nil if the memory is not limited.
 	reserveLines func(lines int) bool
+	// denied is set once there was no memory for a line. The next read of the head fails:
+	// an error together with bytes would stay in the buffered reader if these end the head.
+	denied bool
 	// err is the error of the last read.
 	err error
 }
@@ -25,15 +28,17 @@
 		h.err = errHeadTooLarge
 		return 0, h.err
 	}
+	if h.remaining > 0 && h.denied {
+		h.err = errMemory
+		return 0, h.err
+	}
 	if h.remaining > 0 && len(p) > h.remaining {
 		p = p[:h.remaining]
 	}
 	n, err := h.source.Read(p)
 	if h.remaining > 0 {
 		h.remaining -= n
-		if h.reserveLines != nil && !h.reserveLines(bytes.Count(p[:n], newline)) {
-			err = errMemory
-		}
+		h.denied = h.reserveLines != nil && !h.reserveLines(bytes.Count(p[:n], newline))
 	}
 	h.err = err
 	return n, err
