Enforce the quotas of workspaces over the fleet

Cause: route.Workspace has a rate and a burst, which nothing enforced.

Change: a request of a limited workspace takes a token from quota.Manager after the check for a shutdown and before its exchange runs; without one it gets 429 or 503 with Retry-After, and a log line with the workspace. It counts for the retry budget only with a token. Messages travel in gossip reports (keys 27 and 28). The first four daemons of each data centre hold the quotas; they are monitored and exchange heartbeats as the carriers of a group do, so that they know each other. The settings section quota is optional, checked, and rendered only if the deployment has its bounds. State dump and metrics show grants and refusals by workspace (256 at most) and shares by shard.

Without limited workspaces nothing is sent.

--- a/core/gossip/fuzz_test.go
+++ b/core/gossip/fuzz_test.go
@@ -2,17 +2,20 @@
 
 import (
 	"testing"
+
+	"wisteriarelay.example/core/quota"
 )
 
 // Guards against a datagram that makes the daemon panic or allocate memory without
 // bound.
 func FuzzReport(f *testing.F) {
 	heartbeat := Report{VM: "vm", DataCentre: "a", CallerAddress: "10.0.0.1:80", Ready: true, Carries: []string{"group-0"}, Cores: 0.3}
+	quotaRequest := Report{VM: "vm", QuotaRequest: &quota.RequestMsg{Seq: 1, Tokens: []quota.TokenRequest{{Workspace: 1, Count: 1}}}}
 	fragments, err := (&Document{Version: 1, Data: []byte("configuration")}).split()
 	if err != nil {
 		f.Fatal(err)
 	}
-	for _, r := range []Report{heartbeat, {VM: "vm", EventBatch: &EventBatch{FirstSeq: 1, Events: []EncodedEvent{{Target: 7}}}}, {VM: "vm", ConfigFragment: &fragments[0]}} {
+	for _, r := range []Report{heartbeat, {VM: "vm", EventBatch: &EventBatch{FirstSeq: 1, Events: []EncodedEvent{{Target: 7}}}}, quotaRequest, {VM: "vm", ConfigFragment: &fragments[0]}} {
 		data, err := r.Encode()
 		if err != nil {
 			f.Fatal(err)
--- a/core/gossip/node.go
+++ b/core/gossip/node.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 
 	"wisteriarelay.example/core/judge"
+	"wisteriarelay.example/core/quota"
 	"wisteriarelay.example/core/roster"
 	"wisteriarelay.example/core/sched"
 	"wisteriarelay.example/core/watch"
@@ -67,6 +68,9 @@
 	// EstimateRequest is called if a peer requests this daemon's health estimates for a
 	// service.
 	EstimateRequest func(peer roster.Member, service string)
+	// QuotaRequest and QuotaReply are called with the messages of the quotas.
+	QuotaRequest func(peer roster.Member, m *quota.RequestMsg)
+	QuotaReply   func(peer roster.Member, m *quota.ReplyMsg)
 }
 
 // Sources provide the contents and the recipients of the reports that this daemon
--- a/core/gossip/receiver.go
+++ b/core/gossip/receiver.go
@@ -42,6 +42,7 @@
 	if report.IsHeartbeat() && !r.handlers.Heartbeat(report.Sender(from), report) {
 		return
 	}
+	r.handleQuota(report, from)
 	r.handleEvents(report)
 	r.handleEstimates(report, from)
 	r.handleStartup(report)
--- a/core/gossip/report.go
+++ b/core/gossip/report.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/quota"
 	"wisteriarelay.example/core/roster"
 	"wisteriarelay.example/core/watch"
 )
@@ -66,6 +67,9 @@
 	WantsMembers bool `cbor:"22,keyasint,omitempty"`
 	// Cores is the capacity of the sender, as in roster.Member.
 	Cores float64 `cbor:"14,keyasint,omitempty"`
+	// QuotaRequest and QuotaReply are the messages of the quotas.
+	QuotaRequest *quota.RequestMsg `cbor:"27,keyasint,omitempty"`
+	QuotaReply   *quota.ReplyMsg   `cbor:"28,keyasint,omitempty"`
 }
 
 // GroupCarriers holds carriers of a group of services in other data centres.
@@ -80,11 +84,20 @@
 	return roster.Member{VM: r.VM, DataCentre: r.DataCentre, PeerAddress: inner, CallerAddress: r.CallerAddress, StartMillis: r.StartMillis, Cores: r.Cores}
 }
 
-// Validate fails with fault.MessageInvalid if the report does not identify its sender.
+// Validate fails with fault.MessageInvalid if the report does not identify its sender, or
+// a message of the quotas in it is invalid.
 func (r *Report) Validate() error {
 	if r.VM == "" || r.IsHeartbeat() && r.CallerAddress == "" {
 		return fault.New(fault.MessageInvalid, "report does not identify its sender")
 	}
+	if r.QuotaRequest != nil {
+		if err := r.QuotaRequest.Validate(); err != nil {
+			return err
+		}
+	}
+	if r.QuotaReply != nil {
+		return r.QuotaReply.Validate()
+	}
 	return nil
 }
 
--- a/core/node/config_apply.go
+++ b/core/node/config_apply.go
@@ -76,7 +76,9 @@
 		return false
 	}
 	n.configDocument.Store(&gossip.Document{Version: int64(read.Config.Version), Data: read.Raw})
-	n.relay.SetTable(route.Compile(read.Config))
+	table := route.Compile(read.Config)
+	n.quotaIndex.Store(newQuotaIndex(table))
+	n.relay.SetTable(table)
 	n.updateTargets()
 	n.refresh()
 	n.metrics.Counter("config_problems").Inc(int64(len(problems)))
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -12,6 +12,7 @@
 
 	"wisteriarelay.example/core/caller"
 	"wisteriarelay.example/core/gossip"
+	"wisteriarelay.example/core/quota"
 	"wisteriarelay.example/core/relay"
 	"wisteriarelay.example/core/roster"
 	"wisteriarelay.example/core/sched"
@@ -36,6 +37,10 @@
 	gossip       *gossip.Transport
 	gossipConn   *net.UDPConn
 	auxServers   *auxServers
+	quotas       *quota.Manager
+	// quotaIndex holds the quotas of the configuration in force.
+	quotaIndex   atomic.Pointer[quotaIndex]
+	quotaMembers atomic.Pointer[quotaMembers]
 
 	startedAt time.Time
 	leaving   atomic.Bool
@@ -124,6 +129,7 @@
 		StartMillis:   time.Now().UnixMilli(),
 		Cores:         settings.Capacity(),
 	}
+	n.quotas = n.newQuotas()
 	n.app = fx.New(
 		fx.NopLogger,
 		fx.Supply(settings, platform, n.metrics, n.self),
@@ -142,6 +148,7 @@
 		relay.WithRetryBudget(relayBudget(n.settings.Load())),
 		relay.WithEmit(func(e sched.Event) { n.gossip.QueueEvent(e) }),
 		relay.WithBeforeAcquire(n.healthQueries.wait),
+		relay.WithQuota(n.acquireQuota),
 	}
 	if m := n.settings.Load().MemoryBytes(); m > 0 {
 		opts = append(opts, relay.WithResponseMemory(m/bodyMemoryDivisor))
@@ -176,7 +183,7 @@
 
 func (n *Node) newGossipTransport(conn *net.UDPConn) *gossip.Transport {
 	sources := gossip.Sources{Heartbeat: n.heartbeat, Targets: n.targetIndex, LocalPeers: func() []roster.Member { return n.roster.LocalPeers() }, Monitored: n.monitored, Recipients: n.eventRecipients, GroupPeers: n.coCarriers, RemoteCarriers: n.remoteCarriers}
-	handlers := gossip.Handlers{Heartbeat: n.handleHeartbeat, Event: n.handleEvent, ListPart: n.handleListPart, ListRequest: n.handleListRequest, RemoteCarriers: n.handleRemoteCarriers, Config: n.handleConfig, ConfigRequest: n.handleConfigRequest, Estimates: n.handleEstimates, EstimateRequest: n.handleHealthQuery, Snapshot: n.handleSnapshot, Members: n.handleMembers}
+	handlers := gossip.Handlers{Heartbeat: n.handleHeartbeat, Event: n.handleEvent, ListPart: n.handleListPart, ListRequest: n.handleListRequest, RemoteCarriers: n.handleRemoteCarriers, Config: n.handleConfig, ConfigRequest: n.handleConfigRequest, Estimates: n.handleEstimates, EstimateRequest: n.handleHealthQuery, Snapshot: n.handleSnapshot, Members: n.handleMembers, QuotaRequest: n.quotas.HandleRequest, QuotaReply: n.quotas.HandleReply}
 	return gossip.NewTransport(n.self, conn, sources, handlers, n.logger)
 }
 
@@ -201,6 +208,7 @@
 	}
 	n.auxServers = servers
 	n.gossip.Start(ctx)
+	n.quotas.Start(ctx)
 	n.discoverPeers()
 	c := newConfigFollower(n)
 	go c.loop(ctx)
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -36,11 +36,14 @@
 
 // subscribedGroups returns the groups of services whose target events this daemon
 // wants to receive: those that it carries, and those for which it gets at least
-// minRequestsForEvents requests.
+// minRequestsForEvents requests. A holder of quotas carries their group too.
 func (n *Node) subscribedGroups(services []string) []string {
 	now := time.Now()
 	plan := n.plan()
 	var out []string
+	if n.holdsQuotas() {
+		out = append(out, roster.QuotaGroup)
+	}
 	for _, s := range services {
 		group, cores := plan.Group(s)
 		if slices.Contains(out, group) {
@@ -74,6 +77,9 @@
 		name, cores := plan.Group(s)
 		groups[name] = cores
 	}
+	if n.hasQuotas() {
+		groups[roster.QuotaGroup] = 0
+	}
 	for _, m := range n.roster.Monitored(time.Now(), groups) {
 		if m.VM == n.self.VM {
 			self = true
@@ -136,6 +142,9 @@
 	plan := n.plan()
 	pending := n.subscribedGroups(n.services())
 	var out []roster.Member
+	if n.holdsQuotas() {
+		out = n.roster.GroupPeers(time.Now(), roster.QuotaGroup, 0)
+	}
 	for _, s := range n.services() {
 		group, cores := plan.Group(s)
 		if i := slices.Index(pending, group); i >= 0 {
--- a/core/node/reload.go
+++ b/core/node/reload.go
@@ -11,12 +11,13 @@
 const settingsCheckInterval = time.Second
 
 // ReloadSettings applies the settings that may change while the daemon runs: the
-// retry budget and the shutdown time. Changed addresses take effect at the next
+// retry budget, the bound of the quotas and the shutdown time. Changed addresses take effect at the next
 // start; the log line says whether a restart is needed.
 func (n *Node) ReloadSettings(s *Settings) {
 	previous := n.settings.Swap(s)
 	unchanged := s.CallerAddress == previous.CallerAddress && s.PeerAddress == previous.PeerAddress && s.StoreAddress == previous.StoreAddress
 	n.relay.SetRetryBudget(relayBudget(s))
+	n.quotas.SetPolicy(quotaPolicy(s))
 	_ = n.logger.Log("msg", "settings reloaded", "restart-needed", !unchanged)
 }
 
--- a/core/node/settings.go
+++ b/core/node/settings.go
@@ -48,6 +48,16 @@
 	LinkMbit float64 `json:"link-mbit"`
 	// LogLinesPerSecond limits the log rate; 0 means the default.
 	LogLinesPerSecond int `json:"log-lines-per-s"`
+	// Quota bounds the requests that exceed quotas; without it, none are allowed.
+	Quota *Quota `json:"quota,omitempty"`
+}
+
+// Quota is the bound on the requests of each workspace: in each window of WindowSeconds,
+// the whole fleet runs at most those of its quota, multiplied by 1 + Overage, plus Slack.
+type Quota struct {
+	WindowSeconds float64 `json:"window-s"`
+	Overage       float64 `json:"overage"`
+	Slack         float64 `json:"slack"`
 }
 
 // RetryBudget limits the retries and hedges that the whole fleet sends to one
@@ -164,5 +174,23 @@
 	if s.ShutdownSeconds <= 0 || s.RetryBudget.Ratio < 0 || s.RetryBudget.WindowSeconds <= 0 || s.RetryBudget.Slack < 0 {
 		return fault.New(fault.ConfigInvalid, "keys %q and %q must be positive", "shutdown-s", "retry-budget")
 	}
+	return s.Quota.validate()
+}
+
+// maxQuotaSeconds is the longest window of the bound on quotas.
+const maxQuotaSeconds = 3600
+
+// validate checks the section, which may be missing.
+func (q *Quota) validate() error {
+	switch {
+	case q == nil:
+		return nil
+	case q.WindowSeconds <= 0 || q.WindowSeconds > maxQuotaSeconds:
+		return fault.New(fault.ConfigInvalid, "key %q: %v is not allowed; expected seconds above 0, at most %d", "quota.window-s", q.WindowSeconds, maxQuotaSeconds)
+	case q.Overage < 0 || q.Overage > 1:
+		return fault.New(fault.ConfigInvalid, "key %q: %v is not allowed; expected 0 to 1", "quota.overage", q.Overage)
+	case q.Slack < 0:
+		return fault.New(fault.ConfigInvalid, "key %q: %v is not allowed; expected 0 or more", "quota.slack", q.Slack)
+	}
 	return nil
 }
--- a/core/node/settings_test.go
+++ b/core/node/settings_test.go
@@ -36,6 +36,11 @@
 		"unknown": {"cpu-share", "cpu-part", `settings.json: .*"cpu-part"`},
 		"seed":    {"10.0.0.2:82", "peer", `settings.json: .*key "seeds": "peer" is not an IP address with a port`},
 		"missing": {`"vm-1"`, `""`, `settings.json: .*key "vm" is missing`},
+		"window":  {`"cpu-share": 0.5`, `"quota": {"window-s": 0, "overage": 0.1, "slack": 20}`, `settings.json: .*key "quota.window-s": 0 is not allowed; expected seconds above 0, at most 3600`},
+		"overage": {`"cpu-share": 0.5`, `"quota": {"window-s": 5, "overage": -0.1, "slack": 20}`, `settings.json: .*key "quota.overage": -0.1 is not allowed; expected 0 to 1`},
+		"slack":   {`"cpu-share": 0.5`, `"quota": {"window-s": 5, "overage": 0.1, "slack": -1}`, `settings.json: .*key "quota.slack": -1 is not allowed; expected 0 or more`},
+		"quota":   {`"cpu-share": 0.5`, `"quota": {"window-s": "5"}`, `settings.json:7: .*quota.window-s`},
+		"bound":   {`"cpu-share": 0.5`, `"quota": {"window": 5}`, `settings.json: .*"window"`},
 		"syntax":  {"/* capacity */", "capacity", `settings.json: not valid JSON with comments: .*line 6`},
 	}
 	for name, c := range cases {
@@ -47,6 +52,14 @@
 	}
 }
 
+// Guards against the bound on quotas that is not read.
+func TestQuotaSettingsAreRead(t *testing.T) {
+	g := NewWithT(t)
+	s, err := node.ParseSettings("settings.json", []byte(strings.Replace(settingsFile, `"cpu-share": 0.5`, `"quota": {"window-s": 5, "overage": 0.1, "slack": 20}`, 1)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Quota).To(Equal(&node.Quota{WindowSeconds: 5, Overage: 0.1, Slack: 20}))
+}
+
 // Guards against times and sizes that overflow when they are converted, so that a daemon
 // ends at once or has no memory for requests.
 func TestTooLargeSettingsStayLarge(t *testing.T) {
--- a/core/node/shutdown.go
+++ b/core/node/shutdown.go
@@ -71,6 +71,7 @@
 	n.setLeaving()
 	n.logOpenRequests("leaving", "connections", n.callerServer.OpenConnections(), "limit", s.kill.Sub(s.began))
 	n.gossip.SendHeartbeat()
+	n.quotas.Leave()
 	n.relay.BeginShutdown(s.plan(func() bool { return n.roster.AnyPeerReady(time.Now()) }))
 	n.callerServer.Drain()
 	d := &callerDrain{server: n.callerServer, schedule: s}
--- a/core/node/state.go
+++ b/core/node/state.go
@@ -24,6 +24,7 @@
 	n.stateDump.Add("targets", func() any { return n.targetState() })
 	n.stateDump.Add("budget", func() any { return n.budgetState() })
 	n.stateDump.Add("callers", func() any { return n.callerServer.OpenRequests() })
+	n.registerQuotaState()
 	n.metrics.Gauge("gossip_events_dropped", n.gossip.Dropped)
 	n.metrics.Gauge("config_age_ms", func() int64 { return n.storeState().ConfigAge.Milliseconds() })
 	n.metrics.Gauge("list_age_ms", func() int64 { return n.storeState().ListAge.Milliseconds() })
--- a/core/relay/error.go
+++ b/core/relay/error.go
@@ -22,7 +22,8 @@
 
 // errorResponse returns the response for a failure that the relay itself reports,
 // as opposed to a failure response of a target. A 503 has a Retry-After header, which
-// is not before availableIn, the time until a target may get requests again.
+// is not before availableIn, the time until a target may get requests again. That of a 429
+// is availableIn, the time until the quota has a token for the caller.
 func errorResponse(kind fault.Kind, availableIn time.Duration) *caller.Response {
 	info := kind.Response()
 	status := info.Status
@@ -36,7 +37,15 @@
 	if status == http.StatusServiceUnavailable {
 		wait := max(minRetryAfter, availableIn)
 		wait += rand.N(max(retryAfterJitter, wait/2))
-		resp.Header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		resp.Header.Set("Retry-After", formatSeconds(wait))
+	}
+	if status == http.StatusTooManyRequests {
+		resp.Header.Set("Retry-After", formatSeconds(max(availableIn, time.Millisecond)))
 	}
 	return resp
 }
+
+// formatSeconds formats a time in seconds, with milliseconds.
+func formatSeconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -45,6 +45,7 @@
 	metrics       *stats.Registry
 	emit          func(sched.Event)
 	beforeAcquire func(ctx context.Context, service string, idempotent bool)
+	acquireQuota  func(ctx context.Context, workspace string, deadline time.Time) error
 	table         atomic.Pointer[route.Table]
 	connPools     connPools
 	sizes         sizes
@@ -86,6 +87,12 @@
 	return func(r *Relay) { r.beforeAcquire = hook }
 }
 
+// WithQuota sets the function that takes a token of a limited workspace for a request. It
+// may wait, and fails with fault.QuotaExceeded or fault.QuotaUnavailable.
+func WithQuota(acquire func(ctx context.Context, workspace string, deadline time.Time) error) Option {
+	return func(r *Relay) { r.acquireQuota = acquire }
+}
+
 // WithLinkOptions adds options to the connection pools of targets.
 func WithLinkOptions(opts ...link.Option) Option {
 	return func(r *Relay) { r.connPools.opts = opts }
@@ -242,6 +249,10 @@
 		return r.logRefusal(req, fault.Leaving, r.leavingResponse(0))
 	}
 	x.deadline = allowed
+	if err := x.takeQuota(ctx); err != nil {
+		return r.refuseQuota(req, workspace, err)
+	}
+	x.retryBudget.CountRequest(time.Now())
 	r.beforeAcquire(ctx, x.service, match.Idempotent())
 	return x.run(ctx)
 }
@@ -250,7 +261,7 @@
 // none, is replaced by it, so that times can be added without an overflow.
 const maxTimeout = 24 * time.Hour
 
-// newExchange returns the exchange for a request and counts it in the retry budget.
+// newExchange returns the exchange for a request.
 // The deadline is the earlier of the route's timeout and the caller's own deadline.
 func (r *Relay) newExchange(req *caller.Request, table *route.Table, match *route.Route) *exchange {
 	timeout := min(match.Timeout, maxTimeout)
@@ -259,7 +270,6 @@
 	}
 	name := match.PickService(rand.Uint64())
 	s := r.service(name)
-	s.retryBudget.CountRequest(time.Now())
 	return &exchange{
 		relay:         r,
 		request:       req,
