Keep leases and Retry-After right at their limits

Cause: a stamp was cut to 2^31 ms, so that a coordinator that had run for 25 days would have used no share; a Retry-After of a tiny quota with a large burst overflowed.

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -36,6 +36,8 @@
 	waitersPerRate = 1
 	// minGrantPart is the least part of the quota that is assumed for this daemon.
 	minGrantPart = 1.0 / 64
+	// maxRetrySeconds is the longest Retry-After, for quotas of less than a request a day.
+	maxRetrySeconds = 24 * 60 * 60
 )
 
 // waiter is a request that waits for a token. outcome receives nil with the token.
@@ -214,7 +216,7 @@
 	}
 	rate := max(a.limit.Rate, 1e-9)
 	part := min(max(a.grants.rate(now)/rate, minGrantPart), 1)
-	longest := max((a.limit.Burst+1)/rate, 1/rate)
+	longest := min((a.limit.Burst+1)/rate, maxRetrySeconds)
 	wait := min(a.nextRetry.Sub(now).Seconds(), longest)
 	if wait < longest {
 		a.nextRetry = a.nextRetry.Add(time.Duration(min(1/(rate*part), longest) * float64(time.Second)))
--- a/core/quota/coordinator.go
+++ b/core/quota/coordinator.go
@@ -64,9 +64,9 @@
 	return now.Sub(c.startedAt).Milliseconds() + 1
 }
 
-// stampTime returns the time of a stamp.
+// stampTime returns the time of a stamp of the past.
 func (c *Coordinator) stampTime(stamp int64) time.Time {
-	return c.startedAt.Add(time.Duration(min(stamp-1, math.MaxInt32)) * time.Millisecond)
+	return c.startedAt.Add(time.Duration(stamp-1) * time.Millisecond)
 }
 
 // Answer processes a request and returns the reply.
--- a/core/quota/coordinator_test.go
+++ b/core/quota/coordinator_test.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 
+	"wisteriarelay.example/core/fault"
 	"wisteriarelay.example/core/roster"
 )
 
@@ -50,6 +51,34 @@
 	g.Expect(c.Fraction(testStart.Add(useTime), 0)).To(BeZero())
 }
 
+// Guards against leases that end at once at a coordinator that has run for months.
+func TestLeaseAfterLongUptime(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCoordinator()
+	now := testStart.Add(10000 * time.Hour)
+	c.lease(now, testHolder, offer(1, c.stamp(now), 1))
+	g.Expect(c.Fraction(now.Add(useTime-time.Millisecond), 0)).To(Equal(1.0))
+}
+
+// Guards against a Retry-After that overflows, for quotas that nearly never have a token.
+func TestRetryAfterOfTinyQuota(t *testing.T) {
+	g := NewWithT(t)
+	a := &account{limit: Limit{Rate: 1e-12, Burst: 1e9}, counters: NopCounters()}
+	for range 3 {
+		wait := fault.From(a.overQuota(testStart)).RetryAfter
+		g.Expect(wait).To(And(BeNumerically(">", 0), BeNumerically("<=", 24*time.Hour)))
+	}
+}
+
+// Guards against callers that all return at the same time.
+func TestRefusedCallersReturnOneAfterTheOther(t *testing.T) {
+	g := NewWithT(t)
+	a := &account{limit: testLimit, counters: NopCounters()}
+	a.grants.add(testStart, 50)
+	first, second := fault.From(a.overQuota(testStart)).RetryAfter, fault.From(a.overQuota(testStart)).RetryAfter
+	g.Expect(second - first).To(BeNumerically("~", 10*time.Millisecond, time.Millisecond))
+}
+
 // Guards against an offer for an earlier run of the coordinator, whose clock it has.
 func TestOfferForEarlierRunIsNotUsed(t *testing.T) {
 	g := NewWithT(t)
