--- a/core/quota/manager_test.go
+++ b/core/quota/manager_test.go
@@ -49,7 +49,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		limits := map[string]quota.Limit{}
-		for i := range 60 {
+		for i := range 200 {
 			limits[fmt.Sprint(i)] = small
 		}
 		f := newFleet(t, 24, 4, limits)
@@ -65,7 +65,7 @@
 			admitted, refused = admitted+a, refused+r
 		}
 		t.Logf("refused %d of %d that one bucket admits", refused, admitted)
-		g.Expect(admitted).To(BeNumerically(">", 2000))
+		g.Expect(admitted).To(BeNumerically(">", 8000))
 		g.Expect(refused).To(BeNumerically("<", float64(admitted)/1000))
 	})
 }
