--- a/core/node/state.go
+++ b/core/node/state.go
@@ -28,6 +28,7 @@
 	n.stateDump.Add("saturation", func() any { return n.saturationState() })
 	n.stateDump.Add("callers", func() any { return n.callerServer.OpenRequests() })
 	n.registerMemory()
+	n.registerQuotaState()
 	n.metrics.Gauge("gossip_events_dropped", n.gossip.Dropped)
 	n.metrics.Gauge("config_age_ms", func() int64 { return n.storeState().ConfigAge.Milliseconds() })
 	n.metrics.Gauge("list_age_ms", func() int64 { return n.storeState().ListAge.Milliseconds() })
