--- a/core/node/node.go
+++ b/core/node/node.go
@@ -12,6 +12,8 @@
 
 	"wisteriarelay.example/core/caller"
 	"wisteriarelay.example/core/gossip"
+	"wisteriarelay.example/core/memory"
+	"wisteriarelay.example/core/quota"
 	"wisteriarelay.example/core/relay"
 	"wisteriarelay.example/core/roster"
 	"wisteriarelay.example/core/sched"
@@ -31,11 +33,18 @@
 
 	relay        *relay.Relay
 	callerServer *caller.Server
-	roster       *roster.Roster
-	targetList   *watch.List
-	gossip       *gossip.Transport
-	gossipConn   *net.UDPConn
-	auxServers   *auxServers
+	// memory is the budget for what is held for callers and targets; nil if the memory of
+	// the VM is not known.
+	memory     *memory.Budget
+	roster     *roster.Roster
+	targetList *watch.List
+	gossip     *gossip.Transport
+	gossipConn *net.UDPConn
+	auxServers *auxServers
+	quotas     *quota.Manager
+	// quotaIndex holds the quotas of the configuration in force.
+	quotaIndex   atomic.Pointer[quotaIndex]
+	quotaMembers atomic.Pointer[quotaMembers]
 
 	startedAt time.Time
 	leaving   atomic.Bool
@@ -108,6 +117,9 @@
 		startedAt: time.Now(),
 	}
 	n.settings.Store(settings)
+	if m := settings.MemoryBytes(); m > 0 {
+		n.memory = memory.New(memory.LimitsOf(m))
+	}
 	n.healthQueries = newHealthQueries(n)
 	n.startupSender = newStartupSender(n)
 	n.configResends = newResendLimiter(peerResendInterval)
@@ -124,6 +136,7 @@
 		StartMillis:   time.Now().UnixMilli(),
 		Cores:         settings.Capacity(),
 	}
+	n.quotas = n.newQuotas()
 	n.app = fx.New(
 		fx.NopLogger,
 		fx.Supply(settings, platform, n.metrics, n.self),
@@ -142,17 +155,14 @@
 		relay.WithRetryBudget(relayBudget(n.settings.Load())),
 		relay.WithEmit(func(e sched.Event) { n.gossip.QueueEvent(e) }),
 		relay.WithBeforeAcquire(n.healthQueries.wait),
+		relay.WithQuota(n.acquireQuota),
 	}
-	if m := n.settings.Load().MemoryBytes(); m > 0 {
-		opts = append(opts, relay.WithResponseMemory(m/bodyMemoryDivisor))
+	if n.memory != nil {
+		opts = append(opts, relay.WithMemory(n.memory))
 	}
 	return relay.New(n.self.DataCentre, n.platform.Headers, opts...)
 }
 
-// bodyMemoryDivisor divides the VM's memory into equal parts: request bodies may
-// take one part, and responses another.
-const bodyMemoryDivisor = 8
-
 func relayBudget(s *Settings) relay.RetryBudget {
 	b := s.RetryBudget
 	return relay.RetryBudget{Span: seconds(b.WindowSeconds), Ratio: b.Ratio, Slack: b.Slack}
@@ -160,8 +170,8 @@
 
 func (n *Node) newCallerServer(r *relay.Relay) *caller.Server {
 	opts := []caller.Option{caller.WithLogger(n.logger), caller.WithRequestIDHeader(n.platform.Headers.RequestID)}
-	if m := n.settings.Load().MemoryBytes(); m > 0 {
-		opts = append(opts, caller.WithMaxBodyMemory(m/bodyMemoryDivisor))
+	if n.memory != nil {
+		opts = append(opts, caller.WithMemory(n.memory))
 	}
 	return caller.NewServer(n.handle, r.Limits, opts...)
 }
@@ -176,7 +186,7 @@
 
 func (n *Node) newGossipTransport(conn *net.UDPConn) *gossip.Transport {
 	sources := gossip.Sources{Heartbeat: n.heartbeat, Targets: n.targetIndex, LocalPeers: func() []roster.Member { return n.roster.LocalPeers() }, Monitored: n.monitored, Recipients: n.eventRecipients, GroupPeers: n.coCarriers, RemoteCarriers: n.remoteCarriers}
-	handlers := gossip.Handlers{Heartbeat: n.handleHeartbeat, Event: n.handleEvent, ListPart: n.handleListPart, ListRequest: n.handleListRequest, RemoteCarriers: n.handleRemoteCarriers, Config: n.handleConfig, ConfigRequest: n.handleConfigRequest, Estimates: n.handleEstimates, EstimateRequest: n.handleHealthQuery, Snapshot: n.handleSnapshot, Members: n.handleMembers}
+	handlers := gossip.Handlers{Heartbeat: n.handleHeartbeat, Event: n.handleEvent, ListPart: n.handleListPart, ListRequest: n.handleListRequest, RemoteCarriers: n.handleRemoteCarriers, Config: n.handleConfig, ConfigRequest: n.handleConfigRequest, Estimates: n.handleEstimates, EstimateRequest: n.handleHealthQuery, Snapshot: n.handleSnapshot, Members: n.handleMembers, QuotaRequest: n.quotas.HandleRequest, QuotaReply: n.quotas.HandleReply}
 	return gossip.NewTransport(n.self, conn, sources, handlers, n.logger)
 }
 
@@ -201,6 +211,7 @@
 	}
 	n.auxServers = servers
 	n.gossip.Start(ctx)
+	n.quotas.Start(ctx)
 	n.discoverPeers()
 	c := newConfigFollower(n)
 	go c.loop(ctx)
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -12,6 +12,7 @@
 	"wisteriarelay.example/core/caller"
 	"wisteriarelay.example/core/fault"
 	"wisteriarelay.example/core/link"
+	"wisteriarelay.example/core/memory"
 	"wisteriarelay.example/core/retry"
 	"wisteriarelay.example/core/route"
 	"wisteriarelay.example/core/sched"
@@ -45,10 +46,11 @@
 	metrics       *stats.Registry
 	emit          func(sched.Event)
 	beforeAcquire func(ctx context.Context, service string, idempotent bool)
+	acquireQuota  func(ctx context.Context, workspace string, deadline time.Time) error
 	table         atomic.Pointer[route.Table]
 	connPools     connPools
 	sizes         sizes
-	memory        memoryQuota
+	memory        *memory.Budget
 	shutdown      shutdown
 	queueStats    queueStats
 
@@ -87,6 +89,12 @@
 	return func(r *Relay) { r.beforeAcquire = hook }
 }
 
+// WithQuota sets the function that takes a token of a limited workspace for a request. It
+// may wait, and fails with fault.QuotaExceeded or fault.QuotaUnavailable.
+func WithQuota(acquire func(ctx context.Context, workspace string, deadline time.Time) error) Option {
+	return func(r *Relay) { r.acquireQuota = acquire }
+}
+
 // WithLinkOptions adds options to the connection pools of targets.
 func WithLinkOptions(opts ...link.Option) Option {
 	return func(r *Relay) { r.connPools.opts = opts }
@@ -95,9 +103,18 @@
 // WithResponseMemory sets the maximum number of bytes of responses that are buffered
 // until their callers have read them.
 func WithResponseMemory(bytes int64) Option {
-	return func(r *Relay) { r.memory.available.Store(bytes) }
+	return WithMemory(memory.New(memory.Limits{Responses: bytes}))
+}
+
+// WithMemory sets the budget for the memory of responses and connections to targets.
+func WithMemory(b *memory.Budget) Option {
+	return func(r *Relay) { r.memory = b }
 }
 
+// defaultResponseMemory is the maximum number of bytes of buffered responses if the
+// memory of the VM is not known.
+const defaultResponseMemory = 32 << 20
+
 // defaultBudget is the retry budget if the settings have none.
 var defaultBudget = RetryBudget{Span: 10 * time.Second, Ratio: 0.2, Slack: 20}
 
@@ -111,13 +128,14 @@
 		metrics:       stats.New(),
 		emit:          func(sched.Event) {},
 		beforeAcquire: func(context.Context, string, bool) {},
+		memory:        memory.New(memory.Limits{Responses: defaultResponseMemory}),
 		shutdown:      shutdown{began: make(chan struct{})},
 	}
 	r.services.Store(&map[string]*serviceState{})
-	r.memory.available.Store(defaultResponseMemory)
 	for _, o := range opts {
 		o(r)
 	}
+	r.connPools.memory = r.memory
 	return r
 }
 
@@ -243,6 +261,10 @@
 		return r.logRefusal(req, fault.Leaving, r.leavingResponse(0))
 	}
 	x.deadline = allowed
+	if err := x.takeQuota(ctx); err != nil {
+		return r.refuseQuota(req, workspace, err)
+	}
+	x.retryBudget.CountRequest(time.Now())
 	r.beforeAcquire(ctx, x.service, match.Idempotent())
 	return x.run(ctx)
 }
@@ -251,7 +273,7 @@
 // none, is replaced by it, so that times can be added without an overflow.
 const maxTimeout = 24 * time.Hour
 
-// newExchange returns the exchange for a request and counts it in the retry budget.
+// newExchange returns the exchange for a request.
 // The deadline is the earlier of the route's timeout and the caller's own deadline.
 func (r *Relay) newExchange(req *caller.Request, table *route.Table, match *route.Route) *exchange {
 	timeout := min(match.Timeout, maxTimeout)
@@ -260,7 +282,6 @@
 	}
 	name := match.PickService(rand.Uint64())
 	s := r.service(name)
-	s.retryBudget.CountRequest(time.Now())
 	return &exchange{
 		relay:         r,
 		request:       req,
--- a/core/relay/response.go
+++ b/core/relay/response.go
@@ -3,12 +3,12 @@
 import (
 	"io"
 	"net/http"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
 	"wisteriarelay.example/core/judge"
 	"wisteriarelay.example/core/link"
+	"wisteriarelay.example/core/memory"
 )
 
 const (
@@ -35,21 +35,40 @@
 	rest *bodyStream
 	// length is the length of the whole body in bytes; below 0 if it is not known.
 	length int64
-	memory *memoryQuota
-	// reserved is the number of bytes reserved from memory.
-	reserved int64
+	memory *memory.Budget
+	// reserved is the number of bytes reserved for the body, head those counted for the
+	// header.
+	reserved, head int64
 }
 
 // discard releases the memory and the connection of a response that is not relayed.
 // observation is reported for the target if a part of the body was not read yet.
 func (r *targetResponse) discard(observation judge.Result) {
-	r.memory.release(r.reserved)
-	r.reserved = 0
+	r.release()
 	if r.rest != nil {
-		r.rest.settle(observation)
+		r.rest.discard(observation)
 	}
 }
 
+// release returns the memory of the response.
+func (r *targetResponse) release() {
+	r.memory.Release(memory.Responses, r.reserved+r.head)
+	r.reserved, r.head = 0, 0
+}
+
+// fieldMemory is the memory of a field of a head in addition to its text.
+const fieldMemory = 128
+
+// countHead counts the memory of the header, which is held already.
+func (r *targetResponse) countHead() {
+	for name, values := range r.header {
+		for _, value := range values {
+			r.head += int64(len(name)+len(value)) + fieldMemory
+		}
+	}
+	r.memory.Add(memory.Responses, r.head)
+}
+
 // readResponse buffers the response completely, or only its start if it is large or
 // the memory quota is used up. The rest is then streamed to the caller, and such a
 // response can no longer be replaced by a retry. This keeps memory bounded when many
@@ -59,7 +78,10 @@
 		_ = resp.Body.Close()
 		return nil, errResponseTooLarge
 	}
-	out := &targetResponse{status: resp.StatusCode, header: resp.Header, memory: &t.exchange.relay.memory}
+	out := &targetResponse{status: resp.StatusCode, header: resp.Header, memory: t.exchange.relay.memory}
+	if out.memory.Bounded() {
+		out.countHead()
+	}
 	for out.grow(resp.ContentLength) {
 		ended, err := out.fill(resp.Body)
 		if err != nil {
@@ -72,7 +94,7 @@
 		}
 	}
 	out.length = resp.ContentLength
-	out.rest = &bodyStream{attempt: t, body: resp.Body, remaining: responseLimit - int64(len(out.body))}
+	out.rest = newBodyStream(t, resp, int64(len(out.body)))
 	return out, nil
 }
 
@@ -85,13 +107,13 @@
 	if length >= 0 {
 		size = length
 	}
-	if size > bufferLimit || !r.memory.reserve(size) {
+	if size > bufferLimit || !r.memory.Reserve(memory.Responses, size) {
 		return false
 	}
 	body := make([]byte, len(r.body), size)
 	copy(body, r.body)
 	r.body = body
-	r.memory.release(r.reserved)
+	r.memory.Release(memory.Responses, r.reserved)
 	r.reserved = size
 	return true
 }
@@ -121,50 +143,3 @@
 	r.length = int64(len(r.body))
 	return r
 }
-
-// bodyStream is the part of a body that is streamed to the caller without buffering.
-type bodyStream struct {
-	attempt   *attempt
-	body      io.ReadCloser
-	remaining int64
-	failed    bool
-	aborted   atomic.Bool
-}
-
-// Read reads from the body and fails once the response exceeds responseLimit.
-func (s *bodyStream) Read(p []byte) (int, error) {
-	if s.remaining <= 0 {
-		s.failed = true
-		return 0, errResponseTooLarge
-	}
-	n, err := s.body.Read(p[:min(int64(len(p)), s.remaining)])
-	s.remaining -= int64(n)
-	s.failed = s.failed || err != nil && !errors.Is(err, io.EOF)
-	return n, err
-}
-
-// abort makes the current and all further reads fail.
-func (s *bodyStream) abort() {
-	s.aborted.Store(true)
-	s.attempt.cancel()
-}
-
-// Close closes the body and settles the attempt: as served, as broken if a read failed, or
-// without a result if the stream was aborted.
-func (s *bodyStream) Close() error {
-	observation := judge.Served
-	switch {
-	case s.aborted.Load():
-		observation = judge.Nothing
-	case s.failed:
-		observation = judge.Broken
-	}
-	s.settle(observation)
-	return nil
-}
-
-// settle closes the body and reports the observation for the target.
-func (s *bodyStream) settle(observation judge.Result) {
-	_ = s.body.Close()
-	s.attempt.settle(observation)
-}
--- a/core/relay/result.go
+++ b/core/relay/result.go
@@ -28,7 +28,7 @@
 		x.best = r
 	}
 	if x.allowRetry(r) {
-		x.start()
+		x.start(0)
 		return nil
 	}
 	if len(x.running) > 0 || x.resume != nil {
@@ -46,7 +46,7 @@
 // returns the response to the caller, which says when to come back.
 func (x *exchange) endPause() *caller.Response {
 	if x.allowRetry(x.lastResult) {
-		x.start()
+		x.start(0)
 		return nil
 	}
 	return x.finalResponse()
@@ -142,7 +142,7 @@
 	if r.rest != nil && x.route.Idempotent() {
 		resp.Abort = r.rest.abort
 	}
-	resp.Release = func() { r.memory.release(r.reserved) }
+	resp.Release = r.release
 	return resp
 }
 
