Try a failing target without a jitter again

The jitter of up to 0.1 s after the 1.9 s in which a failed target is left out of the usage floor goes past the 2 s after which it counts again.

Change: no jitter at that point, as before.

--- a/core/sched/floor.go
+++ b/core/sched/floor.go
@@ -29,9 +29,6 @@
 	// expensiveRemotePenalty is the remote penalty from which a request is expensive
 	// to send to another data centre.
 	expensiveRemotePenalty = 250 * time.Millisecond
-	// failureJitterDivisor reduces the jitter after failureWindow, in which all daemons may
-	// find that the same target is needed: a target counts again two seconds after it failed.
-	failureJitterDivisor = 5
 	// failureWindow is how long a target that failed is left out of the usage floor.
 	failureWindow = 1900 * time.Millisecond
 	// introductionDelay is the time after which a new target that no daemon has used
@@ -126,7 +123,7 @@
 	if m.addedAt.After(last) {
 		last = m.addedAt
 	}
-	return now.Sub(last) > floorInterval+m.jitter && now.Sub(m.failedAt) >= failureWindow+m.jitter/failureJitterDivisor
+	return now.Sub(last) > floorInterval+m.jitter && now.Sub(m.failedAt) >= failureWindow
 }
 
 // usedShare returns the share of the matching targets that are in use. Targets that have
