Name the Retry-After of refused requests as such

Cause: core/sched called the time after which a refused caller should retry a "return" (returns, adviseReturn, maxReturn); the usual term is Retry-After. lateAt held the number of a check, not a time.

The tests follow the names only.

--- a/core/relay/result.go
+++ b/core/relay/result.go
@@ -10,7 +10,8 @@
 )
 
 // handleResult handles the result of an attempt. It returns the response to the
-// caller, or nil if another attempt is running or was started.
+// caller, or nil if another attempt is running or was started, or if the request waits for
+// the end of saturation.
 func (x *exchange) handleResult(r *result) *caller.Response {
 	if r.attempt.grant != nil && !x.inFlight[r.attempt] {
 		x.tried = append(x.tried, r.attempt.grant.Target.Key)
@@ -148,14 +149,14 @@
 
 // fail returns an error response of the relay itself; reason goes only to the log.
 func (x *exchange) fail(kind fault.Kind, reason string) *caller.Response {
-	resp := errorResponse(kind, max(x.targetPool.AvailableIn(), x.advisedReturn(kind)))
+	resp := errorResponse(kind, max(x.targetPool.AvailableIn(), x.advisedRetryAfter(kind)))
 	x.relay.recordResponse(x, resp.Status, reason)
 	return resp
 }
 
-// advisedReturn returns the time after which the pool advised the caller of a refused
-// request to return, 0 if it did not.
-func (x *exchange) advisedReturn(kind fault.Kind) time.Duration {
+// advisedRetryAfter returns the time after which the pool advised the caller of a refused
+// request to retry, 0 if it did not.
+func (x *exchange) advisedRetryAfter(kind fault.Kind) time.Duration {
 	if x.best == nil || kind != fault.QueueFull {
 		return 0
 	}
--- a/core/sched/grant.go
+++ b/core/sched/grant.go
@@ -97,7 +97,7 @@
 func (p *Pool) refuseExpired(req Request) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.adviseReturn(fault.New(fault.QueueFull, "no target had capacity in time"), req, 0, time.Now())
+	return p.withRetryAfter(fault.New(fault.QueueFull, "no target had capacity in time"), req, 0, time.Now())
 }
 
 // grantOrQueue returns a grant if a target can be used at once. Otherwise it adds the
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -39,7 +39,7 @@
 	// slowThreshold is the latency that one answered request in ten exceeds.
 	slowThreshold quantile
 	queue         queue
-	returns       returns
+	retryTimes    retryTimes
 	// overtakenCheck finds waiters that cannot be served in time any more.
 	overtakenCheck overtakenCheck
 	// queueScannedAt is the time of the last scan over all waiters.
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -17,9 +17,9 @@
 	// flow's arrivals.
 	flow    *flow
 	arrival *list.Element
-	// lateAt is the number of the last check that expected the request to be served too
+	// lateInCheck is the number of the last check that expected the request to be served too
 	// late.
-	lateAt uint64
+	lateInCheck uint64
 }
 
 // maxIdleLevels is the number of levels from which those without waiters are forgotten.
--- a/core/sched/queue_test.go
+++ b/core/sched/queue_test.go
@@ -77,7 +77,7 @@
 // and with each priority that a configuration ever had.
 func TestQueueForgetsWorkspaces(t *testing.T) {
 	g := NewWithT(t)
-	q, r := &queue{}, &returns{}
+	q, r := &queue{}, &retryTimes{}
 	now := time.Unix(0, 0)
 	for i := range 10_000 {
 		now = now.Add(time.Second)
@@ -92,7 +92,7 @@
 	}
 	g.Expect(len(q.levels)).To(BeNumerically("<=", maxIdleLevels))
 	g.Expect(flows).To(BeNumerically("<=", 2*minFlowsToSweep*maxIdleLevels))
-	g.Expect(len(r.last)).To(BeNumerically("<=", 2*minReturnsToSweep))
+	g.Expect(len(r.last)).To(BeNumerically("<=", 2*minRetryTimesToSweep))
 }
 
 // Guards against shares that change when the virtual time becomes too large for its
@@ -124,7 +124,7 @@
 // capacity is unused when they do.
 func TestReturnsAreSpread(t *testing.T) {
 	g := NewWithT(t)
-	r := &returns{}
+	r := &retryTimes{}
 	now := time.Unix(0, 0)
 	last := time.Duration(0)
 	for i := range 100 {
@@ -134,7 +134,7 @@
 	}
 	g.Expect(r.next("other", now, 0, 20*time.Millisecond)).To(BeNumerically("<", last))
 	for range 1000 {
-		g.Expect(r.next("w", now, 0, 20*time.Millisecond)).To(BeNumerically("<=", maxReturn))
+		g.Expect(r.next("w", now, 0, 20*time.Millisecond)).To(BeNumerically("<=", maxRetryAfter))
 	}
 }
 
--- a/core/sched/refuse.go
+++ b/core/sched/refuse.go
@@ -68,7 +68,7 @@
 	if excess <= 0 {
 		return nil
 	}
-	return p.adviseReturn(fault.New(fault.QueueFull, "wait of %s would outlast the deadline", wait), req, excess, now)
+	return p.withRetryAfter(fault.New(fault.QueueFull, "wait of %s would outlast the deadline", wait), req, excess, now)
 }
 
 // overtakenInterval is the time between two checks for waiters that were overtaken and
@@ -90,7 +90,7 @@
 	for _, w := range p.overtakenCheck.find(q, p.speed(now)) {
 		q.remove(w)
 		err := fault.New(fault.QueueFull, "overtaken by requests of other workspaces or of higher priority, %s before the deadline", w.request.Deadline.Sub(now))
-		w.refused <- p.adviseReturn(err, w.request, 0, now)
+		w.refused <- p.withRetryAfter(err, w.request, 0, now)
 	}
 }
 
@@ -114,12 +114,12 @@
 	for _, l := range q.levels {
 		for w := range l.inOrder() {
 			late := c.late(w, ahead, s)
-			if late && w.lateAt > 0 && w.lateAt == c.number-1 {
+			if late && w.lateInCheck > 0 && w.lateInCheck == c.number-1 {
 				found = append(found, w)
 				continue
 			}
 			if late {
-				w.lateAt = c.number
+				w.lateInCheck = c.number
 			}
 			ahead++
 		}
@@ -151,11 +151,11 @@
 	return req.Deadline.Add(-s.serviceTime / 2)
 }
 
-// adviseReturn adds the time after which the caller of a refused request should return, if
-// the request has a workspace. earliest is when a repetition could be served at the
-// earliest. Each further refusal of the workspace is told to return later by the time that
-// its share of the capacity needs for one request.
-func (p *Pool) adviseReturn(err *fault.Error, req Request, earliest time.Duration, now time.Time) error {
+// withRetryAfter adds the time after which the caller of a refused request should retry, if
+// the request has a workspace. earliest is when a retry could be served at the earliest.
+// Each further refusal of the workspace gets a later time, by the interval that its share
+// of the capacity needs for one request.
+func (p *Pool) withRetryAfter(err *fault.Error, req Request, earliest time.Duration, now time.Time) error {
 	if req.Workspace == "" {
 		return err
 	}
@@ -165,47 +165,48 @@
 		total = p.queue.levels[at].totalWeight(req)
 	}
 	interval := time.Duration(float64(s.serviceTime) / max(s.slots, 1) * total / req.weight())
-	return err.WithRetryAfter(p.returns.next(req.Workspace, now, earliest, interval))
+	return err.WithRetryAfter(p.retryTimes.next(req.Workspace, now, earliest, interval))
 }
 
 const (
-	// maxReturn is the longest time after which a refused caller is told to return.
-	// Capacity is short for seconds, and the time of a return is wasted if it is over.
-	maxReturn = 4 * time.Second
-	// minReturnsToSweep is the number of workspaces from which expired times are deleted.
-	minReturnsToSweep = 64
+	// maxRetryAfter is the longest time after which a refused caller is told to retry.
+	// A lack of capacity lasts for seconds, and capacity that is free before the retry is
+	// wasted.
+	maxRetryAfter = 4 * time.Second
+	// minRetryTimesToSweep is the number of workspaces from which expired times are deleted.
+	minRetryTimesToSweep = 64
 )
 
-// returns spreads the returns of refused callers over time.
-type returns struct {
-	// last holds, for each workspace, when the caller refused last should return.
+// retryTimes spreads the retries of refused callers over time.
+type retryTimes struct {
+	// last holds, for each workspace, when the caller refused last should retry.
 	last    map[string]time.Time
 	sweepAt int
 }
 
-// next returns after how long the next refused caller of the workspace should return: not
-// before earliest, and an interval after the one before. If that is more than maxReturn
+// next returns after how long the next refused caller of the workspace should retry: not
+// before earliest, and an interval after the one before. If that is maxRetryAfter or more
 // away, the time is random in the second half of it.
-func (r *returns) next(workspace string, now time.Time, earliest, interval time.Duration) time.Duration {
+func (r *retryTimes) next(workspace string, now time.Time, earliest, interval time.Duration) time.Duration {
 	r.sweep(now)
 	at := now.Add(earliest)
 	if after := r.last[workspace].Add(interval); after.After(at) {
 		at = after
 	}
 	wait := at.Sub(now)
-	if wait >= maxReturn {
-		return maxReturn/2 + rand.N(maxReturn/2)
+	if wait >= maxRetryAfter {
+		return maxRetryAfter/2 + rand.N(maxRetryAfter/2)
 	}
 	r.last[workspace] = at
 	return max(wait, time.Millisecond)
 }
 
 // sweep deletes the times that have passed.
-func (r *returns) sweep(now time.Time) {
+func (r *retryTimes) sweep(now time.Time) {
 	if r.last == nil {
 		r.last = map[string]time.Time{}
 	}
-	if len(r.last) < max(r.sweepAt, minReturnsToSweep) {
+	if len(r.last) < max(r.sweepAt, minRetryTimesToSweep) {
 		return
 	}
 	for name, at := range r.last {
