Simplify the quota code and correct its comments

Cause: the gauge quota_share_leased built the whole state dump with a map of all accounts, under the lock that requests need, for each shard. refuseQuota repeated the body of logRefusal. noAnswer also counted requests for which nobody was asked. A comment claimed that no workspace can be called "all others"; names may contain spaces. Some comments only said "what is due", and the sources and handlers of gossip stood on two lines of several hundred columns.

Change: Manager.Leased reads one shard; refuseQuota uses logRefusal; the test for a share to be released and the refusal of waiters are functions of their own; noAnswer is unavailable, quotaMembers is cachedQuotaHolders; the comments state reasons.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -43,8 +43,8 @@
 	auxServers *auxServers
 	quotas     *quota.Manager
 	// quotaIndex holds the quotas of the configuration in force.
-	quotaIndex   atomic.Pointer[quotaIndex]
-	quotaMembers atomic.Pointer[quotaMembers]
+	quotaIndex       atomic.Pointer[quotaIndex]
+	quotaHolderCache atomic.Pointer[cachedQuotaHolders]
 
 	startedAt time.Time
 	leaving   atomic.Bool
@@ -185,8 +185,30 @@
 }
 
 func (n *Node) newGossipTransport(conn *net.UDPConn) *gossip.Transport {
-	sources := gossip.Sources{Heartbeat: n.heartbeat, Targets: n.targetIndex, LocalPeers: func() []roster.Member { return n.roster.LocalPeers() }, Monitored: n.monitored, Recipients: n.eventRecipients, GroupPeers: n.coCarriers, RemoteCarriers: n.remoteCarriers}
-	handlers := gossip.Handlers{Heartbeat: n.handleHeartbeat, Event: n.handleEvent, ListPart: n.handleListPart, ListRequest: n.handleListRequest, RemoteCarriers: n.handleRemoteCarriers, Config: n.handleConfig, ConfigRequest: n.handleConfigRequest, Estimates: n.handleEstimates, EstimateRequest: n.handleHealthQuery, Snapshot: n.handleSnapshot, Members: n.handleMembers, QuotaRequest: n.quotas.HandleRequest, QuotaReply: n.quotas.HandleReply}
+	sources := gossip.Sources{
+		Heartbeat:      n.heartbeat,
+		Targets:        n.targetIndex,
+		LocalPeers:     func() []roster.Member { return n.roster.LocalPeers() },
+		Monitored:      n.monitored,
+		Recipients:     n.eventRecipients,
+		GroupPeers:     n.coCarriers,
+		RemoteCarriers: n.remoteCarriers,
+	}
+	handlers := gossip.Handlers{
+		Heartbeat:       n.handleHeartbeat,
+		Event:           n.handleEvent,
+		ListPart:        n.handleListPart,
+		ListRequest:     n.handleListRequest,
+		RemoteCarriers:  n.handleRemoteCarriers,
+		Config:          n.handleConfig,
+		ConfigRequest:   n.handleConfigRequest,
+		Estimates:       n.handleEstimates,
+		EstimateRequest: n.handleHealthQuery,
+		Snapshot:        n.handleSnapshot,
+		Members:         n.handleMembers,
+		QuotaRequest:    n.quotas.HandleRequest,
+		QuotaReply:      n.quotas.HandleReply,
+	}
 	return gossip.NewTransport(n.self, conn, sources, handlers, n.logger)
 }
 
--- a/core/node/quota.go
+++ b/core/node/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -31,7 +32,7 @@
 	return x
 }
 
-// newQuotas returns the manager of the quotas, which Start starts.
+// newQuotas returns the manager of the quotas; its Start must be called.
 func (n *Node) newQuotas() *quota.Manager {
 	n.quotaIndex.Store(&quotaIndex{})
 	c := &quotaCounters{metrics: n.metrics, byName: map[string]quota.Counters{}}
@@ -52,25 +53,25 @@
 	return quota.Policy{Window: seconds(s.Quota.WindowSeconds), Overage: s.Quota.Overage, Slack: s.Quota.Slack}
 }
 
-// quotaMembersTTL is how long the holders are kept: among 690 daemons it takes 0.3 ms to
+// quotaHoldersTTL is how long the holders are cached: among 690 daemons it takes 0.3 ms to
 // find them.
-const quotaMembersTTL = 150 * time.Millisecond
+const quotaHoldersTTL = 150 * time.Millisecond
 
-// quotaMembers are the holders at a time.
-type quotaMembers struct {
+// cachedQuotaHolders are the holders at a time.
+type cachedQuotaHolders struct {
 	roster.QuotaHolders
 	at time.Time
 }
 
-// quotaHolders returns the holders, found at most quotaMembersTTL ago.
+// quotaHolders returns the holders, found at most quotaHoldersTTL ago.
 func (n *Node) quotaHolders() roster.QuotaHolders {
 	now := time.Now()
-	if m := n.quotaMembers.Load(); m != nil && now.Sub(m.at) < quotaMembersTTL {
-		return m.QuotaHolders
+	if c := n.quotaHolderCache.Load(); c != nil && now.Sub(c.at) < quotaHoldersTTL {
+		return c.QuotaHolders
 	}
-	m := &quotaMembers{n.roster.QuotaHolders(now), now}
-	n.quotaMembers.Store(m)
-	return m.QuotaHolders
+	c := &cachedQuotaHolders{n.roster.QuotaHolders(now), now}
+	n.quotaHolderCache.Store(c)
+	return c.QuotaHolders
 }
 
 func (n *Node) quotaLimit(h quota.WorkspaceHash) (quota.Limit, bool) {
@@ -112,15 +113,15 @@
 func (n *Node) registerQuotaState() {
 	n.stateDump.Add("quota", func() any { return n.quotas.State() })
 	for i := range quota.ShardCount {
-		label := string(rune('0' + i))
+		label := strconv.Itoa(i)
 		n.metrics.Gauge(stats.Label("quota_shares_held_permille", "shard", label), func() int64 {
 			return int64(1000 * n.quotas.Fraction(quota.Shard(i)))
 		})
 		n.metrics.Gauge(stats.Label("quota_share_leased", "shard", label), func() int64 {
-			if n.quotas.State().Shards[i].LeasedTo == "" {
-				return 0
+			if n.quotas.Leased(quota.Shard(i)) {
+				return 1
 			}
-			return 1
+			return 0
 		})
 	}
 }
@@ -132,7 +133,8 @@
 	byName  map[string]quota.Counters
 }
 
-// of returns the counters of a workspace, or those that workspaces share.
+// of returns the counters of a workspace, or, beyond maxQuotaMetrics workspaces, those that
+// the others share.
 func (c *quotaCounters) of(workspace string) quota.Counters {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/core/node/reload.go
+++ b/core/node/reload.go
@@ -11,8 +11,8 @@
 const settingsCheckInterval = time.Second
 
 // ReloadSettings applies the settings that may change while the daemon runs: the
-// retry budget, the bound of the quotas and the shutdown time. Changed addresses take effect at the next
-// start; the log line says whether a restart is needed.
+// retry budget, the bound of the quotas and the shutdown time. Changed addresses take
+// effect at the next start; the log line says whether a restart is needed.
 func (n *Node) ReloadSettings(s *Settings) {
 	previous := n.settings.Swap(s)
 	unchanged := s.CallerAddress == previous.CallerAddress && s.PeerAddress == previous.PeerAddress && s.StoreAddress == previous.StoreAddress
--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -34,7 +34,8 @@
 	minWaiters = 8
 	// waitersPerRate is the time, in seconds, for whose tokens requests may wait.
 	waitersPerRate = 1
-	// minGrantPart is the least part of the quota that is assumed for this daemon.
+	// minGrantPart is the least part of the quota that is assumed for this daemon. A part
+	// of 0 would advise refused callers to wait without bound.
 	minGrantPart = 1.0 / 64
 	// maxRetrySeconds is the longest Retry-After, for quotas of less than a request a day.
 	maxRetrySeconds = 24 * 60 * 60
@@ -150,7 +151,7 @@
 
 // canAsk reports whether another request for tokens may be sent.
 func (a *account) canAsk(now time.Time) bool {
-	return len(a.pending) < maxPending || now.Sub(a.pending[len(a.pending)-maxPending].sentAt) >= repeatInterval
+	return len(a.pending) < maxPending || now.Sub(a.pending[0].sentAt) >= repeatInterval
 }
 
 // answered removes the request with the number and returns how many tokens it asked for;
@@ -188,11 +189,16 @@
 		return min(max(g.wait(), minRetryWait), maxRefusal)
 	}
 	a.refuseUntil = a.prefetchAt
+	a.refuseWaiters(now)
+	return 0
+}
+
+// refuseWaiters refuses the waiting requests because the quota is used up.
+func (a *account) refuseWaiters(now time.Time) {
 	for _, w := range a.waiters {
 		w.outcome <- a.overQuota(now)
 	}
 	a.waiters = nil
-	return 0
 }
 
 // serve gives tokens to the waiting requests.
@@ -225,9 +231,9 @@
 	return err.WithRetryAfter(time.Duration(max(wait, time.Millisecond.Seconds()) * float64(time.Second)))
 }
 
-// noAnswer counts a request for which no coordinator granted or refused a token, and
+// unavailable counts a request for which no coordinator granted or refused a token, and
 // returns its error.
-func (a *account) noAnswer(detail string) error {
+func (a *account) unavailable(detail string) error {
 	a.counts.Unavailable++
 	a.counters.Unavailable.Inc(1)
 	return fault.New(fault.QuotaUnavailable, "workspace %q: %s", a.name, detail)
--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -9,7 +9,7 @@
 	// accountTTL is how long the account of a workspace without requests is kept.
 	accountTTL = time.Minute
 	// maxAccounts is the largest number of accounts. It is above the number of
-	// workspaces that a configuration may have in two years.
+	// workspaces that is expected in a configuration.
 	maxAccounts = 1 << 16
 )
 
@@ -70,7 +70,7 @@
 		return nil, a.overQuota(now)
 	}
 	if len(a.waiters) >= a.maxWaiters() || c.waiting >= maxAllWaiters {
-		return nil, a.noAnswer("too many requests wait for tokens")
+		return nil, a.unavailable("too many requests wait for tokens")
 	}
 	w := &waiter{outcome: make(chan error, 1)}
 	a.waiters = append(a.waiters, w)
@@ -95,7 +95,7 @@
 	if a.lastState == BucketFilling {
 		return a.overQuota(now)
 	}
-	return a.noAnswer("no answer to the request for tokens")
+	return a.unavailable("no answer to the request for tokens")
 }
 
 // nextAsk returns when the next request for tokens is due; zero if none is.
--- a/core/quota/coordinator.go
+++ b/core/quota/coordinator.go
@@ -59,7 +59,8 @@
 	return shard.fraction
 }
 
-// stamp returns the time for replies. It is rounded down, which only shortens leases.
+// stamp returns the time for replies. It is rounded down, which only shortens leases. The
+// first one is 1, because 0 stands for no stamp.
 func (c *Coordinator) stamp(now time.Time) int64 {
 	return now.Sub(c.startedAt).Milliseconds() + 1
 }
--- a/core/quota/lending.go
+++ b/core/quota/lending.go
@@ -59,6 +59,14 @@
 	return l.lessee.epoch != 0
 }
 
+// leasedTo returns the VM of the coordinator that may use the share; empty if there is none.
+func (l *lending) leasedTo(now time.Time) string {
+	if !l.leased(now) {
+		return ""
+	}
+	return l.lessee.member.VM
+}
+
 // step returns the offer that is due, if any. want is the coordinator to use; with mayLease
 // unset, the share is not leased again. holders is the number of shares.
 func (l *lending) step(now time.Time, want roster.Member, holders int, mayLease bool) (to roster.Member, offer LeaseOffer, ok bool) {
@@ -67,13 +75,13 @@
 		l.sendAt = now
 	}
 	leased := l.leased(now)
-	moved := leased && (!mayLease || l.lessee.member.VM != want.VM || l.next.epoch != 0 && l.next.epoch != l.lessee.epoch)
-	if now.Before(l.sendAt) || !leased && !mayLease || want.VM == "" && !moved {
+	release := leased && (!mayLease || l.leasedElsewhere(want))
+	if now.Before(l.sendAt) || !leased && !mayLease || want.VM == "" && !release {
 		return to, offer, false
 	}
 	offer = LeaseOffer{Shard: l.shard, Number: l.number, Holders: max(holders, 1)}
 	switch {
-	case moved:
+	case release:
 		l.sendAt = now.Add(repeatInterval)
 		offer.Release, offer.Epoch, offer.Stamp = true, l.lessee.epoch, l.lessee.stamp
 		return l.lessee.member, offer, true
@@ -88,6 +96,12 @@
 	return want, offer, true
 }
 
+// leasedElsewhere reports whether a share on lease is leased to another daemon than the one
+// to use, or to an earlier run of it.
+func (l *lending) leasedElsewhere(want roster.Member) bool {
+	return l.lessee.member.VM != want.VM || l.next.epoch != 0 && l.next.epoch != l.lessee.epoch
+}
+
 // handleReply records what a reply says of the coordinator.
 func (l *lending) handleReply(now time.Time, from roster.Member, m *ReplyMsg) {
 	if from.VM != l.next.member.VM || m.Leaving {
--- a/core/quota/loop.go
+++ b/core/quota/loop.go
@@ -7,7 +7,7 @@
 	"wisteriarelay.example/core/roster"
 )
 
-// loop does what is due until ctx ends.
+// loop runs the periodic checks until ctx ends.
 func (m *Manager) loop(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -41,7 +41,8 @@
 	m.peers.prune()
 }
 
-// check does what is due and returns when to check again.
+// check adds the probes, offers and requests for tokens that are due to the outbox, sends
+// it, and returns when to check again.
 func (m *Manager) check() (next time.Time) {
 	active := m.sources.Active()
 	m.mu.Lock()
--- a/core/quota/manager.go
+++ b/core/quota/manager.go
@@ -17,11 +17,11 @@
 	maxWaitPart = 0.5
 	// refreshInterval is the time between two readings of the members.
 	refreshInterval = 200 * time.Millisecond
-	// checkInterval is the longest time between two checks of what is due.
+	// checkInterval is the longest time between two checks.
 	checkInterval = 50 * time.Millisecond
 	// inactiveInterval replaces checkInterval while no workspace has a limit.
 	inactiveInterval = 250 * time.Millisecond
-	// forgetInterval is the time between two searches for what is no longer needed.
+	// forgetInterval is the time between two removals of unused accounts and buckets.
 	forgetInterval = 10 * time.Second
 	// pauseThreshold is how late a check has to be for this daemon to count as paused.
 	pauseThreshold = 100 * time.Millisecond
@@ -175,6 +175,7 @@
 	m.unlockAndSend()
 }
 
+// answer adds the reply to a request to the outbox.
 func (m *Manager) answer(from roster.Member, msg *RequestMsg) {
 	m.outbox = append(m.outbox, Addressed{To: from, Reply: m.coordinator.Answer(time.Now(), from, msg)})
 }
@@ -186,6 +187,8 @@
 	m.unlockAndSend()
 }
 
+// receive processes a reply. One with a number that this run has not sent answers an earlier
+// run; only a coordinator that leaves sends one without a request.
 func (m *Manager) receive(from roster.Member, msg *ReplyMsg) {
 	now := time.Now()
 	if m.peers.byVM[from.VM] == nil || msg.Seq > m.seq || msg.Seq == 0 && !msg.Leaving {
--- a/core/quota/state.go
+++ b/core/quota/state.go
@@ -28,9 +28,10 @@
 	now := time.Now()
 	s := State{Holders: m.holding.holders, Workspaces: make(map[string]Counts, len(m.client.accounts))}
 	for i := range s.Shards {
-		s.Shards[i] = ShardState{Coordinator: m.current[i].VM, Fraction: m.coordinator.Fraction(now, Shard(i))}
-		if m.lendings[i].leased(now) {
-			s.Shards[i].LeasedTo = m.lendings[i].lessee.member.VM
+		s.Shards[i] = ShardState{
+			Coordinator: m.current[i].VM,
+			LeasedTo:    m.lendings[i].leasedTo(now),
+			Fraction:    m.coordinator.Fraction(now, Shard(i)),
 		}
 	}
 	for name, a := range m.client.accounts {
@@ -45,3 +46,10 @@
 	defer m.mu.Unlock()
 	return m.coordinator.Fraction(time.Now(), s)
 }
+
+// Leased reports whether this daemon's share of a shard is leased to a coordinator.
+func (m *Manager) Leased(s Shard) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lendings[s].leased(time.Now())
+}
--- a/core/relay/pools.go
+++ b/core/relay/pools.go
@@ -26,7 +26,7 @@
 )
 
 // connPools holds one connection pool for each target; opts are added to the options
-// of each pool.
+// of each pool, and memory counts the idle connections.
 type connPools struct {
 	mu     sync.Mutex
 	byKey  map[string]*link.Pool
--- a/core/relay/queue_stats.go
+++ b/core/relay/queue_stats.go
@@ -12,8 +12,8 @@
 	// maxQueueLabels is the number of workspaces that have queue metrics of their own. It
 	// bounds the number of metrics, because a deployment may have 24,000 workspaces.
 	maxQueueLabels = 64
-	// otherWorkspaces is the label of the metrics that all further workspaces share. It
-	// cannot be the name of a workspace, because it has a space.
+	// otherWorkspaces is the label of the metrics that all further workspaces share. A
+	// workspace of this name is counted with them.
 	otherWorkspaces = "all others"
 )
 
--- a/core/relay/quota.go
+++ b/core/relay/quota.go
@@ -6,11 +6,10 @@
 	"wisteriarelay.example/core/caller"
 	"wisteriarelay.example/core/fault"
 	"wisteriarelay.example/core/route"
-	"wisteriarelay.example/core/stats"
 )
 
-// takeQuota takes a token of the workspace's quota, if it has one. Attempts of the request
-// at further targets take no other.
+// takeQuota takes a token of the workspace's quota, if it has one. Further attempts of the
+// same request take no further token.
 func (x *exchange) takeQuota(ctx context.Context) error {
 	if x.workspace == nil || !x.workspace.Limited() || x.relay.acquireQuota == nil {
 		return nil
@@ -23,8 +22,5 @@
 func (r *Relay) refuseQuota(req *caller.Request, workspace *route.Workspace, err error) *caller.Response {
 	f := fault.From(err)
 	resp := errorResponse(f.Kind, f.RetryAfter)
-	r.metrics.Counter(stats.Label("relay_refused", "kind", f.Kind.String())).Inc(1)
-	_ = r.logger.Log("msg", "request refused", "id", req.Header.Get(r.headers.RequestID), "kind", f.Kind,
-		"status", resp.Status, "host", req.Host, "path", req.Path(), "workspace", workspace.Name, "retry-after", f.RetryAfter)
-	return resp
+	return r.logRefusal(req, f.Kind, resp, "workspace", workspace.Name, "retry-after", f.RetryAfter)
 }
--- a/core/route/workspace.go
+++ b/core/route/workspace.go
@@ -73,7 +73,7 @@
 	x.byDigest[digest] = w
 }
 
-// find returns the workspace that holds the only one of the keys. It fails with
+// find returns the workspace that holds the key of a request. It fails with
 // fault.Unauthenticated if there is not exactly one key or nobody holds it, and with
 // fault.WorkspaceUnusable if its holder cannot be told from the configuration.
 func (x *keyIndex) find(keys []string) (*Workspace, error) {
