--- a/core/caller/conn.go
+++ b/core/caller/conn.go
@@ -174,7 +174,7 @@
 	started := c.beginRequest(x)
 	c.endReading()
 	if !started {
-		x.holding.release()
+		x.reservation.release()
 		return false
 	}
 	// The requests of a connection whose caller never waits for a response are pending
@@ -234,7 +234,7 @@
 	}
 	x.closeAfter = req.Close
 	x.id = req.Header.Get(c.server.requestIDHeader)
-	if !x.holding.reserve(headMemory(req)) {
+	if !x.reservation.reserve(headMemory(req)) {
 		return x, errMemory
 	}
 	c.reads.setDeadline(time.Now().Add(bodyTimeout))
@@ -260,7 +260,7 @@
 // readHead reads the head of a request.
 func (c *conn) readHead(limits route.Limits) (*http.Request, error) {
 	if c.server.memory.Bounded() {
-		head := &headHolding{budget: c.server.memory}
+		head := &headReservation{budget: c.server.memory}
 		defer head.release()
 		buffered, _ := c.reader.Peek(c.reader.Buffered())
 		if !head.reserve(int64(limits.HeaderBytes)) || !head.reserveLines(bytes.Count(buffered, newline)) {
@@ -303,25 +303,13 @@
 // respondError responds to a request that could not be read. The connection closes,
 // because it is not known where the next request starts. It always returns false.
 func (c *conn) respondError(failed *exchange, err error) bool {
-	failed.holding.release()
-	status := 0
-	var netErr net.Error
-	switch {
-	case errors.Is(err, errHeadTooLarge):
-		status = http.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, errBodyTooLarge):
-		status = http.StatusRequestEntityTooLarge
-	case errors.Is(err, errMemory):
-		status = http.StatusServiceUnavailable
-	case errors.As(err, &netErr) && netErr.Timeout() && c.reads.hasEnd():
-		status = http.StatusServiceUnavailable
-	case errors.As(err, &netErr) && netErr.Timeout():
-		status = http.StatusRequestTimeout
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
+	failed.reservation.release()
+	status := c.readErrorStatus(err)
+	switch status {
+	case 0:
 		c.cancel()
 		return false
-	default:
-		status = http.StatusBadRequest
+	case http.StatusBadRequest:
 		err = errMalformed
 	}
 	_ = c.server.logger.Log("msg", "failed to read request", "id", failed.id, "status", status, "caller", c.netConn.RemoteAddr(), "err", err)
@@ -337,3 +325,25 @@
 	c.exchanges <- x
 	return false
 }
+
+// readErrorStatus returns the status of the response to a request that could not be read; 0
+// if the connection has failed, so that none can be sent.
+func (c *conn) readErrorStatus(err error) int {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, errHeadTooLarge):
+		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, errBodyTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, errMemory):
+		return http.StatusServiceUnavailable
+	case errors.As(err, &netErr) && netErr.Timeout() && c.reads.hasEnd():
+		return http.StatusServiceUnavailable
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return http.StatusRequestTimeout
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
+		return 0
+	default:
+		return http.StatusBadRequest
+	}
+}
--- a/core/caller/exchange.go
+++ b/core/caller/exchange.go
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// bodyReadStep is the size of the first buffer for a body.
-const bodyReadStep = 64 << 10
+// firstBodyBuffer is the size in bytes of the first buffer for a body.
+const firstBodyBuffer = 64 << 10
 
 // exchange is one request and the response to it.
 type exchange struct {
@@ -19,8 +19,8 @@
 	interim bool
 	request *Request
 	// id is the request id, also of a request that could not be read completely.
-	id      string
-	holding holding
+	id          string
+	reservation reservation
 	// closeAfter is set if the connection closes after this response.
 	closeAfter bool
 	response   chan *Response
@@ -29,7 +29,7 @@
 }
 
 func newExchange(c *conn, closeAfter bool) *exchange {
-	return &exchange{conn: c, closeAfter: closeAfter, response: make(chan *Response, 1), holding: holding{budget: c.server.memory}}
+	return &exchange{conn: c, closeAfter: closeAfter, response: make(chan *Response, 1), reservation: reservation{budget: c.server.memory}}
 }
 
 // readBody reads the whole body. It fails if the body exceeds the limit, which may be
@@ -70,11 +70,11 @@
 // growBody returns a copy of the body with more room, of at most length bytes if that is
 // known. It fails if there is no memory left.
 func (x *exchange) growBody(body []byte, length int64) ([]byte, error) {
-	size := max(2*int64(cap(body)), bodyReadStep)
+	size := max(2*int64(cap(body)), firstBodyBuffer)
 	if length > 0 {
 		size = min(size, length+1)
 	}
-	if !x.holding.growBody(size) {
+	if !x.reservation.growBody(size) {
 		return nil, errMemory
 	}
 	grown := make([]byte, len(body), size)
@@ -86,10 +86,10 @@
 func (x *exchange) run() {
 	resp := x.conn.server.handle(x.conn.ctx, x.request)
 	if resp.UnreadBody == nil {
-		x.holding.releaseExchange()
+		x.reservation.releaseExchange()
 	}
-	if !x.holding.budget.Bounded() {
-		x.holding.releaseBody()
+	if !x.reservation.budget.Bounded() {
+		x.reservation.releaseBody()
 	}
 	x.response <- resp
 }
--- a/core/caller/memory.go
+++ b/core/caller/memory.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"time"
 
 	"wisteriarelay.example/core/memory"
@@ -19,103 +18,94 @@
 	requestMemory = 16 << 10
 )
 
-const (
-	// headFieldMemory is the memory of a field of a head in addition to its text.
-	headFieldMemory = 128
-	// headCopies is the number of copies of a head: as received, without hop-by-hop
-	// fields, and as forwarded.
-	headCopies = 3
-)
+// headCopies is the number of copies of a head: as received, without hop-by-hop fields, and
+// as forwarded.
+const headCopies = 3
 
 // headMemory returns the memory of the copies of a request's head.
 func headMemory(req *http.Request) int64 {
-	size := int64(len(req.RequestURI) + len(req.Host))
-	for name, values := range req.Header {
-		for _, value := range values {
-			size += int64(len(name)+len(value)) + headFieldMemory
-		}
-	}
-	return headCopies * size
+	text := int64(len(req.RequestURI) + len(req.Host))
+	return headCopies * (text + memory.HeaderBytes(req.Header))
 }
 
-// headHolding is the memory that is reserved for a head that is being read: its text, and
-// its fields, which take a multiple of their text if they are short.
-type headHolding struct {
+// headReservation is the memory that is reserved for a head that is being read: its text,
+// and its fields, which take a multiple of their text if they are short.
+type headReservation struct {
 	budget *memory.Budget
 	bytes  int64
 }
 
-func (h *headHolding) reserve(n int64) bool {
-	if !h.budget.Reserve(memory.Heads, n) {
+func (r *headReservation) reserve(n int64) bool {
+	if !r.budget.Reserve(memory.Heads, n) {
 		return false
 	}
-	h.bytes += n
+	r.bytes += n
 	return true
 }
 
 // reserveLines reserves memory for the fields in so many lines.
-func (h *headHolding) reserveLines(lines int) bool {
-	return h.reserve(int64(lines) * headFieldMemory)
+func (r *headReservation) reserveLines(lines int) bool {
+	return r.reserve(int64(lines) * memory.FieldBytes)
 }
 
-func (h *headHolding) release() {
-	h.budget.Release(memory.Heads, h.bytes)
-	h.bytes = 0
+func (r *headReservation) release() {
+	r.budget.Release(memory.Heads, r.bytes)
+	r.bytes = 0
 }
 
-// holding is the memory that is reserved for one request.
-type holding struct {
+// reservation is the memory that is reserved for one request.
+type reservation struct {
 	budget                  *memory.Budget
 	request, body, exchange int64
 }
 
 // reserve reserves the memory of a request whose head was read, without its body, and
 // reports whether the request may be run.
-func (h *holding) reserve(head int64) bool {
-	if !h.budget.Bounded() {
+func (r *reservation) reserve(head int64) bool {
+	if !r.budget.Bounded() {
 		return true
 	}
-	if !h.budget.Reserve(memory.Requests, requestMemory+head) {
+	if !r.budget.Reserve(memory.Requests, requestMemory+head) {
 		return false
 	}
-	h.request = requestMemory + head
-	if !h.budget.Reserve(memory.Exchanges, memory.ExchangeBytes) {
+	r.request = requestMemory + head
+	if !r.budget.Reserve(memory.Exchanges, memory.ExchangeBytes) {
 		return false
 	}
-	h.exchange = memory.ExchangeBytes
+	r.exchange = memory.ExchangeBytes
 	return true
 }
 
 // growBody reserves memory for a body of size bytes, of which the previous part is
 // copied into the new memory, and reports whether there is enough.
-func (h *holding) growBody(size int64) bool {
-	if !h.budget.Reserve(memory.Bodies, size) {
+func (r *reservation) growBody(size int64) bool {
+	if !r.budget.Reserve(memory.Bodies, size) {
 		return false
 	}
-	h.budget.Release(memory.Bodies, h.body)
-	h.body = size
+	r.budget.Release(memory.Bodies, r.body)
+	r.body = size
 	return true
 }
 
 // releaseExchange returns the memory of the exchange with a target.
-func (h *holding) releaseExchange() {
-	h.budget.Release(memory.Exchanges, h.exchange)
-	h.exchange = 0
+func (r *reservation) releaseExchange() {
+	r.budget.Release(memory.Exchanges, r.exchange)
+	r.exchange = 0
 }
 
 // releaseBody returns the memory of the body.
-func (h *holding) releaseBody() {
-	h.budget.Release(memory.Bodies, h.body)
-	h.body = 0
+func (r *reservation) releaseBody() {
+	r.budget.Release(memory.Bodies, r.body)
+	r.body = 0
 }
 
 // release returns all memory of the request. A body counts until then, because the request
 // and the exchanges with targets refer to it.
-func (h *holding) release() {
-	h.releaseExchange()
-	h.releaseBody()
-	h.budget.Release(memory.Requests, h.request)
-	h.request = 0
+func (r *reservation) release() {
+	r.releaseExchange()
+	r.releaseBody()
+	r.budget.Release(memory.Requests, r.request)
+	r.request = 0
 }
 
 const (
@@ -132,6 +122,6 @@
 func memoryResponse() *Response {
 	resp := TextResponse(http.StatusServiceUnavailable, "memory-full\n")
 	wait := minMemoryRetryAfter + rand.N(memoryRetryAfterJitter)
-	resp.Header.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	resp.Header.Set("Retry-After", FormatSeconds(wait))
 	return resp
 }
--- a/core/caller/message.go
+++ b/core/caller/message.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -59,3 +60,8 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	return &Response{Status: status, Header: h, Body: []byte(text), ContentLength: int64(len(text))}
 }
+
+// FormatSeconds returns a duration in seconds, with milliseconds, for a header value.
+func FormatSeconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
--- a/core/caller/server.go
+++ b/core/caller/server.go
@@ -29,11 +29,11 @@
 	requestIDHeader string
 	draining        atomic.Bool
 	memory          *memory.Budget
-	// refusals limits the connections beyond the memory budget, on which requests are
+	// surplusConns limits the connections beyond the memory budget, on which requests are
 	// refused; each takes one element while it is open.
-	refusals chan struct{}
-	mu       sync.Mutex
-	listener net.Listener
+	surplusConns chan struct{}
+	mu           sync.Mutex
+	listener     net.Listener
 	// serving is the number of calls of Serve that may still register a connection.
 	serving int
 	conns   map[*conn]struct{}
@@ -83,7 +83,7 @@
 	for _, o := range opts {
 		o(s)
 	}
-	s.refusals = make(chan struct{}, maxRefusals(s.memory))
+	s.surplusConns = make(chan struct{}, maxSurplusConns(s.memory))
 	return s
 }
 
@@ -134,10 +134,10 @@
 	s.checkAllEnded()
 }
 
-// maxRefusals returns the maximum number of connections beyond the memory budget. They may
-// take half of what the budget keeps for running work. Further ones are accepted when one
-// of these has ended, after a few seconds at most.
-func maxRefusals(b *memory.Budget) int64 {
+// maxSurplusConns returns the maximum number of connections beyond the memory budget. They
+// may take half of what the budget keeps for running work. Further ones are accepted when
+// one of these has ended, after a few seconds at most.
+func maxSurplusConns(b *memory.Budget) int64 {
 	return max(b.Limits().Spare()/2/connectionMemory, 1)
 }
 
@@ -146,7 +146,7 @@
 func (s *Server) startConn(n net.Conn) {
 	c := newConn(s, n)
 	if !s.memory.Reserve(memory.Connections, connectionMemory) {
-		s.refusals <- struct{}{}
+		s.surplusConns <- struct{}{}
 		s.memory.Add(memory.Connections, connectionMemory)
 		c.surplus = true
 	}
@@ -163,7 +163,7 @@
 func (s *Server) removeConn(c *conn) {
 	s.memory.Release(memory.Connections, connectionMemory)
 	if c.surplus {
-		<-s.refusals
+		<-s.surplusConns
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/caller/writer.go
+++ b/core/caller/writer.go
@@ -44,7 +44,7 @@
 }
 
 func (w *responseWriter) writeNext(x *exchange, resp *Response) {
-	defer x.holding.release()
+	defer x.reservation.release()
 	if resp.Release != nil {
 		defer resp.Release()
 	}
--- a/core/memory/limits.go
+++ b/core/memory/limits.go
@@ -43,6 +43,20 @@
 // measures it; this is rounded up.
 const ExchangeBytes = 48 << 10
 
+// FieldBytes is the memory of a header field in addition to its text.
+const FieldBytes = 128
+
+// HeaderBytes returns the memory of a header.
+func HeaderBytes(header map[string][]string) int64 {
+	size := int64(0)
+	for name, values := range header {
+		for _, value := range values {
+			size += int64(len(name)+len(value)) + FieldBytes
+		}
+	}
+	return size
+}
+
 // Limits are the limits of a budget in bytes; 0 means no limit. Buffer, Admit and Total
 // apply to the memory of all kinds together, in ascending order: buffering stops first,
 // then new work is refused, and the rest up to Total is for work that runs already.
--- a/core/relay/again.go
+++ b/core/relay/again.go
@@ -143,7 +143,7 @@
 		return
 	}
 	// The memory of the request covers one exchange with a target at a time.
-	if !x.relay.reserveExchange() {
+	if !x.relay.memory.Reserve(memory.Exchanges, memory.ExchangeBytes) {
 		return
 	}
 	if !x.takeExtraAttempt() {
@@ -152,9 +152,3 @@
 	}
 	x.start(memory.ExchangeBytes)
 }
-
-// reserveExchange reserves the memory of an exchange with a target beyond the one that
-// belongs to the request, and reports whether it succeeded.
-func (r *Relay) reserveExchange() bool {
-	return r.memory.Reserve(memory.Exchanges, memory.ExchangeBytes)
-}
--- a/core/relay/error.go
+++ b/core/relay/error.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"time"
 
 	"wisteriarelay.example/core/caller"
@@ -37,15 +36,10 @@
 	if status == http.StatusServiceUnavailable {
 		wait := max(minRetryAfter, availableIn)
 		wait += rand.N(max(retryAfterJitter, wait/2))
-		resp.Header.Set("Retry-After", formatSeconds(wait))
+		resp.Header.Set("Retry-After", caller.FormatSeconds(wait))
 	}
 	if status == http.StatusTooManyRequests {
-		resp.Header.Set("Retry-After", formatSeconds(max(availableIn, time.Millisecond)))
+		resp.Header.Set("Retry-After", caller.FormatSeconds(max(availableIn, time.Millisecond)))
 	}
 	return resp
 }
-
-// formatSeconds formats a time in seconds, with milliseconds.
-func formatSeconds(d time.Duration) string {
-	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
-}
--- a/core/relay/response.go
+++ b/core/relay/response.go
@@ -56,21 +56,14 @@
 	r.reserved, r.head = 0, 0
 }
 
-// fieldMemory is the memory of a field of a head in addition to its text.
-const fieldMemory = 128
-
 // countHead counts the memory of the header, which is held already.
 func (r *targetResponse) countHead() {
-	for name, values := range r.header {
-		for _, value := range values {
-			r.head += int64(len(name)+len(value)) + fieldMemory
-		}
-	}
+	r.head = memory.HeaderBytes(r.header)
 	r.memory.Add(memory.Responses, r.head)
 }
 
 // readResponse buffers the response completely, or only its start if it is large or
-// the memory quota is used up. The rest is then streamed to the caller, and such a
+// there is no memory for it. The rest is then streamed to the caller, and such a
 // response can no longer be replaced by a retry. This keeps memory bounded when many
 // callers read large responses slowly: each target sends at the speed of its caller.
 func (t *attempt) readResponse(resp *link.Response) (*targetResponse, error) {
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -32,8 +32,8 @@
 	settled sync.Once
 	ended   sync.Once
 
-	// turn holds one element while the body is read; the fields below and above belong to
-	// the goroutine that put it there.
+	// turn holds one element while the body is read. The fields that are not safe for
+	// concurrent use belong to the goroutine that put it there.
 	turn chan struct{}
 	// closed is closed when nothing more is read by the caller.
 	closed chan struct{}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -89,6 +89,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.slide(now)
+	return w.take()
+}
+
+// take counts an extra attempt in the current bucket, or a denied one if none is available.
+func (w *WindowBudget) take() bool {
 	if w.available() < 1 {
 		w.denied++
 		return false
@@ -117,12 +122,7 @@
 		return true
 	}
 	w.remove(bucket)
-	if w.available() < 1 {
-		w.denied++
-		return false
-	}
-	w.extraAttempts[w.currentBucket%extraBuckets]++
-	return true
+	return w.take()
 }
 
 // remove removes an extra attempt from a bucket that is still counted.
