Correct how long connections beyond the memory bound last

Cause: the comment on the limit and docs/design/memory.md said that such a connection ends after a few seconds. If memory is available when its request arrives, the request is served, which lasts up to its deadline and the writing of the response.

--- a/core/caller/server.go
+++ b/core/caller/server.go
@@ -136,7 +136,8 @@
 
 // maxSurplusConns returns the maximum number of connections beyond the memory budget. They
 // may take half of what the budget keeps for running work. Further ones are accepted when
-// one of these has ended, after a few seconds at most.
+// one of these has ended: within seconds if its request is refused, or after the response
+// if memory was available for the request.
 func maxSurplusConns(b *memory.Budget) int64 {
 	return max(b.Limits().Spare()/2/connectionMemory, 1)
 }
