Admit waiting requests when the last quota is removed

Cause: a reading of the whole diff found that the manager of the quotas goes on checking without a pause if a request for tokens is due when the last quota is removed, and that the waiting requests get 503; that an extra attempt which waited for a target is not given back if it was not sent, because it is looked for in its first bucket; that an attempt without a target keeps its context until the deadline; and that the interval of Retry-After overflows with extreme weights.

Change: the waiting requests are admitted when no workspace has a limit, an attempt is given back in the bucket that it was postponed to, the context is cancelled, and the interval is bounded.

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -201,6 +201,15 @@
 	a.waiters = nil
 }
 
+// admitWaiters admits the waiting requests without tokens.
+func (a *account) admitWaiters() {
+	for _, w := range a.waiters {
+		w.outcome <- nil
+		a.countGranted()
+	}
+	a.waiters = nil
+}
+
 // serve gives tokens to the waiting requests.
 func (a *account) serve() {
 	served := 0
--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -132,6 +132,16 @@
 	}
 }
 
+// admitAll admits all waiting requests, because no workspace has a limit any more.
+func (c *Client) admitAll() {
+	for _, a := range c.due {
+		a.admitWaiters()
+		a.askAt = time.Time{}
+	}
+	c.due = nil
+	c.waiting = 0
+}
+
 // handleGrant processes the answer to a request for tokens.
 func (c *Client) handleGrant(now time.Time, seq uint64, g *Grant) {
 	a := c.byHash[g.Workspace]
--- a/core/quota/loop.go
+++ b/core/quota/loop.go
@@ -48,7 +48,9 @@
 	m.mu.Lock()
 	now := time.Now()
 	paused := !m.nextCheck.IsZero() && now.Sub(m.nextCheck) >= pauseThreshold
-	if active {
+	if !active {
+		m.client.admitAll()
+	} else {
 		for _, to := range m.peers.check(now, paused) {
 			m.request(now, to)
 		}
--- a/core/quota/manager_test.go
+++ b/core/quota/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriarelay.example/core/quota"
+	"wisteriarelay.example/core/roster"
 )
 
 // large and small are the quotas of the largest and the smallest workspace, medium is one
@@ -119,3 +121,40 @@
 		}
 	})
 }
+
+// Guards against requests that wait for tokens when the last quota is removed: they were
+// refused after their wait, and the manager checked them without a pause until then.
+func TestLastQuotaIsRemovedWhileRequestsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var limited atomic.Bool
+		limited.Store(true)
+		checks := 0
+		m := quota.NewManager(roster.Member{VM: "a"}, quota.Policy{Window: quota.DefaultWindow}, quota.Sources{
+			Send:       func(quota.Addressed) {},
+			Candidates: func(quota.Shard) []roster.Member { return nil },
+			Holders:    func() int { return 0 },
+			Limit:      func(quota.WorkspaceHash) (quota.Limit, bool) { return quota.Limit{Rate: 1}, true },
+			Active:     func() bool { checks++; return limited.Load() },
+			Counters:   func(string) quota.Counters { return quota.NopCounters() },
+		})
+		m.Start(t.Context())
+		synctest.Wait()
+		r := &removal{limited: &limited}
+		go r.run()
+		began := time.Now()
+		g.Expect(m.Acquire(t.Context(), "w", began.Add(10*time.Second))).To(Succeed())
+		g.Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+		time.Sleep(time.Second)
+		synctest.Wait()
+		g.Expect(checks).To(BeNumerically("<", 1000))
+	})
+}
+
+// removal removes the last quota after a moment.
+type removal struct{ limited *atomic.Bool }
+
+func (r *removal) run() {
+	time.Sleep(100 * time.Millisecond)
+	r.limited.Store(false)
+}
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -67,6 +67,7 @@
 		t.returnBudget()
 	}
 	if err != nil {
+		t.cancel()
 		t.releaseMemory()
 		t.exchange.deliver(&result{attempt: t, notRun: true, kind: fault.From(err).Kind, err: err})
 		return
@@ -93,7 +94,15 @@
 // mayUseBudget counts an extra attempt in the retry budget at the time at which it is sent,
 // and reports whether the budget allows it.
 func (t *attempt) mayUseBudget() bool {
-	return t.extraAt.IsZero() || t.exchange.retryBudget.Postpone(t.extraAt, time.Now())
+	if t.extraAt.IsZero() {
+		return true
+	}
+	now := time.Now()
+	if !t.exchange.retryBudget.Postpone(t.extraAt, now) {
+		return false
+	}
+	t.extraAt = now
+	return true
 }
 
 // returnBudget gives back an extra attempt that was not sent.
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -110,3 +110,18 @@
 		}
 	}
 }
+
+// Guards against an extra attempt that waited for a target, was not sent and stays counted:
+// it is given back in the bucket to which it was postponed.
+func TestPostponedAttemptIsGivenBack(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(0, 0)
+	w := retry.NewWindowBudget(10*time.Second, 0, 10, start)
+	w.SetAllocation(retry.Allocation{SlackFraction: 1})
+	g.Expect(w.Take(start)).To(BeTrue())
+	g.Expect(w.Take(start)).To(BeTrue())
+	sent := start.Add(time.Second)
+	g.Expect(w.Postpone(start, sent)).To(BeTrue())
+	w.Return(sent, sent)
+	g.Expect(w.State(sent).Extras).To(Equal(1))
+}
--- a/core/sched/refuse.go
+++ b/core/sched/refuse.go
@@ -164,7 +164,8 @@
 	if at, found := p.queue.findLevel(req.rank()); found {
 		total = p.queue.levels[at].totalWeight(req)
 	}
-	interval := time.Duration(float64(s.serviceTime) / max(s.slots, 1) * total / req.weight())
+	// The weights may differ so much that the interval would overflow.
+	interval := time.Duration(min(float64(s.serviceTime)/max(s.slots, 1)*total/req.weight(), float64(maxRetryAfter)))
 	return err.WithRetryAfter(p.retryTimes.next(req.Workspace, now, earliest, interval))
 }
 
