--- a/core/quota/chaos_test.go
+++ b/core/quota/chaos_test.go
@@ -104,14 +104,10 @@
 		pick := func(r *rand.Rand) *daemon { return f.daemons[r.IntN(len(f.daemons))] }
 		loads = append(loads, &load{fleet: f, workspace: name, limit: limit, rate: constant(2 * limit.Rate), pick: pick})
 	}
-	var largest float64
-	watched := make(chan struct{})
-	go func() {
-		largest = f.watch(span)
-		close(watched)
-	}()
+	w := &shareWatch{fleet: f, span: span, largest: make(chan float64, 1)}
+	go w.run()
 	runAll(span, loads...)
-	<-watched
+	largest := <-w.largest
 	t.Logf("largest sum of shares %v", largest)
 	g.Expect(largest).To(BeNumerically("<=", 1+1e-9))
 	g.Expect(largest).To(BeNumerically(">", 0.9))
@@ -120,3 +116,14 @@
 		g.Expect(l.mostInWindow()).To(BeNumerically("<=", bound(l.limit)), "rate %v", l.limit.Rate)
 	}
 }
+
+// shareWatch finds the largest sum of shares in use during the span.
+type shareWatch struct {
+	fleet   *fleet
+	span    time.Duration
+	largest chan float64
+}
+
+func (w *shareWatch) run() {
+	w.largest <- w.fleet.watch(w.span)
+}
--- a/core/relay/quota.go
+++ b/core/relay/quota.go
@@ -22,5 +22,5 @@
 func (r *Relay) refuseQuota(req *caller.Request, workspace *route.Workspace, err error) *caller.Response {
 	f := fault.From(err)
 	resp := errorResponse(f.Kind, f.RetryAfter)
-	return r.logRefusal(req, f.Kind, resp, "workspace", workspace.Name, "retry-after", f.RetryAfter)
+	return r.logRefusal(req, f.Kind, resp, "workspace", workspace.Name, "retry-after", f.RetryAfter, "why", f.Detail)
 }
--- a/core/sched/fair.go
+++ b/core/sched/fair.go
@@ -339,12 +339,15 @@
 // flowHeap is a heap of flows, see [heap.Interface].
 type flowHeap []*flow
 
+// Len returns the number of flows.
 func (h flowHeap) Len() int { return len(h) }
 
+// Less orders flows by virtual start time and then by the start of their backlog.
 func (h flowHeap) Less(i, j int) bool {
 	return cmp.Or(cmp.Compare(h[i].start, h[j].start), cmp.Compare(h[i].since, h[j].since)) < 0
 }
 
+// Swap exchanges two flows.
 func (h flowHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].index, h[j].index = i, j
