--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,4 +7,4 @@
   echo "build first: the build line of deploy/system.toml, and review/build-2.sh"
   exit 2
 fi
-exec target/review-rig2 late-write "$folder/record.txt"
+exec target/review-rig2 left-before "$folder/record.txt"
--- a/review/rig2/drain.go
+++ b/review/rig2/drain.go
@@ -100,3 +100,91 @@
 	r.Record.Notef("%d of %d requests at %s were sent later than %s after the acknowledgement that it drains", late, len(u.Runs()), u.ID, drainTime)
 	return late > 0
 }
+
+const (
+	// minSilence is the time after which the outage may end. It ends with the next read of
+	// the daemon, which comes in less than 2 s, so that it is shorter than outage.
+	minSilence = 5900 * time.Millisecond
+	// endAfterRead is how long after that read begins the store answers again.
+	endAfterRead = 50 * time.Millisecond
+	// beforeOutage is the time between the removal of the entry and the outage.
+	beforeOutage = 50 * time.Millisecond
+	// touchMargin is added to stableTime before requests count.
+	touchMargin = 50 * time.Millisecond
+)
+
+// leftBeforeOutage is the case of an upstream whose entry is removed just before the store
+// is away. Its service has no requests until the daemon is in touch again.
+func leftBeforeOutage(r *Rig) (broken bool, err error) {
+	r.PutConfig(1, 16384)
+	if err := r.AddUpstreams("stock", 4, time.Now().Add(heartbeatInterval)); err != nil {
+		return false, err
+	}
+	u, err := NewUpstream("stock-leaving", "stock", "a", r.Store, r.Record)
+	if err != nil {
+		return false, err
+	}
+	u.Ping()
+	if err := r.StartFleet("a"); err != nil {
+		return false, err
+	}
+	ctx, stop := context.WithCancel(r.ctx)
+	defer stop()
+	c := NewConsumers(r.Fleet, r.Record, "POST", "/order/1")
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.run(ctx, requestInterval)
+	}()
+	time.Sleep(stableTime)
+	u.Ping()
+	c.SetPaused(true)
+	time.Sleep(time.Second)
+	r.awaitListRead(0)
+	time.Sleep(2 * beforeOutage)
+	left := u.Leave()
+	time.Sleep(beforeOutage)
+	back := time.Now().Add(outage)
+	if r.Trouble {
+		back = r.silence()
+	} else {
+		time.Sleep(time.Until(back))
+	}
+	time.Sleep(time.Until(back.Add(stableTime + touchMargin)))
+	c.SetPaused(false)
+	time.Sleep(2 * time.Second)
+	stop()
+	<-ended
+	return r.reachedLate(u, c, left), nil
+}
+
+// silence makes the store answer no call, and returns when it answered again.
+func (r *Rig) silence() (back time.Time) {
+	r.Store.SetSilent(true)
+	began := time.Now()
+	r.Record.Notef("the store answers no call")
+	r.awaitListRead(minSilence)
+	time.Sleep(endAfterRead)
+	r.Store.SetSilent(false)
+	back = time.Now()
+	r.Record.Notef("the store answers again after %s", back.Sub(began).Round(time.Millisecond))
+	return back
+}
+
+// awaitListRead waits for a time, and then for the next call that reads the changes of the
+// upstreams' entries.
+func (r *Rig) awaitListRead(after time.Duration) {
+	time.Sleep(after)
+	read := make(chan struct{}, 1)
+	r.Store.OnFeedCall(func(table string) {
+		if table != "servers" {
+			return
+		}
+		select {
+		case read <- struct{}{}:
+		default:
+		}
+	})
+	<-read
+	r.Store.OnFeedCall(nil)
+}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -19,6 +19,7 @@
 	"store-away-twice": storeAwayTwice,
 	"late-write":       lateWriteThenOutage,
 	"header-limit":     largeHeaderLimit,
+	"left-before":      leftBeforeOutage,
 }
 
 func main() {
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -32,6 +33,11 @@
 	version int64
 	changed chan struct{}
 	down    bool
+	// silenced is closed at the end of the outage in which no call is answered; nil if
+	// there is none.
+	silenced chan struct{}
+	// called is called with the table of each call that reads changes, if it is set.
+	called func(table string)
 }
 
 // NewStore returns a store that listens on a loopback address.
@@ -58,6 +64,28 @@
 	s.wake()
 }
 
+// SetSilent makes the store leave every call without an answer, those that wait already
+// too, or serve again. Calls that were made in the meantime stay without one.
+func (s *Store) SetSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if silent {
+		s.silenced = make(chan struct{})
+		s.wake()
+		return
+	}
+	close(s.silenced)
+	s.silenced = nil
+}
+
+// OnFeedCall sets the function that is called with the table of each call that reads
+// changes.
+func (s *Store) OnFeedCall(called func(table string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.called = called
+}
+
 // Put writes a row for the operator or an upstream. It returns false, and does nothing,
 // while the store is down.
 func (s *Store) Put(table, key string, value any) bool {
@@ -67,7 +95,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
+	if s.down || s.silenced != nil {
 		return false
 	}
 	s.apply(Row{Table: table, Key: key, Value: data})
@@ -107,7 +135,17 @@
 
 // ServeHTTP handles one call.
 func (s *Store) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	if s.isDown() {
+	s.mu.Lock()
+	down, silent, called := s.down, s.silenced != nil, s.called
+	s.mu.Unlock()
+	if req.URL.Path == "/rows-feed" && called != nil {
+		called(req.URL.Query().Get("table_name"))
+	}
+	switch {
+	case silent:
+		withhold(req)
+		return
+	case down:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -123,10 +161,11 @@
 	}
 }
 
-func (s *Store) isDown() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.down
+// withhold leaves a call without an answer until its client closes the connection.
+func withhold(req *http.Request) {
+	_, _ = io.Copy(io.Discard, req.Body)
+	<-req.Context().Done()
+	panic(http.ErrAbortHandler)
 }
 
 func (s *Store) serveTransaction(w http.ResponseWriter, req *http.Request) {
@@ -190,6 +229,10 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if s.silenced != nil {
+			s.mu.Unlock()
+			withhold(req)
+		}
 		rows := s.changesAfter(q.Get("table_name"), after)
 		if len(rows) > 0 || !waiting {
 			s.respond(w, rows)
--- a/review/rig2/upstream.go
+++ b/review/rig2/upstream.go
@@ -95,6 +95,17 @@
 	return time.Now()
 }
 
+// Leave removes the entry of the upstream, which leaves without reporting that it drains,
+// and returns when the store had accepted that. The upstream serves on.
+func (u *Upstream) Leave() time.Time {
+	u.mu.Lock()
+	u.leaving = true
+	u.mu.Unlock()
+	u.store.Expire("servers", u.ID)
+	u.record.Notef("the store acknowledged that %s is gone", u.ID)
+	return time.Now()
+}
+
 // nextEntry returns the entry of the next ping. The caller holds u.mu.
 func (u *Upstream) nextEntry() map[string]any {
 	u.seq++
