--- a/review/rig2/drain.go
+++ b/review/rig2/drain.go
@@ -97,24 +97,23 @@
 			r.Record.Notef("%s was sent %.3f s after the acknowledgement, and %s ran it", run.ID, after.Seconds(), u.ID)
 		}
 	}
-	r.Record.Notef("%d of %d requests at %s were sent later than %s after the acknowledgement that it drains", late, len(u.Runs()), u.ID, drainTime)
+	r.Record.Notef("%d of %d requests at %s were sent later than %s after the acknowledgement that it leaves", late, len(u.Runs()), u.ID, drainTime)
 	return late > 0
 }
 
 const (
-	// minSilence is the time after which the outage may end. It ends with the next read of
-	// the daemon, which comes in less than 2 s, so that it is shorter than outage.
-	minSilence = 5900 * time.Millisecond
-	// endAfterRead is how long after that read begins the store answers again.
-	endAfterRead = 50 * time.Millisecond
-	// beforeOutage is the time between the removal of the entry and the outage.
-	beforeOutage = 50 * time.Millisecond
+	// silence is how long the store answers no call. The site files have 4.5 s.
+	silence = 4400 * time.Millisecond
+	// beforeLeaving is the time from a read of the daemons to the removal of the entry,
+	// beforeOutage that from the removal to the outage.
+	beforeLeaving = 100 * time.Millisecond
+	beforeOutage  = 50 * time.Millisecond
 	// touchMargin is added to stableTime before requests count.
 	touchMargin = 50 * time.Millisecond
 )
 
 // leftBeforeOutage is the case of an upstream whose entry is removed just before the store
-// is away. Its service has no requests until the daemon is in touch again.
+// is away. Its service has no requests until the daemons are in touch again.
 func leftBeforeOutage(r *Rig) (broken bool, err error) {
 	r.PutConfig(1, 16384)
 	if err := r.AddUpstreams("stock", 4, time.Now().Add(heartbeatInterval)); err != nil {
@@ -125,7 +124,7 @@
 		return false, err
 	}
 	u.Ping()
-	if err := r.StartFleet("a"); err != nil {
+	if err := r.StartFleet("a", "b", "c"); err != nil {
 		return false, err
 	}
 	ctx, stop := context.WithCancel(r.ctx)
@@ -140,17 +139,20 @@
 	u.Ping()
 	c.SetPaused(true)
 	time.Sleep(time.Second)
-	r.awaitListRead(0)
-	time.Sleep(2 * beforeOutage)
+	r.awaitListRead()
+	time.Sleep(beforeLeaving)
 	left := u.Leave()
 	time.Sleep(beforeOutage)
-	back := time.Now().Add(outage)
 	if r.Trouble {
-		back = r.silence()
-	} else {
-		time.Sleep(time.Until(back))
+		r.Store.SetSilent(true)
+		r.Record.Notef("the store answers no call for %s", silence)
+	}
+	time.Sleep(silence)
+	if r.Trouble {
+		r.Store.SetSilent(false)
+		r.Record.Notef("the store answers again")
 	}
-	time.Sleep(time.Until(back.Add(stableTime + touchMargin)))
+	time.Sleep(stableTime + touchMargin)
 	c.SetPaused(false)
 	time.Sleep(2 * time.Second)
 	stop()
@@ -158,23 +160,8 @@
 	return r.reachedLate(u, c, left), nil
 }
 
-// silence makes the store answer no call, and returns when it answered again.
-func (r *Rig) silence() (back time.Time) {
-	r.Store.SetSilent(true)
-	began := time.Now()
-	r.Record.Notef("the store answers no call")
-	r.awaitListRead(minSilence)
-	time.Sleep(endAfterRead)
-	r.Store.SetSilent(false)
-	back = time.Now()
-	r.Record.Notef("the store answers again after %s", back.Sub(began).Round(time.Millisecond))
-	return back
-}
-
-// awaitListRead waits for a time, and then for the next call that reads the changes of the
-// upstreams' entries.
-func (r *Rig) awaitListRead(after time.Duration) {
-	time.Sleep(after)
+// awaitListRead waits for the next call that reads the changes of the upstreams' entries.
+func (r *Rig) awaitListRead() {
 	read := make(chan struct{}, 1)
 	r.Store.OnFeedCall(func(table string) {
 		if table != "servers" {
