Reject a response whose status line is not valid

What callers saw: a target that sends status 600 or 999 had it passed on as its answer. A response with status 000 was skipped like an interim one and its body taken for the next response: if that body looks like a response, the caller of an order got it as a 200 with a seal; otherwise its caller waited until the deadline and got 504. A response of HTTP/2.0 passed too.

Cause: http.ReadResponse accepts every status of three characters that is a number (000, 099, +20, 999) and every version, and package link compared the status with 200 only. Ruled out: control bytes within the status and statuses of two or four digits, which net/http rejects.

Change: link reads each head, final or interim, in conn.readHead, which checks the version and calls the new head.CheckResponse; a status outside of 100 to 599 (RFC 9110, section 15) is an error of the protocol. Such a response is not relayed, its connection is closed, a safe request is sent to another target and an order gets 502. Both interfaces read answers there. The code on heads moves from conn.go to head.go.

--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"math"
 	"net"
 	"syscall"
@@ -11,22 +10,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxHeadBytes is the maximum size of a response head, so that a target cannot exhaust
-// the memory with a head without end.
-const maxHeadBytes = 64 << 10
-
-// maxHeadLines is the maximum number of lines of a response head. In memory, a field
-// takes about 100 bytes in addition to its text, so that 64 KiB of short lines would
-// take more than 1 MiB.
-const maxHeadLines = 256
-
 const bufferSize = 4 << 10
 
-var (
-	errHeadTooLarge     = errors.New("response head is larger than 64 KiB")
-	errTooManyHeadLines = errors.New("response head has more than 256 lines")
-)
-
 // conn is a connection to a target with its buffers.
 type conn struct {
 	netConn   net.Conn
@@ -54,27 +39,6 @@
 	return c
 }
 
-// limitedReader reads from the connection and applies the limits on response heads.
-type limitedReader struct{ c *conn }
-
-// Read fails once a response head exceeds a limit. It reads ahead of the head, so the
-// limits are checked when more of the head is needed.
-func (r limitedReader) Read(p []byte) (int, error) {
-	if !r.c.readingHead {
-		return r.c.netConn.Read(p)
-	}
-	if r.c.headBytesLeft <= 0 {
-		return 0, errHeadTooLarge
-	}
-	if r.c.headLinesLeft < 0 {
-		return 0, errTooManyHeadLines
-	}
-	n, err := r.c.netConn.Read(p[:min(int64(len(p)), r.c.headBytesLeft)])
-	r.c.headBytesLeft -= int64(n)
-	r.c.headLinesLeft -= bytes.Count(p[:n], []byte{'\n'})
-	return n, err
-}
-
 // countingWriter writes to the connection and counts the bytes. The count decides
 // whether the target may have acted on a failed request.
 type countingWriter struct{ c *conn }
--- a/core/link/head_test.go
+++ b/core/link/head_test.go
@@ -1,11 +1,14 @@
 package link
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 )
 
@@ -87,3 +90,55 @@
 		g.Expect(p.Stats().Dials).To(Equal(int64(1)))
 	})
 }
+
+// brokenHeads returns responses whose heads net/http accepts although they are not valid.
+func brokenHeads() map[string]string {
+	const inner = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake"
+	return map[string]string{
+		"status 000":                     "HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\nfake",
+		"status 000, a response as body": "HTTP/1.1 000 None\r\nContent-Length: 42\r\n\r\n" + inner,
+		"status 099":                     "HTTP/1.1 099 None\r\nContent-Length: 0\r\n\r\n" + inner,
+		"status with a sign":             "HTTP/1.1 +20 OK\r\nContent-Length: 0\r\n\r\n" + inner,
+		"status 600":                     "HTTP/1.1 600 None\r\nContent-Length: 4\r\n\r\nfake",
+		"status 999":                     "HTTP/1.1 999 None\r\nContent-Length: 4\r\n\r\nfake",
+		"version 0.9":                    "HTTP/0.9 200 OK\r\nContent-Length: 4\r\n\r\nfake",
+		"version 2.0":                    "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nfake",
+	}
+}
+
+// Guards against a response that is passed on, or skipped like an interim one, although
+// its head is broken, so that its body is taken for the next response.
+func TestBrokenHeadIsAnError(t *testing.T) {
+	exchanges := map[string]func(context.Context, *Pool) error{
+		"forward": func(ctx context.Context, p *Pool) error {
+			resp, err := p.Forward(ctx, &RawRequest{Method: http.MethodGet, RequestURI: "/", Host: "h"}, time.Minute)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			return err
+		},
+		"do": func(ctx context.Context, p *Pool) error {
+			_, err := get(ctx, p, http.MethodGet)
+			return err
+		},
+	}
+	for name, response := range brokenHeads() {
+		for kind, send := range exchanges {
+			t.Run(kind+"/"+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					p := NewPool("target:80", WithDial(newScriptedTarget(false, response).dial))
+					defer p.Close()
+					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+					defer cancel()
+					err := send(ctx, p)
+					var f *Error
+					g.Expect(errors.As(err, &f)).To(BeTrue(), "error %v", err)
+					g.Expect(f.Stage).To(Equal(StageHead))
+					g.Expect(f.Protocol).To(BeTrue())
+					g.Expect(p.Stats().Open).To(BeZero())
+				})
+			})
+		}
+	}
+}
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -276,10 +276,7 @@
 // skipped and count towards the limit on heads.
 func (x *exchange) readFinalHead(req *http.Request) (*http.Response, error) {
 	for {
-		x.conn.readingHead = true
-		x.conn.headLinesLeft = maxHeadLines
-		resp, err := http.ReadResponse(x.conn.reader, req)
-		x.conn.readingHead = false
+		resp, err := x.conn.readHead(req)
 		if err != nil {
 			return nil, x.headError(err)
 		}
