Reject a response with a blank in a field name

What callers saw: a response with the field "X Y: z" or "X : z" was passed on as a 200 with the target's seal. With "Transfer-Encoding : chunked" the body that the caller got held the chunk sizes ("4\r\nfake\r\n0\r\n\r\n"); with "Content-Length : 9" a body cut after 4 bytes was passed on as a whole one.

Cause: http.ReadResponse accepts blanks in field names, keeps such a name as it is and so does not see the length or the encoding; the body then ends with the connection. Nothing checked the names afterwards.

--- a/core/head/response.go
+++ b/core/head/response.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // minStatus and maxStatus bound the valid status codes (RFC 9110, section 15).
@@ -12,11 +13,26 @@
 	maxStatus = 599
 )
 
+// maxQuotedBytes is the maximum length of the part of a field name that an error quotes.
+const maxQuotedBytes = 64
+
 // CheckResponse returns an error if the head of the response is not valid, so that neither
 // its status nor the end of its body can be relied on.
 func CheckResponse(r *http.Response) error {
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
 		return errors.Newf("response status %03d is not within %d to %d", r.StatusCode, minStatus, maxStatus)
 	}
+	return checkNames(r.Header)
+}
+
+// checkNames returns an error if a field name is not a token (RFC 9110, section 5.1). The
+// parser of net/http rejects all other bytes than blanks, and ignores a Content-Length or
+// a Transfer-Encoding whose name has one.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Newf("response has the invalid field name %q", name[:min(len(name), maxQuotedBytes)])
+		}
+	}
 	return nil
 }
