Reject broken responses to probes, store calls and wisteriactl

What showed: a target whose answer to a probe has a blank in a field name counted as healthy. Such a reply of the store was taken for its answer; with "Transfer-Encoding : chunked" an object was read with the chunk sizes in it. A write answered with status 000 counted as certainly not made on the users' platform. wisteriactl reported a change as made for status 000.

Change: head.Transport, a transport that returns an error if the head of the response is not valid, is the transport of the prober, of both store clients and of wisteriactl. Their handling of transport errors is unchanged: a probe has no answer, a read failed, the outcome of a write is unknown. The demo's callers are not changed. stand.RawHandler sends the broken responses in the tests, also for the target of platform/fake.

--- a/core/detect/prober_test.go
+++ b/core/detect/prober_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/onsi/gomega"
 
 	"wisteriarelay.example/core/fleet"
+	"wisteriarelay.example/core/stand"
 )
 
 // Guards against overlapping probes of one target, probes of targets that other
@@ -79,6 +81,23 @@
 		Entry("redirect", 302, "", ProbeAnswer{Result: Failed, Answered: true}),
 	)
 
+	DescribeTable("does not take a broken response for an answer, so that its target is not healthy",
+		func(response string) {
+			s := httptest.NewServer(stand.RawHandler(response))
+			defer s.Close()
+			client := NewProbeClient((&net.Dialer{}).DialContext)
+			defer client.CloseIdleConnections()
+			target := fleet.Target{Address: strings.TrimPrefix(s.URL, "http://")}
+			got := HTTPProbe(client)(context.Background(), target, fleet.Probe{Path: "/health"})
+			gomega.Expect(got).To(gomega.Equal(ProbeAnswer{Result: Unreachable}))
+		},
+		Entry("blank in a name", "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("blank after a name", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nConnection: close\r\n\r\nok"),
+		Entry("NUL in a name", "HTTP/1.1 200 OK\r\nX\x00Y: z\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("status 000", "HTTP/1.1 000 None\r\nWisteria-Leaving: true\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("status 600", "HTTP/1.1 600 None\r\nWisteria-Leaving: true\r\nContent-Length: 2\r\n\r\nok"),
+	)
+
 	It("reports unreachable targets", func() {
 		got := HTTPProbe(http.DefaultClient)(context.Background(), fleet.Target{Address: "127.0.0.1:1"}, fleet.Probe{Path: "/"})
 		gomega.Expect(got).To(gomega.Equal(ProbeAnswer{Result: Unreachable}))
--- a/core/store/client.go
+++ b/core/store/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"wisteriarelay.example/core/fault"
+	"wisteriarelay.example/core/head"
 )
 
 const (
@@ -65,7 +66,7 @@
 func NewClient(base string, opts ...Option) *Client {
 	c := &Client{
 		baseURL:     strings.TrimSuffix(base, "/"),
-		http:        &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes}},
+		http:        &http.Client{Transport: newTransport()},
 		timeout:     defaultTimeout,
 		daemons:     func() int { return 1 },
 		fleetRates:  [2]float64{fleetReadRate, fleetWriteRate},
@@ -82,6 +83,10 @@
 	return c
 }
 
+func newTransport() http.RoundTripper {
+	return head.Transport{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes}}
+}
+
 // ClientState is the state of the client as shown in the state dump. Table is the
 // status of table reads.
 type ClientState struct {
--- a/core/store/store_test.go
+++ b/core/store/store_test.go
@@ -101,6 +101,21 @@
 		Expect(store.NewClient(gateway.URL).Table().Apply(ctx, insert("a", "1"))).To(beKind(fault.StoreAmbiguous))
 	})
 
+	DescribeTable("does not take a broken reply for one of the store",
+		func(response string) {
+			broken := httptest.NewServer(stand.RawHandler(response))
+			defer broken.Close()
+			client := store.NewClient(broken.URL, store.WithTimeout(time.Second))
+			defer client.Close()
+			Expect(client.Table().Apply(ctx, insert("a", "1"))).To(beKind(fault.StoreAmbiguous))
+			_, err := client.Objects().Get(ctx, "o")
+			Expect(err).To(beKind(fault.StoreUnavailable))
+		},
+		Entry("blank in a name", "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\n{}"),
+		Entry("blank after a name", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nConnection: close\r\n\r\n2\r\n{}\r\n0\r\n\r\n"),
+		Entry("status 000", "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}"),
+	)
+
 	It("stops requests to a component that is down, and to no other component", func() {
 		p.SetFaults(stand.PlatformFaults{TableDown: true})
 		for range 20 {
--- a/wisteriactl/client.go
+++ b/wisteriactl/client.go
@@ -15,12 +15,16 @@
 	"github.com/urfave/cli/v3"
 
 	"wisteriarelay.example/core/admin"
+	"wisteriarelay.example/core/head"
 )
 
 // callTimeout is longer than a daemon takes to report a roll-out while many other
 // daemons do not answer.
 const callTimeout = 30 * time.Second
 
+// apiClient sends the requests to the administration API.
+var apiClient = &http.Client{Transport: head.Transport{Transport: http.DefaultTransport.(*http.Transport).Clone()}}
+
 // apiRequest is a request to the administration API. Its path is relative to /v1.
 type apiRequest struct {
 	method string
@@ -51,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := apiClient.Do(req)
 	if err != nil {
 		return transportError(r, err)
 	}
--- a/wisteriactl/main_test.go
+++ b/wisteriactl/main_test.go
@@ -101,6 +101,21 @@
 		Entry("targets as JSON", "targets-json", "--output", "json", "targets", "reservas"),
 	)
 
+	// Guards against a change that is reported as made, or a state that is printed, because
+	// of a response with a broken head.
+	DescribeTable("does not take a broken response for a reply of the daemon", func(response string) {
+		server := httptest.NewServer(stand.RawHandler(response))
+		defer server.Close()
+		f := &fixture{url: server.URL}
+		code, _, _ := f.run("marta", "bootstrap", settingsFile)
+		Expect(code).To(Equal(exitUnknown))
+		code, _, _ = f.run("marta", "targets", "reservas")
+		Expect(code).NotTo(Equal(exitDone))
+	},
+		Entry("status 000", "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}"),
+		Entry("blank in a name", "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\n{}"),
+	)
+
 	// Guards against an exit code that makes a script mistake a refusal or an
 	// unknown outcome for success.
 	It("exits with distinct codes for done, refused, wrong usage and not yet known", func() {
