Reject a response with a blank in the name of a trailer field

What callers saw: a chunked response that ends with "X Y: z" in place of a trailer was passed on as a whole 200.

Cause: the same as for heads. The parser of net/http accepts blanks in the names of trailer fields; every other malformed trailer is an error of the body already.

Change: at the end of a body, package link checks the names of the trailer with head.CheckTrailer. A broken one is an error at the stage of the body, like a truncated response: a buffered response is not relayed, one that is streamed to the caller is aborted.

TestBrokenHeadIsAnError now also reads the body.

--- a/core/head/response.go
+++ b/core/head/response.go
@@ -25,6 +25,12 @@
 	return checkNames(r.Header)
 }
 
+// CheckTrailer returns an error if the trailer of the response is not valid. It applies
+// once the body has been read to its end.
+func CheckTrailer(r *http.Response) error {
+	return checkNames(r.Trailer)
+}
+
 // checkNames returns an error if a field name is not a token (RFC 9110, section 5.1). The
 // parser of net/http rejects all other bytes than blanks, and ignores a Content-Length or
 // a Transfer-Encoding whose name has one.
--- a/core/link/forward.go
+++ b/core/link/forward.go
@@ -125,7 +125,7 @@
 		}
 		reusable := unmatched == 0 && !resp.Close && selfDelimited(m.Method, resp)
 		x.conn.recordKeepAlive(resp.Header)
-		resp.Body = &responseBody{exchange: x, wrapped: resp.Body, reusable: reusable}
+		x.wrapBody(resp, reusable)
 		return resp, nil
 	}
 	return nil, newProtocolError(errTooManyUnmatched)
--- a/core/link/head_test.go
+++ b/core/link/head_test.go
@@ -147,39 +147,67 @@
 	}
 }
 
+// exchangeKinds are the ways to send a GET request and to read the whole response.
+var exchangeKinds = map[string]func(context.Context, *Pool) error{
+	"forward": func(ctx context.Context, p *Pool) error {
+		resp, err := p.Forward(ctx, &RawRequest{Method: http.MethodGet, RequestURI: "/", Host: "h"}, time.Minute)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		_, err = io.ReadAll(resp.Body)
+		return err
+	},
+	"do": func(ctx context.Context, p *Pool) error {
+		_, err := get(ctx, p, http.MethodGet)
+		return err
+	},
+}
+
+// expectError sends a request in each way to a target with the response, and expects an
+// error of the stage and a closed connection.
+func expectError(t *testing.T, response string, stage Stage) {
+	t.Helper()
+	for kind, send := range exchangeKinds {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				p := NewPool("target:80", WithDial(newScriptedTarget(false, response).dial))
+				defer p.Close()
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				var f *Error
+				err := send(ctx, p)
+				g.Expect(errors.As(err, &f)).To(BeTrue(), "error %v", err)
+				g.Expect(f.Stage).To(Equal(stage))
+				g.Expect(f.Protocol).To(Equal(stage == StageHead))
+				g.Expect(f.TimedOut).To(BeFalse())
+				g.Expect(p.Stats().Open).To(BeZero())
+			})
+		})
+	}
+}
+
 // Guards against a response that is passed on, or skipped like an interim one, although
 // its head is broken, so that its body is taken for the next response.
 func TestBrokenHeadIsAnError(t *testing.T) {
-	exchanges := map[string]func(context.Context, *Pool) error{
-		"forward": func(ctx context.Context, p *Pool) error {
-			resp, err := p.Forward(ctx, &RawRequest{Method: http.MethodGet, RequestURI: "/", Host: "h"}, time.Minute)
-			if err == nil {
-				_ = resp.Body.Close()
-			}
-			return err
-		},
-		"do": func(ctx context.Context, p *Pool) error {
-			_, err := get(ctx, p, http.MethodGet)
-			return err
-		},
-	}
 	for name, response := range brokenHeads() {
-		for kind, send := range exchanges {
-			t.Run(kind+"/"+name, func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					g := NewWithT(t)
-					p := NewPool("target:80", WithDial(newScriptedTarget(false, response).dial))
-					defer p.Close()
-					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-					defer cancel()
-					err := send(ctx, p)
-					var f *Error
-					g.Expect(errors.As(err, &f)).To(BeTrue(), "error %v", err)
-					g.Expect(f.Stage).To(Equal(StageHead))
-					g.Expect(f.Protocol).To(BeTrue())
-					g.Expect(p.Stats().Open).To(BeZero())
-				})
-			})
-		}
+		t.Run(name, func(t *testing.T) { expectError(t, response, StageHead) })
+	}
+}
+
+// Guards against a response that is taken for a whole one although its end is broken.
+func TestBrokenTrailerIsAnError(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfake\r\n0\r\n"
+	cases := map[string]string{
+		"blank in a name":       chunked + "X Y: z\r\n\r\n",
+		"blank after a name":    chunked + "X : z\r\n\r\n",
+		"blank before a name":   chunked + " X: z\r\n\r\n",
+		"NUL in a name":         chunked + "X\x00Y: z\r\n\r\n",
+		"no name":               chunked + ": z\r\n\r\n",
+		"response in its stead": chunked + "HTTP/1.1 200 OK\r\n\r\n",
+	}
+	for name, response := range cases {
+		t.Run(name, func(t *testing.T) { expectError(t, response, StageBody) })
 	}
 }
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -229,7 +229,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp.Body = &responseBody{exchange: x, wrapped: resp.Body, reusable: !resp.Close}
+	x.wrapBody(resp, !resp.Close)
 	return resp, nil
 }
 
@@ -356,33 +356,3 @@
 		return false
 	}
 }
-
-// responseBody is the body of a response. It finishes the exchange at its end.
-type responseBody struct {
-	exchange *exchange
-	wrapped  io.ReadCloser
-	reusable bool
-}
-
-// Read reads the body. A truncated body results in a *Failure.
-func (b *responseBody) Read(p []byte) (int, error) {
-	n, err := b.wrapped.Read(p)
-	switch {
-	case err == nil:
-		return n, nil
-	case errors.Is(err, io.EOF):
-		b.exchange.finish(b.reusable)
-		return n, io.EOF
-	default:
-		failure := newError(b.exchange.ctx, StageBody, err)
-		b.exchange.finish(false)
-		return n, failure
-	}
-}
-
-// Close finishes the exchange. If the body was not read to its end, the connection is
-// closed, not reused.
-func (b *responseBody) Close() error {
-	b.exchange.finish(false)
-	return nil
-}
