--- a/core/link/body.go
+++ b/core/link/body.go
@@ -36,9 +36,9 @@
 		b.exchange.finish(b.reusable)
 		return n, io.EOF
 	}
-	failure := newError(b.exchange.ctx, StageBody, err)
+	err = newError(b.exchange.ctx, StageBody, err)
 	b.exchange.finish(false)
-	return n, failure
+	return n, err
 }
 
 // Close finishes the exchange. If the body was not read to its end, the connection is
--- a/core/link/error.go
+++ b/core/link/error.go
@@ -47,8 +47,8 @@
 }
 
 // Error returns the stage and the cause.
-func (f *Error) Error() string {
-	return fmt.Sprintf("exchange failed at %s: %v", f.Stage, f.Cause)
+func (e *Error) Error() string {
+	return fmt.Sprintf("exchange failed at %s: %v", e.Stage, e.Cause)
 }
 
 // maxCauseBytes is the maximum length of the text of a cause. The errors of net/http quote
@@ -65,29 +65,29 @@
 }
 
 // Unwrap returns the cause.
-func (f *Error) Unwrap() error {
-	return f.Cause
+func (e *Error) Unwrap() error {
+	return e.Cause
 }
 
 // Unsent reports whether it is certain that no byte of the request was sent, so that
 // the request can be retried even if it is not idempotent.
-func (f *Error) Unsent() bool {
-	return f.Stage == StageDial || f.Stage == StageUnsent
+func (e *Error) Unsent() bool {
+	return e.Stage == StageDial || e.Stage == StageUnsent
 }
 
 func newError(ctx context.Context, stage Stage, cause error) *Error {
-	f := &Error{Stage: stage, Cause: shorten(cause)}
-	f.Refused = errors.Is(cause, syscall.ECONNREFUSED)
+	e := &Error{Stage: stage, Cause: shorten(cause)}
+	e.Refused = errors.Is(cause, syscall.ECONNREFUSED)
 	var netErr net.Error
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		f.TimedOut = true
+		e.TimedOut = true
 	case ctx.Err() != nil:
-		f.Cancelled = true
+		e.Cancelled = true
 	case errors.As(cause, &netErr) && netErr.Timeout():
-		f.TimedOut = true
+		e.TimedOut = true
 	}
-	return f
+	return e
 }
 
 func newProtocolError(cause error) *Error {
--- a/core/link/forward.go
+++ b/core/link/forward.go
@@ -62,7 +62,7 @@
 
 // Forward sends the message once and returns the response that belongs to it. The
 // body of the response must be closed. A pooled connection is reused only if it was
-// idle for at most maxIdle. Errors are of type *Failure.
+// idle for at most maxIdle. Errors are of type [*Error].
 func (p *Pool) Forward(ctx context.Context, m *RawRequest, maxIdle time.Duration) (*Response, error) {
 	c, err := p.getConn(ctx, maxIdle)
 	if err != nil {
