--- a/core/link/head_test.go
+++ b/core/link/head_test.go
@@ -58,11 +58,10 @@
 	}
 }
 
-// Guards against a response with a folded line that is taken for a whole one, wherever it
-// ends: the line may be a field with a broken name.
-func TestFoldedResponseIsNotComplete(t *testing.T) {
-	const response = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nX: a\r\n b\r\nContent-Length: 12\r\n\r\nfirst second"
-	for length := range len(response) + 1 {
+// expectCutsToFail expects an error for each start of the response of up to maxLength bytes.
+func expectCutsToFail(t *testing.T, response string, maxLength int) {
+	t.Helper()
+	for length := range maxLength + 1 {
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
 			target := newScriptedTarget(true, response[:length])
@@ -74,6 +73,13 @@
 	}
 }
 
+// Guards against a response with a folded line that is taken for a whole one, wherever it
+// ends: the line may be a field with a broken name.
+func TestFoldedResponseIsNotComplete(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nX: a\r\n b\r\nContent-Length: 12\r\n\r\nfirst second"
+	expectCutsToFail(t, response, len(response))
+}
+
 // Guards against a folded line that is seen only if it arrives with the rest of its head,
 // and against a body that is taken for a part of the head.
 func TestFoldedLineIsSeenInEachHead(t *testing.T) {
@@ -99,16 +105,7 @@
 // part of the head may be taken for the end of the head.
 func TestHeadThatEndsEarlyHasNoBody(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\nConnection: close\r\n\r\n"
-	for length := range len(head) {
-		synctest.Test(t, func(t *testing.T) {
-			g := NewWithT(t)
-			target := newScriptedTarget(true, head[:length])
-			p := NewPool("target:80", WithDial(target.dial))
-			defer p.Close()
-			_, _, err := forwardAndRead(t, p, "r1")
-			g.Expect(err).To(HaveOccurred(), "cut after %q", head[:length])
-		})
-	}
+	expectCutsToFail(t, head, len(head)-1)
 }
 
 // Guards against a keep-alive time that overflows, so that no connection is reused.
@@ -164,27 +161,33 @@
 	},
 }
 
-// expectError sends a request in each way to a target with the response, and expects an
-// error of the stage and a closed connection.
+// expectError sends a request in each way to a target with the response, on a new
+// connection and on a kept one, and expects an error of the stage and a closed connection.
 func expectError(t *testing.T, response string, stage Stage) {
 	t.Helper()
 	for kind, send := range exchangeKinds {
-		t.Run(kind, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				g := NewWithT(t)
-				p := NewPool("target:80", WithDial(newScriptedTarget(false, response).dial))
-				defer p.Close()
-				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-				defer cancel()
-				var f *Error
-				err := send(ctx, p)
-				g.Expect(errors.As(err, &f)).To(BeTrue(), "error %v", err)
-				g.Expect(f.Stage).To(Equal(stage))
-				g.Expect(f.Protocol).To(Equal(stage == StageHead))
-				g.Expect(f.TimedOut).To(BeFalse())
-				g.Expect(p.Stats().Open).To(BeZero())
+		for connection, earlier := range map[string][]string{"new": nil, "kept": {okReply}} {
+			t.Run(kind+"/"+connection, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					target := newScriptedTarget(false, append(earlier, response+okReply)...)
+					p := NewPool("target:80", WithDial(target.dial))
+					defer p.Close()
+					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+					defer cancel()
+					for range earlier {
+						g.Expect(send(ctx, p)).To(Succeed())
+					}
+					var f *Error
+					err := send(ctx, p)
+					g.Expect(errors.As(err, &f)).To(BeTrue(), "error %v", err)
+					g.Expect(f.Stage).To(Equal(stage))
+					g.Expect(f.Protocol).To(Equal(stage == StageHead))
+					g.Expect(f.TimedOut).To(BeFalse())
+					g.Expect(p.Stats()).To(Equal(Stats{Dials: 1, Discards: 1}))
+				})
 			})
-		})
+		}
 	}
 }
 
