Reject a response of HTTP/1.0 with a Transfer-Encoding

What callers saw: a response of HTTP/1.0 with "Transfer-Encoding: chunked" was passed on as a 200 with the target's seal and the chunk sizes in its body ("4\r\nfake\r\n0\r\n\r\n"); with a Content-Length of 4 besides, the body was the first 4 bytes of the chunks.

For HTTP/1.0, net/http drops the field and reads the body by the length or to the end of the connection. RFC 9112, section 6.1, wants the framing of such a message to be treated as faulty. Tried beside it and handled already: two lengths, a list of lengths, a negative or empty one, other or repeated encodings, a control byte in a value. A length beside chunks in HTTP/1.1 is overridden as section 6.3 says, and the body is the target's.

Change: the scanner of the raw lines of a head also looks for the field, and such a response of HTTP/1.0 is an error of the protocol.

--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -30,8 +30,8 @@
 	headBytesLeft int64
 	headLinesLeft int
 	readingHead   bool
-	// folds looks for folded lines in the current head.
-	folds foldScanner
+	// scanner looks at the raw lines of the current head.
+	scanner headScanner
 }
 
 func newConn(n net.Conn) *conn {
--- a/core/link/head_test.go
+++ b/core/link/head_test.go
@@ -140,6 +140,7 @@
 		"blank after a name":             "HTTP/1.1 200 OK\r\nX : z\r\nContent-Length: 4\r\n\r\nfake",
 		"blank after the length":         "HTTP/1.1 200 OK\r\nContent-Length : 9\r\nConnection: close\r\n\r\nfake",
 		"blank after the encoding":       "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nConnection: close\r\n\r\n4\r\nfake\r\n0\r\n\r\n",
+		"encoding and length in 1.0":     "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nfake\r\n0\r\n\r\n",
 		"blank in an interim response":   "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + inner,
 	}
 }
