Reject a response that a reset cut while its request was being sent

Callers saw the first part of a body as a whole answer with status 200: the target answered a long upload at once, without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the system reports a reset once, to the read or the write that comes first, and as the end of the stream to later reads. The end of a response without a length is the end of the stream. If the goroutine that writes the request got the error, the one that read the response took the end for the regular one, and nothing compared the two.

Change: the body of a response that ends with its connection is complete only once the request is sent without an error; Read waits for that at the end of the stream. No order of the two goroutines is left in which the error is lost: the read returns it, or the write has recorded it or is about to. The wait ends at the deadline, when writes fail. Responses with a length or chunks do not wait.

--- a/core/link/body.go
+++ b/core/link/body.go
@@ -14,13 +14,17 @@
 	exchange *exchange
 	response *http.Response
 	wrapped  io.ReadCloser
+	// framed is set if the end of the body follows from its framing, not from the end of
+	// the connection.
+	framed   bool
 	reusable bool
 }
 
 // wrapBody makes the body of the response finish the exchange. reusable is set if the
 // connection can be reused after the end of the body.
 func (x *exchange) wrapBody(resp *http.Response, reusable bool) {
-	resp.Body = &responseBody{exchange: x, response: resp, wrapped: resp.Body, reusable: reusable}
+	framed := selfDelimited(resp.Request.Method, resp)
+	resp.Body = &responseBody{exchange: x, response: resp, wrapped: resp.Body, framed: framed, reusable: reusable}
 }
 
 // Read reads the body. A truncated body or an invalid trailer results in an [*Error].
@@ -30,7 +34,7 @@
 		return n, nil
 	}
 	if errors.Is(err, io.EOF) {
-		err = head.CheckTrailer(b.response)
+		err = b.checkEnd()
 	}
 	if err == nil {
 		b.exchange.finish(b.reusable)
@@ -41,6 +45,17 @@
 	return n, err
 }
 
+// checkEnd returns an error if the body is not complete although its stream has ended. The
+// system reports a reset of the connection only once, to the read or to the write that is
+// first, and as the end of the stream to later reads. So a body that ends with the
+// connection is complete only if the request was sent without an error.
+func (b *responseBody) checkEnd() error {
+	if b.framed {
+		return head.CheckTrailer(b.response)
+	}
+	return b.exchange.sender.wait()
+}
+
 // Close finishes the exchange. If the body was not read to its end, the connection is
 // closed, not reused.
 func (b *responseBody) Close() error {
--- a/core/link/exchange.go
+++ b/core/link/exchange.go
@@ -149,6 +149,13 @@
 	s.err = s.conn.writer.Flush()
 }
 
+// wait waits until the request is sent and returns the error with which that failed. It
+// takes no longer than the context of the exchange, at whose end writes fail.
+func (s *sender) wait() error {
+	<-s.done
+	return s.err
+}
+
 func (s *sender) finished() bool {
 	select {
 	case <-s.done:
