Reject replies that a reset cut in all clients of net/http

Operators and daemons saw a part of a reply as a whole one: wisteriactl reported a change as made, and both clients of the store a write as done, when the server answered a long request at once, without a length, and reset the connection while the request was still being sent.

Cause: as in core/link. The client of net/http takes the end of the stream for the end of such a response, and the error of the reset went to its write.

Change: head.NewTransport gives net/http connections whose stream ends in order only once the current request is sent without an error. Otherwise Read returns the error of the write, and net/http passes it on as that of the body. A trace of the request says when it is sent; the wait ends with the request's context, which closes the connection. The transport can no longer be made without this. Through TLS, only failed writes and the write in progress count: HTTP/2 sends requests side by side, and its responses have a framing of their own.

--- a/core/detect/prober.go
+++ b/core/detect/prober.go
@@ -244,9 +244,9 @@
 
 // NewProbeClient returns a client for HTTPProbe that opens connections with dial.
 func NewProbeClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
-	return &http.Client{Transport: head.Transport{Transport: &http.Transport{
+	return &http.Client{Transport: head.NewTransport(&http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxProbeHead,
-	}}}
+	})}
 }
 
 // HTTPProbe returns a probe that requests the probe path over HTTP. A 2xx
--- a/core/head/transport.go
+++ b/core/head/transport.go
@@ -1,15 +1,31 @@
 package head
 
-import "net/http"
+import (
+	"net"
+	"net/http"
+)
 
-// Transport is an HTTP transport that fails if the head of a response is not valid.
+// Transport is an HTTP transport that fails if the head of a response is not valid, or if
+// the connection was reset before the end of a response that ends with it.
 type Transport struct {
-	*http.Transport
+	transport *http.Transport
+}
+
+// NewTransport returns a Transport that sends requests with t. It changes how t opens
+// connections, so t must not be used before.
+func NewTransport(t *http.Transport) Transport {
+	dial := dialFunc(t.DialContext)
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = dial.dial
+	return Transport{transport: t}
 }
 
 // RoundTrip sends the request and returns its response if the head is valid.
 func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(req)
+	r := &request{sent: make(chan struct{})}
+	resp, err := t.transport.RoundTrip(r.trace(req))
 	if err != nil {
 		return nil, err
 	}
@@ -19,3 +35,8 @@
 	}
 	return resp, nil
 }
+
+// CloseIdleConnections closes the connections that are not in use.
+func (t Transport) CloseIdleConnections() {
+	t.transport.CloseIdleConnections()
+}
--- a/core/head/transport_test.go
+++ b/core/head/transport_test.go
@@ -31,7 +31,7 @@
 			g := NewWithT(t)
 			server := httptest.NewServer(stand.RawHandler(c.response))
 			defer server.Close()
-			client := &http.Client{Transport: head.Transport{Transport: &http.Transport{}}}
+			client := &http.Client{Transport: head.NewTransport(&http.Transport{})}
 			defer client.CloseIdleConnections()
 			resp, err := client.Get(server.URL)
 			if !c.valid {
--- a/core/link/reset_test.go
+++ b/core/link/reset_test.go
@@ -6,8 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -117,66 +115,17 @@
 	}
 }
 
-// resetConn is a connection that delivers a response and then the end of the stream, while
-// the error of a reset goes to the write of the request body.
-type resetConn struct {
-	net.Conn
-	response *strings.Reader
-	// failFirst makes the write fail before the end is read, otherwise it fails after.
-	failFirst  bool
-	written    int
-	writeEnded chan struct{}
-	readEnded  chan struct{}
-}
-
-func newResetConn(failFirst bool) *resetConn {
-	return &resetConn{
-		response: strings.NewReader("HTTP/1.1 200 OK\r\n\r\npartial"), failFirst: failFirst,
-		writeEnded: make(chan struct{}), readEnded: make(chan struct{}),
-	}
-}
-
-func (c *resetConn) Read(p []byte) (int, error) {
-	if c.response.Len() > 0 {
-		return c.response.Read(p)
-	}
-	if c.failFirst {
-		<-c.writeEnded
-		return 0, io.EOF
-	}
-	close(c.readEnded)
-	return 0, io.EOF
-}
-
-// Write accepts the first bytes and fails at the next ones.
-func (c *resetConn) Write(p []byte) (int, error) {
-	if c.written == 0 {
-		c.written = len(p)
-		return len(p), nil
-	}
-	if !c.failFirst {
-		<-c.readEnded
-		time.Sleep(time.Second) // Until nothing else can go on.
-	}
-	close(c.writeEnded)
-	return 0, syscall.ECONNRESET
-}
-
-func (c *resetConn) Close() error { return nil }
-
-func (c *resetConn) SetDeadline(time.Time) error { return nil }
-
 // Guards against an order of events that a real connection shows only now and then: the end
 // of the response is read before or after the request fails to be sent.
 func TestResponseIsTruncatedWhoeverSeesReset(t *testing.T) {
-	for name, failFirst := range map[string]bool{"write fails first": true, "end is read first": false} {
+	for name, end := range map[string]stand.EarlyEnd{"write fails first": stand.ResetWriteFirst, "end is read first": stand.ResetReadFirst} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
-				c := newResetConn(failFirst)
+				c := stand.NewEarlyConn(unframedHeads["version 1.1"]+"partial", end)
 				p := NewPool("target", WithDial(func(context.Context, string, string) (net.Conn, error) { return c, nil }))
 				_, err := upload(t.Context(), p, longUpload)
-				<-c.writeEnded
+				<-c.WriteEnded
 				var f *Error
 				g.Expect(errors.As(err, &f)).To(BeTrue(), "error %v", err)
 				g.Expect(f.Stage).To(Equal(StageBody))
@@ -192,7 +141,7 @@
 func TestUnreadUploadWaitsUntilDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		c := &unreadConn{resetConn: newResetConn(false), aborted: make(chan struct{})}
+		c := stand.NewEarlyConn(unframedHeads["version 1.1"]+"whole", stand.Unread)
 		p := NewPool("target", WithDial(func(context.Context, string, string) (net.Conn, error) { return c, nil }))
 		start := time.Now()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
@@ -206,24 +155,3 @@
 		g.Expect(p.Stats()).To(Equal(Stats{Dials: 1, Discards: 1}))
 	})
 }
-
-// unreadConn is a connection whose target never reads the request body.
-type unreadConn struct {
-	*resetConn
-	aborted chan struct{}
-}
-
-// Write accepts the first bytes and then blocks until the connection is aborted.
-func (c *unreadConn) Write(p []byte) (int, error) {
-	if c.written == 0 {
-		c.written = len(p)
-		return len(p), nil
-	}
-	<-c.aborted
-	return 0, os.ErrDeadlineExceeded
-}
-
-func (c *unreadConn) SetDeadline(time.Time) error {
-	close(c.aborted)
-	return nil
-}
--- a/core/store/client.go
+++ b/core/store/client.go
@@ -84,7 +84,7 @@
 }
 
 func newTransport() http.RoundTripper {
-	return head.Transport{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes}}
+	return head.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes})
 }
 
 // ClientState is the state of the client as shown in the state dump. Table is the
--- a/core/store/store_test.go
+++ b/core/store/store_test.go
@@ -116,6 +116,16 @@
 		Entry("status 000", "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}"),
 	)
 
+	It("does not take a write for done whose reply was cut by a reset", func() {
+		for i := range resetTries {
+			broken := httptest.NewServer(stand.EarlyHandler{Response: "HTTP/1.1 200 OK\r\n\r\n{", End: stand.ResetAfter(time.Duration(i%10) * time.Millisecond)})
+			client := store.NewClient(broken.URL)
+			Expect(client.Objects().Put(ctx, "o", make([]byte, 8<<20))).To(beKind(fault.StoreAmbiguous))
+			client.Close()
+			broken.Close()
+		}
+	})
+
 	It("stops requests to a component that is down, and to no other component", func() {
 		p.SetFaults(stand.PlatformFaults{TableDown: true})
 		for range 20 {
@@ -128,6 +138,10 @@
 	})
 })
 
+// resetTries is how often a reset during a long write is tried: the result may depend on
+// which goroutine notices it first.
+const resetTries = 20
+
 // handlerTransport calls the handler in the caller's goroutine, because a synctest
 // bubble cannot use the network.
 type handlerTransport struct{ handler http.Handler }
--- a/wisteriactl/client.go
+++ b/wisteriactl/client.go
@@ -23,7 +23,7 @@
 const callTimeout = 30 * time.Second
 
 // apiClient sends the requests to the administration API.
-var apiClient = &http.Client{Transport: head.Transport{Transport: http.DefaultTransport.(*http.Transport).Clone()}}
+var apiClient = &http.Client{Transport: head.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
 
 // apiRequest is a request to the administration API. Its path is relative to /v1.
 type apiRequest struct {
--- a/wisteriactl/main_test.go
+++ b/wisteriactl/main_test.go
@@ -116,6 +116,20 @@
 		Entry("blank in a name", "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\n{}"),
 	)
 
+	// Guards against a change that is reported as made although a reset cut the reply. The
+	// result may depend on which goroutine notices the reset first.
+	It("does not take a reply that was cut by a reset for a whole one", func() {
+		file := filepath.Join(GinkgoT().TempDir(), "settings.json")
+		Expect(os.WriteFile(file, make([]byte, 8<<20), 0o600)).To(Succeed())
+		for i := range 20 {
+			server := httptest.NewServer(stand.EarlyHandler{Response: "HTTP/1.1 200 OK\r\n\r\n{}", End: stand.ResetAfter(time.Duration(i%10) * time.Millisecond)})
+			f := &fixture{url: server.URL}
+			code, _, _ := f.run("marta", "bootstrap", file)
+			Expect(code).To(Equal(exitUnknown))
+			server.Close()
+		}
+	})
+
 	// Guards against an exit code that makes a script mistake a refusal or an
 	// unknown outcome for success.
 	It("exits with distinct codes for done, refused, wrong usage and not yet known", func() {
