Do not take a truncated response to a probe for an answer

Daemons of the own interface saw a target as healthy that answered probes with 200 and broke off the body: the body was read only so that the connection could be reused, and the error at its end was ignored.

Change: such a response counts as none, like one with a broken head; a body that the probe's timeout cuts counts as a timeout. Only the first 4 KiB are read, as before.

The relay of the users' platform sends no probes.

--- a/core/detect/prober.go
+++ b/core/detect/prober.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"wisteriarelay.example/core/fleet"
 	"wisteriarelay.example/core/head"
 )
@@ -21,7 +23,7 @@
 	// maxProbeHead bounds the size of a response head with the interim responses before it.
 	maxProbeHead = 64 << 10
 	// maxProbeBody bounds how much of a response body is read. The body is read
-	// so that the connection can be reused.
+	// so that the connection can be reused, and because a truncated one is no answer.
 	maxProbeBody = 4 << 10
 	// LeavingHeader is the response header by which a target announces that it
 	// is leaving.
@@ -251,7 +253,8 @@
 
 // HTTPProbe returns a probe that requests the probe path over HTTP. A 2xx
 // status is OK, 429 is Shed, and anything else is a failure; the header
-// Wisteria-Leaving states that the target is leaving, whatever the status.
+// Wisteria-Leaving states that the target is leaving, whatever the status. A
+// response whose body ends too early is no answer.
 // Redirects are not followed, since they would probe something else.
 func HTTPProbe(client *http.Client) func(context.Context, fleet.Target, fleet.Probe) ProbeAnswer {
 	direct := *client
@@ -266,7 +269,9 @@
 			return ProbeAnswer{Result: transportErrorResult(ctx)}
 		}
 		defer resp.Body.Close()
-		_, _ = io.CopyN(io.Discard, resp.Body, maxProbeBody)
+		if _, err := io.CopyN(io.Discard, resp.Body, maxProbeBody); err != nil && !errors.Is(err, io.EOF) {
+			return ProbeAnswer{Result: transportErrorResult(ctx)}
+		}
 		a := ProbeAnswer{Result: Failed, Answered: true, Leaving: resp.Header.Get(LeavingHeader) == "true"}
 		switch {
 		case resp.StatusCode/100 == 2:
--- a/core/detect/prober_test.go
+++ b/core/detect/prober_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -98,6 +99,23 @@
 		Entry("status 600", "HTTP/1.1 600 None\r\nWisteria-Leaving: true\r\nContent-Length: 2\r\n\r\nok"),
 	)
 
+	DescribeTable("does not take a truncated response for an answer, so that its target is not healthy",
+		func(response string, end func(*net.TCPConn, io.Reader), want ProbeAnswer) {
+			s := httptest.NewServer(stand.EarlyHandler{Response: response, End: end})
+			defer s.Close()
+			client := NewProbeClient((&net.Dialer{}).DialContext)
+			defer client.CloseIdleConnections()
+			target := fleet.Target{Address: strings.TrimPrefix(s.URL, "http://")}
+			got := HTTPProbe(client)(context.Background(), target, fleet.Probe{Path: "/health"})
+			gomega.Expect(got).To(gomega.Equal(want))
+		},
+		Entry("shorter than its length", "HTTP/1.1 200 OK\r\nWisteria-Leaving: true\r\nContent-Length: 9\r\n\r\nok", stand.ReadThenClose, ProbeAnswer{Result: Unreachable}),
+		Entry("without the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", stand.ReadThenClose, ProbeAnswer{Result: Unreachable}),
+		Entry("reset before its end", "HTTP/1.1 200 OK\r\n\r\nok", stand.ResetAfter(0), ProbeAnswer{Result: Unreachable}),
+		Entry("whole, ends with the connection", "HTTP/1.1 200 OK\r\n\r\nok", stand.ReadThenClose, ProbeAnswer{Result: OK, Answered: true}),
+		Entry("longer than what is read", "HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n"+strings.Repeat("a", maxProbeBody), stand.ReadThenClose, ProbeAnswer{Result: OK, Answered: true}),
+	)
+
 	It("reports unreachable targets", func() {
 		got := HTTPProbe(http.DefaultClient)(context.Background(), fleet.Target{Address: "127.0.0.1:1"}, fleet.Probe{Path: "/"})
 		gomega.Expect(got).To(gomega.Equal(ProbeAnswer{Result: Unreachable}))
