Test that the own interface refuses responses without a length

It does not: core/proxy refuses any response that ends with its connection, as 502 with the outcome unknown. Now a test sends such responses over real connections, with 8 MiB and 200 B, reset and closed in order.

--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -74,6 +74,13 @@
 	return tr
 }
 
+// moveTarget replaces the targets by one that the server stands for.
+func (tr *testRelay) moveTarget(s *httptest.Server) {
+	moved := *tr.service
+	moved.Targets = []fleet.Target{{ID: "t1", Address: s.Listener.Addr().String(), Slots: 2}}
+	tr.carrier.Update(&moved, []limit.Target{{ID: "t1", Slots: 2, State: choose.Ready, Weight: 1}}, nil)
+}
+
 func newOrderManager() *order.Manager {
 	signer, err := order.NewSigner([]byte("0123456789abcdef"))
 	Expect(err).NotTo(HaveOccurred())
@@ -181,9 +188,7 @@
 			fmt.Fprint(w, "ok")
 		}))
 		DeferCleanup(s.Close)
-		moved := *tr.service
-		moved.Targets = []fleet.Target{{ID: "t1", Address: s.Listener.Addr().String(), Slots: 2}}
-		tr.carrier.Update(&moved, []limit.Target{{ID: "t1", Slots: 2, State: choose.Ready, Weight: 1}}, nil)
+		tr.moveTarget(s)
 		resp := tr.do("GET", "/stock?x=1%2F2", http.Header{
 			"Connection": {"X-Private"}, "X-Private": {"1"}, HeaderDeadline: {"900"}, "Traceparent": {"00-a-b-01"},
 			"Forwarded": {"for=10.0.0.9"},
@@ -225,15 +230,31 @@
 		}))
 		DeferCleanup(s.Close)
 		tr := newTestRelay(1, lookupRoute())
-		moved := *tr.service
-		moved.Targets = []fleet.Target{{ID: "t1", Address: s.Listener.Addr().String(), Slots: 2}}
-		tr.carrier.Update(&moved, []limit.Target{{ID: "t1", Slots: 2, State: choose.Ready, Weight: 1}}, nil)
+		tr.moveTarget(s)
 		resp := tr.do("GET", "/stock", nil, nil)
 		_, err := io.ReadAll(resp.Body)
 		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 		Eventually(func() int { return len(tr.carrier.Limiter().MeanLoads()) }).WithTimeout(10 * time.Second).Should(BeZero())
 	})
 
+	DescribeTable("refuses a response that ends with its connection, whether or not a reset cut it",
+		func(head string, bytes int, end func(*net.TCPConn, io.Reader)) {
+			s := httptest.NewServer(stand.EarlyHandler{Response: head + "partial", End: end})
+			DeferCleanup(s.Close)
+			tr := newTestRelay(1, fleet.Route{Name: "up", Methods: []string{"PUT"}, PathPrefix: "/", Idempotent: true, Deadline: 5 * time.Second, Attempts: 1, MaxBody: 16 << 20})
+			tr.moveTarget(s)
+			for range 10 {
+				resp := tr.do("PUT", "/x", nil, strings.NewReader(strings.Repeat("a", bytes)))
+				Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+				Expect(decodeProblem(resp).Outcome).To(BeEquivalentTo("unknown"))
+			}
+		},
+		Entry("reset, long upload", "HTTP/1.1 200 OK\r\n\r\n", 8<<20, stand.ResetAfter(time.Millisecond)),
+		Entry("reset, HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\n", 8<<20, stand.ResetAfter(time.Millisecond)),
+		Entry("reset, Connection: close", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", 8<<20, stand.ResetAfter(time.Millisecond)),
+		Entry("closed in order, short upload", "HTTP/1.1 200 OK\r\n\r\n", 200, stand.ReadThenClose),
+	)
+
 	It("streams a large request body and refuses one that is too large", func() {
 		route := fleet.Route{Name: "up", Methods: []string{"PUT"}, PathPrefix: "/", Idempotent: true, Deadline: 5 * time.Second, Attempts: 2, MaxBody: 1 << 20}
 		tr := newTestRelay(1, route)
