Scan the raw lines of heads in all clients of net/http

Daemons and operators read a broken reply as a good one: probes took a target as healthy, both clients of the store a write as done and wisteriactl a change as made after a head with a line that begins with a blank, such as " Y: z", an HTTP/1.0 head with a Transfer-Encoding, a status line of HTTP/2.0, or a broken name in an interim response. With a folded Transfer-Encoding, an object of the store would have been read with the chunk sizes in it.

Cause: net/http does not show these to its callers. core/link scans the raw lines of heads for them; the other clients had no access to the raw lines.

Change: the scanner moves from core/link to core/head, and the connections of head.NewTransport feed it. Each exchange has a scanner of its own, so that a kept connection starts anew; interim heads are scanned as well. Their names are checked in a hook, with which net/http applies its limit on heads to each of them anew, so at most 16 are read. Not scanned: replies through TLS, which wisteriactl and core/store may use.

--- a/core/detect/prober.go
+++ b/core/detect/prober.go
@@ -20,7 +20,7 @@
 	// assignInterval is how often the prober checks which targets are assigned
 	// to it.
 	assignInterval = time.Second
-	// maxProbeHead bounds the size of a response head with the interim responses before it.
+	// maxProbeHead bounds the size of each head, of a response or of an interim one.
 	maxProbeHead = 64 << 10
 	// maxProbeBody bounds how much of a response body is read. The body is read
 	// so that the connection can be reused, and because a truncated one is no answer.
--- a/core/detect/prober_test.go
+++ b/core/detect/prober_test.go
@@ -94,6 +94,7 @@
 		},
 		Entry("blank in a name", "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\nok"),
 		Entry("blank after a name", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nConnection: close\r\n\r\nok"),
+		Entry("blank before a name", "HTTP/1.1 200 OK\r\nX: z\r\n Y: z\r\nContent-Length: 2\r\n\r\nok"),
 		Entry("NUL in a name", "HTTP/1.1 200 OK\r\nX\x00Y: z\r\nContent-Length: 2\r\n\r\nok"),
 		Entry("status 000", "HTTP/1.1 000 None\r\nWisteria-Leaving: true\r\nContent-Length: 2\r\n\r\nok"),
 		Entry("status 600", "HTTP/1.1 600 None\r\nWisteria-Leaving: true\r\nContent-Length: 2\r\n\r\nok"),
--- a/core/head/conn.go
+++ b/core/head/conn.go
@@ -27,8 +27,9 @@
 // the write that is first, and as the end of the stream to later reads.
 type conn struct {
 	net.Conn
-	// request is the request that was last sent; nil if none was, or if it is not known.
-	request atomic.Pointer[request]
+	// exchange is the last one on the connection; nil if there was none, or if it is not
+	// known.
+	exchange atomic.Pointer[exchange]
 	// turn holds one element while a write is in progress, or while writeErr is read.
 	turn chan struct{}
 	// writeErr is the error of the first write that failed.
@@ -52,22 +53,25 @@
 // sent, and returns the error of a write that has failed in place of [io.EOF].
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	x := c.exchange.Load()
+	if x != nil {
+		x.scanner.scanAll(p[:n])
+	}
 	if errors.Is(err, io.EOF) {
-		c.waitUntilSent()
+		c.waitUntilSent(x)
 		err = c.endOfStream()
 	}
 	return n, err
 }
 
-// waitUntilSent waits until the current request is sent or the connection is closed, as it
-// is when the context of the request ends.
-func (c *conn) waitUntilSent() {
-	r := c.request.Load()
-	if r == nil {
+// waitUntilSent waits until the request is sent, its context ends or the connection is closed.
+func (c *conn) waitUntilSent(x *exchange) {
+	if x == nil {
 		return
 	}
 	select {
-	case <-r.sent:
+	case <-x.sent:
+	case <-x.done:
 	case <-c.closed:
 	}
 }
--- a/core/head/transport.go
+++ b/core/head/transport.go
@@ -24,12 +24,12 @@
 
 // RoundTrip sends the request and returns its response if the head is valid.
 func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	r := &request{sent: make(chan struct{})}
-	resp, err := t.transport.RoundTrip(r.trace(req))
+	var tr tracer
+	resp, err := t.transport.RoundTrip(tr.trace(req))
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckResponse(resp); err != nil {
+	if err := tr.check(resp); err != nil {
 		_ = resp.Body.Close()
 		return nil, err
 	}
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"wisteriarelay.example/core/head"
 )
 
 const bufferSize = 4 << 10
@@ -31,7 +33,7 @@
 	headLinesLeft int
 	readingHead   bool
 	// scanner looks at the raw lines of the current head.
-	scanner headScanner
+	scanner head.Scanner
 }
 
 func newConn(n net.Conn) *conn {
--- a/core/store/client.go
+++ b/core/store/client.go
@@ -14,7 +14,7 @@
 
 const (
 	defaultTimeout = 2 * time.Second
-	// maxHeadBytes limits the head of a reply with the interim replies before it.
+	// maxHeadBytes limits each head, of a reply or of an interim one.
 	maxHeadBytes = 64 << 10
 	// maxReplyBytes limits the body of a reply. The limit of 16 MiB is above the size
 	// of any snapshot of the settings.
--- a/core/store/store_test.go
+++ b/core/store/store_test.go
@@ -113,6 +113,7 @@
 		},
 		Entry("blank in a name", "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\n{}"),
 		Entry("blank after a name", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nConnection: close\r\n\r\n2\r\n{}\r\n0\r\n\r\n"),
+		Entry("blank before a name", "HTTP/1.1 200 OK\r\nX: z\r\n Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n2\r\n{}\r\n0\r\n\r\n"),
 		Entry("status 000", "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}"),
 	)
 
--- a/wisteriactl/main_test.go
+++ b/wisteriactl/main_test.go
@@ -113,6 +113,7 @@
 		Expect(code).NotTo(Equal(exitDone))
 	},
 		Entry("status 000", "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}"),
+		Entry("blank before a name", "HTTP/1.1 200 OK\r\nX: z\r\n Y: z\r\nContent-Length: 2\r\n\r\n{}"),
 		Entry("blank in a name", "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\n{}"),
 	)
 
