--- a/core/link/head_test.go
+++ b/core/link/head_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
+	"golang.org/x/net/http/httpguts"
 )
 
 // forwardAndRead forwards a request with the id and reads the whole response.
@@ -215,3 +216,36 @@
 		t.Run(name, func(t *testing.T) { expectError(t, response, StageBody) })
 	}
 }
+
+// Guards against a byte that no field name may hold and that is accepted at some place in
+// the name of some field.
+func TestInvalidByteInNameIsAnError(t *testing.T) {
+	fields := map[string]string{"X-Y": "z", "Content-Length": "9", "Transfer-Encoding": "chunked"}
+	for b := range 256 {
+		char := string([]byte{byte(b)})
+		if char == ":" || httpguts.ValidHeaderFieldName(char) {
+			continue
+		}
+		for name, value := range fields {
+			for _, at := range []int{0, 1, len(name)} {
+				if char == "\n" && at == 0 {
+					continue // This ends the head.
+				}
+				line := name[:at] + char + name[at:] + ": " + value + "\r\n"
+				for _, head := range []string{line + "A: b\r\n", "A: b\r\n" + line} {
+					expectRejected(t, "HTTP/1.1 200 OK\r\n"+head+"Connection: close\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+				}
+			}
+		}
+	}
+}
+
+// expectRejected forwards a request to a target with the response and expects an error.
+func expectRejected(t *testing.T, response string) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPool("target:80", WithDial(newScriptedTarget(true, response).dial))
+		defer p.Close()
+		NewWithT(t).Expect(exchangeKinds["forward"](t.Context(), p)).NotTo(Succeed(), "%q", response)
+	})
+}
