--- a/core/detect/prober_test.go
+++ b/core/detect/prober_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -101,7 +100,7 @@
 	)
 
 	DescribeTable("does not take a truncated response for an answer, so that its target is not healthy",
-		func(response string, end func(*net.TCPConn, io.Reader), want ProbeAnswer) {
+		func(response string, end stand.ConnEnd, want ProbeAnswer) {
 			s := httptest.NewServer(stand.EarlyHandler{Response: response, End: end})
 			defer s.Close()
 			client := NewProbeClient((&net.Dialer{}).DialContext)
--- a/core/head/exchange.go
+++ b/core/head/exchange.go
@@ -10,13 +10,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxInterims is the maximum number of interim responses before a response. For each of
+// maxInterimResponses is the maximum number of interim responses before a response. For each of
 // them, net/http applies its limit on heads anew.
-const maxInterims = 16
+const maxInterimResponses = 16
 
 var (
-	errEarlyResponse   = errors.New("response began before its request")
-	errTooManyInterims = errors.Newf("more than %d interim responses", maxInterims)
+	errEarlyResponse  = errors.New("response began before its request")
+	errTooManyInterim = errors.Newf("more than %d interim responses", maxInterimResponses)
 )
 
 // exchange is a request on its way over a connection, and the head of the response to it.
@@ -45,8 +45,8 @@
 	done <-chan struct{}
 	// current is the last exchange; nil if there is none, or if it is not known.
 	current atomic.Pointer[exchange]
-	// interims is the number of interim responses.
-	interims atomic.Int64
+	// interimCount is the number of interim responses.
+	interimCount atomic.Int64
 }
 
 // trace returns the request with a trace that ties its exchange to the connection. It does
@@ -80,8 +80,8 @@
 
 // checkInterim returns an error if the head of an interim response is not valid.
 func (t *tracer) checkInterim(_ int, h textproto.MIMEHeader) error {
-	if t.interims.Add(1) > maxInterims {
-		return errTooManyInterims
+	if t.interimCount.Add(1) > maxInterimResponses {
+		return errTooManyInterim
 	}
 	return checkNames(http.Header(h))
 }
--- a/core/head/reset_test.go
+++ b/core/head/reset_test.go
@@ -60,20 +60,13 @@
 // whole one: if the goroutine that sends the request gets the error of the reset, the one
 // that reads the response gets the end of the stream.
 func TestResetDuringUploadTruncatesResponse(t *testing.T) {
-	ends := map[string]func(time.Duration) func(*net.TCPConn, io.Reader){
-		"reset": stand.ResetAfter, "close": stand.CloseAfter, "end of stream, then reset": stand.CloseWriteThenReset,
-	}
-	for name, endAfter := range ends {
+	for name, endAfter := range stand.ResetEnds() {
 		t.Run(name, func(t *testing.T) {
-			g := NewWithT(t)
-			whole := 0
-			for i := range earlyTries {
-				handler := stand.EarlyHandler{Response: unframed + "partial", End: endAfter(time.Duration(i%10) * time.Millisecond)}
-				if _, err := uploadTo(t, handler, longUpload); err == nil {
-					whole++
-				}
-			}
-			g.Expect(whole).To(BeZero(), "truncated responses taken for whole ones, of %d", earlyTries)
+			whole := stand.CountWhole(earlyTries, unframed+"partial", endAfter, func(handler stand.EarlyHandler) error {
+				_, err := uploadTo(t, handler, longUpload)
+				return err
+			})
+			NewWithT(t).Expect(whole).To(BeZero(), "truncated responses taken for whole ones, of %d", earlyTries)
 		})
 	}
 }
@@ -102,7 +95,7 @@
 	const framed = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
 	cases := map[string]struct {
 		head  string
-		end   func(*net.TCPConn, io.Reader)
+		end   stand.ConnEnd
 		bytes int
 	}{
 		"read, then close": {unframed, stand.ReadThenClose, len(longUpload)},
--- a/core/head/scanner.go
+++ b/core/head/scanner.go
@@ -16,10 +16,10 @@
 // encodingField is the start of a line with a Transfer-Encoding.
 const encodingField = "Transfer-Encoding:"
 
-// Scanner looks at the raw lines of the head of a response for what net/http does not show. It joins a line that begins with a blank to the
-// one before it, although the line may be a field whose name is broken; a proxy may reject it
-// (RFC 9112, section 5.2). It drops the Transfer-Encoding of a response of HTTP/1.0, whose
-// framing is faulty (section 6.1).
+// Scanner looks at the raw lines of the head of a response for what net/http does not show.
+// net/http joins a line that begins with a blank to the one before it, although the line may
+// be a field whose name is broken; a proxy may reject it (RFC 9112, section 5.2). It drops the
+// Transfer-Encoding of a response of HTTP/1.0, whose framing is faulty (section 6.1).
 type Scanner struct {
 	// column is the number of bytes of the current line so far, without CR, and start holds
 	// the first ones.
@@ -51,7 +51,8 @@
 	return nil
 }
 
-// scanAll reads the next bytes of a response with the interim responses before it.
+// scanAll reads the next bytes of a response with the interim responses before it. It keeps
+// looking for a head after each interim one.
 func (s *Scanner) scanAll(p []byte) {
 	for rest := s.Scan(p); s.ended && s.interim; rest = s.Scan(rest) {
 		*s = Scanner{folded: s.folded}
--- a/core/link/reset_test.go
+++ b/core/link/reset_test.go
@@ -59,21 +59,14 @@
 // whole one: if the goroutine that sends the request gets the error of the reset, the one
 // that reads the response gets the end of the stream.
 func TestResetDuringUploadTruncatesResponse(t *testing.T) {
-	ends := map[string]func(time.Duration) func(*net.TCPConn, io.Reader){
-		"reset": stand.ResetAfter, "close": stand.CloseAfter, "end of stream, then reset": stand.CloseWriteThenReset,
-	}
 	for name, head := range unframedHeads {
-		for end, endAfter := range ends {
+		for end, endAfter := range stand.ResetEnds() {
 			t.Run(name+"/"+end, func(t *testing.T) {
-				g := NewWithT(t)
-				whole := 0
-				for i := range earlyTries {
-					target := stand.EarlyHandler{Response: head + "partial", End: endAfter(time.Duration(i%10) * time.Millisecond)}
-					if _, err := uploadTo(t, target, longUpload); err == nil {
-						whole++
-					}
-				}
-				g.Expect(whole).To(BeZero(), "truncated responses taken for whole ones, of %d", earlyTries)
+				whole := stand.CountWhole(earlyTries, head+"partial", endAfter, func(target stand.EarlyHandler) error {
+					_, err := uploadTo(t, target, longUpload)
+					return err
+				})
+				NewWithT(t).Expect(whole).To(BeZero(), "truncated responses taken for whole ones, of %d", earlyTries)
 			})
 		}
 	}
@@ -83,7 +76,7 @@
 // reads the request to its end.
 func TestEarlyResponseWithoutLengthIsWhole(t *testing.T) {
 	const maxBody = 7 << 20
-	ends := map[string]func(*net.TCPConn, io.Reader){"read, then close": stand.ReadThenClose, "close, then read": stand.CloseWriteThenRead}
+	ends := map[string]stand.ConnEnd{"read, then close": stand.ReadThenClose, "close, then read": stand.CloseWriteThenRead}
 	for name, head := range unframedHeads {
 		for end, endConn := range ends {
 			for _, length := range []int{0, 200, maxBody} {
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -238,7 +238,7 @@
 	})
 
 	DescribeTable("refuses a response that ends with its connection, whether or not a reset cut it",
-		func(head string, bytes int, end func(*net.TCPConn, io.Reader)) {
+		func(head string, bytes int, end stand.ConnEnd) {
 			s := httptest.NewServer(stand.EarlyHandler{Response: head + "partial", End: end})
 			DeferCleanup(s.Close)
 			tr := newTestRelay(1, fleet.Route{Name: "up", Methods: []string{"PUT"}, PathPrefix: "/", Idempotent: true, Deadline: 5 * time.Second, Attempts: 1, MaxBody: 16 << 20})
--- a/core/stand/early_conn.go
+++ b/core/stand/early_conn.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"context"
 	"io"
 	"net"
 	"os"
@@ -69,7 +70,7 @@
 	switch c.end {
 	case ResetReadFirst:
 		<-c.streamEnd
-		time.Sleep(time.Second) // Until nothing else can go on.
+		sleep(context.Background(), time.Second) // Until nothing else can go on.
 	case Unread:
 		<-c.aborted
 		return 0, os.ErrDeadlineExceeded
