Count a target as failing whose streamed response was cut

Callers were sent to a target again that had cut a streamed response: the target was not known to fail.

Cause: when a stream fails, the caller's connection is closed, which aborts the stream of a safe request, and a stream that was aborted said nothing about its target, also if it had failed before. The abort runs beside the end of the stream, so that the result depended on which came first.

Evidence: TestStreamCutByResetIsCut failed in 1 of 5 runs of the tests of the reset in platform with -race, and in 1 of 24 runs alone; after six cut streams the fail rate of the target was that of one of which nothing is known.

Change: a failure counts against the target unless the stream was aborted before it. A caller who leaves first still says nothing.

Measured: core/relay TestTruncatedStreamCountsAgainstTarget aborts after the failure; it failed before (fail rate 0.26, more than 0.5 expected) and passes now. TestStreamCutByResetIsCut passes in 12 runs with -race.

--- a/core/relay/large_test.go
+++ b/core/relay/large_test.go
@@ -301,3 +301,44 @@
 		time.Sleep(a.pause) // until the goroutine of the target has ended
 	})
 }
+
+// highestFailRate returns the highest fail rate of the relay's targets.
+func highestFailRate(r *relay.Relay) float64 {
+	highest := 0.0
+	for _, s := range r.TargetPool("archive").State() {
+		highest = max(highest, s.FailRate)
+	}
+	return highest
+}
+
+// Guards against a target that is not known to fail although it cut a streamed response: the
+// caller's connection is closed after that, which aborts the stream. A caller that leaves
+// first says nothing about the target.
+func TestTruncatedStreamCountsAgainstTarget(t *testing.T) {
+	for name, leavesFirst := range map[string]bool{"target cuts the response": false, "caller leaves first": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				a := &largeTarget{broken: true}
+				r := a.newRelay(relay.WithResponseMemory(1))
+				defer r.SetTargets(nil)
+				before := highestFailRate(r)
+				resp := sendRequest(t.Context(), r)
+				g.Expect(resp.UnreadBody).NotTo(BeNil())
+				if leavesFirst {
+					resp.Abort()
+				}
+				_, err := io.ReadAll(resp.UnreadBody)
+				g.Expect(err).To(HaveOccurred())
+				resp.Abort()
+				_ = resp.UnreadBody.Close()
+				resp.Release()
+				if leavesFirst {
+					g.Expect(highestFailRate(r)).To(BeNumerically("<=", before))
+					return
+				}
+				g.Expect(highestFailRate(r)).To(BeNumerically(">", 0.5))
+			})
+		})
+	}
+}
--- a/core/relay/stream.go
+++ b/core/relay/stream.go
@@ -26,11 +26,13 @@
 	remaining int64
 	// length is the number of bytes that are still to be read from the body; below 0 if
 	// it is not known.
-	length  int64
-	failed  bool
-	aborted atomic.Bool
-	settled sync.Once
-	ended   sync.Once
+	length int64
+	// failed is set if the body could not be read to its end, broken if the target is the
+	// cause: the stream was not aborted before.
+	failed, broken bool
+	aborted        atomic.Bool
+	settled        sync.Once
+	ended          sync.Once
 
 	// turn holds one element while the body is read. The fields that are not safe for
 	// concurrent use belong to the goroutine that put it there.
@@ -108,7 +110,8 @@
 	n, err := io.ReadFull(s.body, s.filled)
 	s.filled, s.isFilled = s.filled[:n], true
 	if err != nil {
-		s.failed, s.fillErr = true, err
+		s.fail()
+		s.fillErr = err
 		s.settle(s.observation())
 		return true
 	}
@@ -127,7 +130,7 @@
 		return s.readFilled(p)
 	}
 	if s.remaining <= 0 {
-		s.failed = true
+		s.fail()
 		return 0, errResponseTooLarge
 	}
 	n, err := s.body.Read(p[:min(int64(len(p)), s.remaining)])
@@ -135,10 +138,18 @@
 	if s.length >= 0 {
 		s.length -= int64(n)
 	}
-	s.failed = s.failed || err != nil && !errors.Is(err, io.EOF)
+	if err != nil && !errors.Is(err, io.EOF) {
+		s.fail()
+	}
 	return n, err
 }
 
+// fail records that the body could not be read to its end.
+func (s *bodyStream) fail() {
+	s.failed = true
+	s.broken = s.broken || !s.aborted.Load()
+}
+
 func (s *bodyStream) endRead() {
 	s.readAt = time.Now()
 	<-s.turn
@@ -160,13 +171,14 @@
 	s.attempt.cancel()
 }
 
-// observation is what the stream showed about its target: nothing if it was aborted.
+// observation is what the stream showed about its target: nothing if it was aborted before
+// it failed.
 func (s *bodyStream) observation() judge.Result {
 	switch {
+	case s.broken:
+		return judge.Broken
 	case s.aborted.Load():
 		return judge.Nothing
-	case s.failed:
-		return judge.Broken
 	default:
 		return judge.Served
 	}
