--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -26,6 +26,7 @@
 	rec    *record
 	client *http.Client
 	host   string
+	key    string
 	mu     sync.Mutex
 	number int
 	all    []*reply
@@ -49,6 +50,9 @@
 	req, err := http.NewRequest(method, "http://"+d.front()+path, strings.NewReader(body))
 	must(err)
 	req.Host = s.host
+	if s.key != "" {
+		req.Header.Set("Api-Key", s.key)
+	}
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
 	s.rec.log("send     %s to %s: %s %s", id, d.name, method, path)
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -12,7 +12,8 @@
 
 // cases maps the name of a case to its run. It returns true if the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) bool{
-	"drill": drill,
+	"drill":    drill,
+	"pipeline": pipeline,
 }
 
 func main() {
--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,12 +29,17 @@
 	seq               atomic.Int64
 	state             atomic.Value
 	leaving           atomic.Bool
-	slots             chan struct{}
-	waiting           atomic.Int32
-	listener          net.Listener
-	http              *http.Server
-	stop              chan struct{}
-	stopOnce          sync.Once
+	// pad is the number of bytes that are added to each answer.
+	pad int
+	// breakEvery, if set, lets the server break off one in so many answers in the middle.
+	breakEvery int64
+	answers    atomic.Int64
+	slots      chan struct{}
+	waiting    atomic.Int32
+	listener   net.Listener
+	http       *http.Server
+	stop       chan struct{}
+	stopOnce   sync.Once
 
 	mu       sync.Mutex
 	arrivals []*arrival
@@ -163,9 +169,15 @@
 	a.ended = time.Now()
 	s.mu.Unlock()
 	text := fmt.Sprintf("%s by %s: %s %s %d", id, s.id, req.Method, req.RequestURI, len(body))
+	text += strings.Repeat(".", s.pad)
 	h.Set("Response-Seal", "seal."+id)
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	h.Set("Server-Load", fmt.Sprintf("%d,%d,%d", len(s.slots), max(int(s.waiting.Load())-len(s.slots), 0), slotsPerHost))
+	if s.breakEvery > 0 && s.answers.Add(1)%s.breakEvery == 0 {
+		s.rec.log("break    %s at %s", id, s.id)
+		io.WriteString(w, text[:len(text)*4/5])
+		panic(http.ErrAbortHandler)
+	}
 	io.WriteString(w, text)
 }
 
