--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(rec *record, trouble bool) bool{
 	"drill":    drill,
 	"pipeline": pipeline,
+	"oddentry": oddEntry,
 }
 
 func main() {
--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -66,15 +66,33 @@
 	return s
 }
 
-// register writes the entry and returns when the store accepted it.
-func (s *server) register() (time.Time, bool) {
-	at, _, ok := s.st.put("servers", s.id, map[string]any{
+// entry returns the entry for the store, with the next number.
+func (s *server) entry() map[string]any {
+	return map[string]any{
 		"service": s.service, "address": s.listener.Addr().String(), "zone": s.zone, "version": "v1", "slots": slotsPerHost,
 		"state": s.state.Load(), "cold_left_ms": 0, "seq_no": s.seq.Add(1), "born": s.born,
-	})
+	}
+}
+
+// register writes the entry and returns when the store accepted it.
+func (s *server) register() (time.Time, bool) {
+	at, _, ok := s.st.put("servers", s.id, s.entry())
 	return at, ok
 }
 
+// leave removes the entry of a server that leaves without reporting that it drains, and
+// returns when the store accepted it. The server goes on serving.
+func (s *server) leave() time.Time {
+	s.leaving.Store(true)
+	s.stopOnce.Do(func() { close(s.stop) })
+	time.Sleep(20 * time.Millisecond) // A ping that has begun ends.
+	at, _, ok := s.st.drop("servers", s.id)
+	if !ok {
+		must(fmt.Errorf("store is away at the end of %s", s.id))
+	}
+	return at
+}
+
 // beats renews the entry; while the store is away it tries again soon, so that the entry is
 // written anew as soon as the store is back.
 func (s *server) beats() {
@@ -125,10 +143,12 @@
 	return false
 }
 
-// end deletes the entry and ends the server.
+// end ends the server, and deletes its entry unless that was done before.
 func (s *server) end() {
-	s.stopOnce.Do(func() { close(s.stop) })
-	s.st.drop("servers", s.id)
+	s.stopOnce.Do(func() {
+		close(s.stop)
+		s.st.drop("servers", s.id)
+	})
 	s.http.Close()
 }
 
