--- a/review/rig3/oddentry.go
+++ b/review/rig3/oddentry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"time"
 )
 
@@ -27,6 +28,12 @@
 
 	gone := servers[0]
 	entry := gone.entry()
+	if os.Getenv("OTHER") == "1" { // For comparison: the server is one of another service.
+		gone = newServer(rec, st, "k-00", "catalogo", "mdp", work)
+		entry = gone.entry()
+		entry["service"] = "reservas"
+		time.Sleep(time.Second)
+	}
 	acked := gone.leave()
 	rec.say("the store accepted that the entry of %s is removed; the server stays for 14 s", gone.id)
 	time.Sleep(time.Second)
