--- a/review/rig3/drill.go
+++ b/review/rig3/drill.go
@@ -43,14 +43,14 @@
 	st.put("op", "config", cfg)
 	work := func() time.Duration { return 500*time.Millisecond + rand.N(400*time.Millisecond) }
 	var servers []*server
-	for i := range 12 {
+	for i := range 30 {
 		servers = append(servers, newServer(rec, st, fmt.Sprintf("i-%02d", i), "reservas", []string{"mdp", "pinamar", "necochea"}[i%3], work))
 	}
 	daemons := newFleet(addr, "mdp", "mdp", "pinamar", "pinamar", "necochea", "necochea")
 	rec.say("6 daemons are ready, store at version %d", st.version())
 	stop := make(chan struct{})
 	s := newSender(rec, "jepu9.example")
-	go s.pace(stop, daemons, 100*time.Millisecond, "POST", "/xapu221/2f", 2500*time.Millisecond)
+	go s.pace(stop, daemons, 40*time.Millisecond, "POST", "/xapu221/2f", 2500*time.Millisecond)
 
 	time.Sleep(4 * time.Second)
 	copied := st.backup()
