Read the target list whole in a new era of the store

Cause: a version of the store was compared and kept as if it meant the same for ever. List.Apply rejected each list with a lower version than its own, also the whole list just read from the store, so a daemon used the list from before the drill until the new versions had passed the old ones, and asked five times a second (410, whole read, rejected, 410). Logs: only 410 and 'target list is old', never the rejected read, which is logged now. Nothing read Store-Era. If the versions had passed before the next read, no 410 came and the changes between were missed for good.

Change: the client reports the era that each answer names. A delta, a request for changes and a position carry the era to which their versions belong; those of an earlier era change nothing. In a later era the list is read whole and taken as it is. Targets that are missing there are kept for the grace period after an outage; an entry that a target wrote before the last one known, or with which it left, does not undo what is known. The daemon that reads the first list of an era sends it to its data centre, so that the others need not read it; one whose data centre the store refuses gets it from another. Reads that do not fit the list are paced. A store that names no era, and daemons that name none, are compared by version as before; one that names nonsense is logged once.

--- a/core/gossip/node.go
+++ b/core/gossip/node.go
@@ -49,13 +49,14 @@
 	// ListPart is called with each part of a change of the target list.
 	ListPart func(peer string, p watch.Part)
 	// ListRequest is called if a peer asks for the changes of the target list since a
-	// version.
-	ListRequest func(peer roster.Member, since int64)
+	// position in the store.
+	ListRequest func(peer roster.Member, since watch.Position)
 	// RemoteCarriers is called with carriers of a group in other data centres.
 	RemoteCarriers func(g GroupCarriers)
-	// Snapshot is called with the whole target list, Members with members of the
-	// fleet. Peers send both only to a daemon that has just started.
-	Snapshot func(d watch.Delta)
+	// Snapshot is called with the whole target list, which peers send to a daemon that has
+	// just started, and at the beginning of an era of the store. Members is called with
+	// members of the fleet, which they send only to a daemon that has just started.
+	Snapshot func(peer string, d watch.Delta)
 	Members  func(sender string, members []roster.Member)
 	// Config is called with a configuration that a peer read from the store.
 	Config func(peer string, d Document)
@@ -205,9 +206,10 @@
 	}
 }
 
-// RequestListChanges asks a peer for the changes of the target list since a version.
-func (n *Transport) RequestListChanges(since int64, to roster.Member) {
-	n.sendReport(&Report{VM: n.self.VM, StartMillis: n.self.StartMillis, WantsListSince: since}, []roster.Member{to})
+// RequestListChanges asks a peer for the changes of the target list since a position.
+func (n *Transport) RequestListChanges(since watch.Position, to roster.Member) {
+	r := &Report{VM: n.self.VM, StartMillis: n.self.StartMillis, WantsListSince: since.Version, WantsListEra: since.Era}
+	n.sendReport(r, []roster.Member{to})
 }
 
 // SendHeartbeat sends a heartbeat to the members of the local data centre and to
--- a/core/gossip/receiver.go
+++ b/core/gossip/receiver.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wisteriarelay.example/core/roster"
+	"wisteriarelay.example/core/watch"
 )
 
 // receiver reads reports from the connection and calls the handlers.
@@ -56,7 +57,7 @@
 		r.handleConfigFragment(report)
 	}
 	if report.WantsListSince > 0 {
-		r.handlers.ListRequest(report.Sender(from), report.WantsListSince)
+		r.handlers.ListRequest(report.Sender(from), watch.Position{Era: report.WantsListEra, Version: report.WantsListSince})
 	}
 	if report.WantsConfig {
 		r.handlers.ConfigRequest(report.Sender(from), report.ConfigVersion)
--- a/core/gossip/report.go
+++ b/core/gossip/report.go
@@ -47,9 +47,10 @@
 	// WantsConfig asks the receiver for its configuration if that is newer than
 	// ConfigVersion.
 	WantsConfig bool `cbor:"25,keyasint,omitempty"`
-	// WantsListSince asks the receiver for the changes of the target list since the
-	// version; 0 if the sender does not ask.
-	WantsListSince int64 `cbor:"26,keyasint,omitempty"`
+	// WantsListSince asks the receiver for the changes of the target list since the version
+	// in the era WantsListEra; 0 if the sender does not ask.
+	WantsListSince int64     `cbor:"26,keyasint,omitempty"`
+	WantsListEra   watch.Era `cbor:"29,keyasint,omitempty"`
 	// ReducedRate is true if the sender sends heartbeats at a reduced rate, because it is
 	// not monitored.
 	ReducedRate bool `cbor:"16,keyasint,omitempty"`
@@ -57,10 +58,12 @@
 	ConfigFragment *Fragment `cbor:"15,keyasint,omitempty"`
 	// EventBatch holds events of targets. Field 8 held them in another encoding.
 	EventBatch *EventBatch `cbor:"23,keyasint,omitempty"`
-	// ListVersion is the store version of the sender's target list; 0 if it has none.
+	// ListVersion is the store version of the sender's target list; 0 if it has none. It is
+	// not compared with other versions, so the report does not name its era.
 	ListVersion int64 `cbor:"19,keyasint,omitempty"`
-	// SnapshotFragment is a fragment of the whole target list, Members are members of
-	// the fleet. Both are sent only to daemons that have just started.
+	// SnapshotFragment is a fragment of the whole target list, which is sent to daemons that
+	// have just started and at the beginning of an era of the store. Members are members of
+	// the fleet, sent only to daemons that have just started.
 	SnapshotFragment *Fragment       `cbor:"20,keyasint,omitempty"`
 	Members          []roster.Member `cbor:"21,keyasint,omitempty"`
 	// WantsMembers asks the receiver for members of the sender's data centre.
--- a/core/gossip/start.go
+++ b/core/gossip/start.go
@@ -26,10 +26,10 @@
 	return &Snapshot{fragments: fragments}, err
 }
 
-// SendSnapshot sends the whole target list to a daemon that has just started.
-func (n *Transport) SendSnapshot(s *Snapshot, to roster.Member) {
+// SendSnapshot sends the whole target list to the members.
+func (n *Transport) SendSnapshot(s *Snapshot, to []roster.Member) {
 	for i := range s.fragments {
-		n.sendReport(&Report{VM: n.self.VM, StartMillis: n.self.StartMillis, SnapshotFragment: &s.fragments[i]}, []roster.Member{to})
+		n.sendReport(&Report{VM: n.self.VM, StartMillis: n.self.StartMillis, SnapshotFragment: &s.fragments[i]}, to)
 	}
 }
 
@@ -63,7 +63,7 @@
 	n.sendReport(report, members)
 }
 
-// handleStartup calls the handlers for the contents that are sent only to daemons that
+// handleStartup calls the handlers for the contents that are sent mostly to daemons that
 // have just started.
 func (r *receiver) handleStartup(report *Report) {
 	if len(report.Members) > 0 {
@@ -78,7 +78,7 @@
 		return
 	}
 	if d != nil {
-		r.handlers.Snapshot(*d)
+		r.handlers.Snapshot(report.VM, *d)
 	}
 }
 
--- a/core/node/backoff_test.go
+++ b/core/node/backoff_test.go
@@ -67,8 +67,8 @@
 
 // hasList reports whether the target list has the version.
 func (n *Node) hasList(version int64) bool {
-	v, _ := n.targetList.Position()
-	return v == version
+	position, _ := n.targetList.Position()
+	return position.Version == version
 }
 
 // hearPeers delivers a heartbeat of each VM, whose daemons precede this one as readers.
--- a/core/node/help.go
+++ b/core/node/help.go
@@ -98,5 +98,5 @@
 		}
 		s.snapshot, s.snapshotAt = snapshot, now
 	}
-	s.gossip.SendSnapshot(s.snapshot, m)
+	s.gossip.SendSnapshot(s.snapshot, []roster.Member{m})
 }
--- a/core/node/list_read.go
+++ b/core/node/list_read.go
@@ -15,10 +15,10 @@
 // listRead is one call to the store for the target list, or its result.
 type listRead struct {
 	platform *Platform
-	// version is the one after which changes are read; full requests the whole list.
-	version int64
-	full    bool
-	began   time.Time
+	// since is the position after which changes are read; full requests the whole list.
+	since watch.Position
+	full  bool
+	began time.Time
 	// backoffFrom is when the backoff after a failed read begins: at the end of a call, or
 	// at the start of the last call of a probe.
 	backoffFrom time.Time
@@ -31,10 +31,10 @@
 // do makes the call.
 func (r *listRead) do(ctx context.Context) {
 	r.began = time.Now()
-	if r.full || r.version == 0 {
+	if r.full || r.since.Version == 0 {
 		r.delta, r.problems, r.err = r.platform.ReadTargets(ctx)
 	} else {
-		r.delta, r.problems, r.err = r.platform.ReadTargetChanges(ctx, r.version)
+		r.delta, r.problems, r.err = r.platform.ReadTargetChanges(ctx, r.since.Version)
 	}
 	r.backoffFrom = time.Now()
 	r.delta.Age = r.backoffFrom.Sub(r.began)
--- a/core/node/list_request.go
+++ b/core/node/list_request.go
@@ -36,8 +36,8 @@
 // check sends a request if one is due. Daemons that come later in the order of readers
 // get the changes from the first ones.
 func (l *listRequester) check(now time.Time) {
-	version, asOf := l.targetList.Position()
-	if version == 0 || now.Sub(asOf) < listRequestAge || now.Sub(l.lastRequest) < listRequestInterval {
+	position, asOf := l.targetList.Position()
+	if position.Version == 0 || now.Sub(asOf) < listRequestAge || now.Sub(l.lastRequest) < listRequestInterval {
 		return
 	}
 	if l.roster.ReaderRank(now) >= remoteAskers {
@@ -49,21 +49,33 @@
 	}
 	l.lastRequest = now
 	peer := peers[rand.IntN(len(peers))]
-	_ = l.logger.Log("msg", "target list requested", "peer", peer.VM, "list-version", version, "age", now.Sub(asOf))
-	l.gossip.RequestListChanges(version, peer)
+	_ = l.logger.Log("msg", "target list requested", "peer", peer.VM, "list-version", position.Version, "age", now.Sub(asOf))
+	l.gossip.RequestListChanges(position, peer)
 }
 
-// handleListRequest sends a peer the changes of the target list since a version, if all
-// of them are known and the list is current.
-func (n *Node) handleListRequest(peer roster.Member, since int64) {
+// handleListRequest sends a peer the changes of the target list since a position, if all
+// of them are known and the list is current. A peer with a list of an earlier era of the store
+// gets the whole list.
+func (n *Node) handleListRequest(peer roster.Member, since watch.Position) {
+	n.noticeEra(peer.VM, since.Era)
 	now := time.Now()
+	position, asOf := n.targetList.Position()
+	if position.Before(since) || now.Sub(asOf) > maxAnsweredListAge {
+		return
+	}
 	d, ok := n.targetList.ChangesSince(now, since)
-	if !ok || d.Version < since || d.Age > maxAnsweredListAge {
+	whole := !since.Era.Matches(position.Era)
+	if !ok && !whole {
 		return
 	}
-	if allowed, _ := n.listResends.allow(peer.VM, now); allowed {
-		n.gossip.SendListChanges(d, []roster.Member{peer})
+	if allowed, _ := n.listResends.allow(peer.VM, now); !allowed {
+		return
+	}
+	if whole {
+		n.sendWholeList([]roster.Member{peer})
+		return
 	}
+	n.gossip.SendListChanges(d, []roster.Member{peer})
 }
 
 // applyRemoteList applies changes of the target list that a daemon of another data centre
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -51,9 +51,13 @@
 	leaving   atomic.Bool
 	// listReadAt is when the daemon last read the target list from the store itself.
 	listReadAt atomic.Pointer[time.Time]
-	// sentListVersion is the version of the target list to which the changes that were
-	// last sent in the data centre lead, by this daemon or by a peer; 0 if none were.
-	sentListVersion atomic.Int64
+	// storeEra is the latest known era of the store.
+	storeEra *storeEra
+	// eraProblemLogged says that an unreadable era was logged.
+	eraProblemLogged atomic.Bool
+	// sentList is the position to which the changes of the target list lead that were last
+	// sent in the data centre, by this daemon or by a peer; nil if none were.
+	sentList atomic.Pointer[watch.Position]
 	// lastListPart is the last part of the target list from a peer.
 	lastListPart atomic.Pointer[listPartTimes]
 	// listLoaded says that the target list was loaded once, from the store or a peer.
@@ -115,6 +119,7 @@
 		metrics:            stats.New(),
 		stateDump:          stats.NewStateDump(),
 		targetList:         watch.NewList(),
+		storeEra:           newStoreEra(),
 		configReadRequests: make(chan struct{}, 1),
 		listReadRequests:   make(chan struct{}, 1),
 		allocations:        map[string]*retry.SettledAllocation{},
@@ -133,6 +138,9 @@
 	for _, o := range opts {
 		o(n)
 	}
+	if platform.OnEra != nil {
+		platform.OnEra(n.handleStoreEra)
+	}
 	n.self = roster.Member{
 		VM:            settings.VM,
 		DataCentre:    settings.DataCentre,
--- a/core/node/peers.go
+++ b/core/node/peers.go
@@ -25,7 +25,8 @@
 		Leaving:       n.leaving.Load(),
 		Cores:         n.self.Cores,
 	}
-	r.ListVersion, _ = n.targetList.Position()
+	position, _ := n.targetList.Position()
+	r.ListVersion = position.Version
 	if t := n.relay.Table(); t != nil {
 		r.ConfigVersion = int64(t.Version)
 		r.ConfigAge = n.reportedConfigAge()
--- a/core/node/platform.go
+++ b/core/node/platform.go
@@ -19,8 +19,9 @@
 	Raw []byte
 	// Err is the reason why a configuration cannot be used.
 	Err error
-	// StoreVersion is the store version that the read covers.
+	// StoreVersion is the store version that the read covers, Era its era.
 	StoreVersion int64
+	Era          watch.Era
 }
 
 // Platform holds the functions through which a daemon uses the platform. Reads fail
@@ -31,6 +32,9 @@
 	// TranslateSettings sets the fields of settings from the values that the platform hands
 	// over under its own names.
 	TranslateSettings func(s *Settings) error
+	// OnEra sets the function that is called with the era that an answer of the store names,
+	// or with the reason why that cannot be told.
+	OnEra func(handle func(e watch.Era, err error))
 
 	ReadConfig     func(ctx context.Context) (ConfigResult, error)
 	LongPollConfig func(ctx context.Context, after int64, wait time.Duration) (ConfigResult, error)
--- a/core/node/start.go
+++ b/core/node/start.go
@@ -105,19 +105,6 @@
 	n.gossip.SendHeartbeatTo(addresses)
 }
 
-// handleSnapshot applies a full target list from a peer. An outdated one is kept
-// and used only if the store cannot be read.
-func (n *Node) handleSnapshot(d watch.Delta) {
-	if n.listLoaded.Load() {
-		return
-	}
-	if d.Age > maxPeerListAge {
-		n.staleList.Store(&d)
-		return
-	}
-	n.applyPeerList(d)
-}
-
 // applyStaleList falls back to an outdated list from a peer, unless a list was
 // loaded.
 func (n *Node) applyStaleList() {
@@ -127,7 +114,7 @@
 }
 
 func (n *Node) applyPeerList(d watch.Delta) {
-	_ = n.logger.Log("msg", "target list of a peer in use", "list-version", d.Version, "age", d.Age, "targets", len(d.Changes))
+	_ = n.logger.Log("msg", "target list of a peer in use", "era", d.Era, "list-version", d.Version, "age", d.Age, "targets", len(d.Changes))
 	n.applyList(fromSnapshot, d)
 }
 
--- a/core/node/startup_test.go
+++ b/core/node/startup_test.go
@@ -110,10 +110,10 @@
 	n := newTestNode(g, lowShare, &configWriter{start: time.Now()})
 	defer n.gossipConn.Close()
 	n.listLoaded.Store(false)
-	n.handleSnapshot(testTargetList(time.Minute))
+	n.handleSnapshot("vm-1", testTargetList(time.Minute))
 	g.Expect(n.relay.TargetPool("orders").Size()).To(BeZero())
 	n.applyList(fromStore, watch.Delta{Version: 20, Changes: testTargetList(0).Changes[:3]})
-	n.handleSnapshot(testTargetList(0))
+	n.handleSnapshot("vm-1", testTargetList(0))
 	n.applyStaleList()
 	g.Expect(n.relay.TargetPool("orders").Size()).To(Equal(3))
 }
--- a/core/node/state.go
+++ b/core/node/state.go
@@ -14,6 +14,8 @@
 type storeState struct {
 	Config      route.Version `json:"config"`
 	ConfigAge   time.Duration `json:"config-age-ns"`
+	Era         string        `json:"era"`
+	ListEra     string        `json:"list-era"`
 	ListVersion int64         `json:"list-version"`
 	ListAge     time.Duration `json:"list-age-ns"`
 	Ready       bool          `json:"ready"`
@@ -31,6 +33,7 @@
 	n.registerQuotaState()
 	n.metrics.Gauge("gossip_events_dropped", n.gossip.Dropped)
 	n.metrics.Gauge("config_age_ms", func() int64 { return n.storeState().ConfigAge.Milliseconds() })
+	n.metrics.Gauge("store_era", func() int64 { era, _ := n.storeEra.latest(); return era.Number() })
 	n.metrics.Gauge("list_age_ms", func() int64 { return n.storeState().ListAge.Milliseconds() })
 	n.metrics.Gauge("caller_connections", func() int64 { return int64(n.callerServer.OpenConnections()) })
 	n.metrics.Gauge("caller_requests_open", func() int64 { return int64(n.callerServer.PendingRequests()) })
@@ -52,8 +55,9 @@
 }
 
 func (n *Node) storeState() storeState {
-	version, asOf := n.targetList.Position()
-	s := storeState{ListVersion: version, ListAge: time.Since(asOf), Ready: n.Ready()}
+	position, asOf := n.targetList.Position()
+	era, _ := n.storeEra.latest()
+	s := storeState{Era: era.String(), ListEra: position.Era.String(), ListVersion: position.Version, ListAge: time.Since(asOf), Ready: n.Ready()}
 	if t := n.relay.Table(); t != nil {
 		s.Config = t.Version
 		s.ConfigAge = time.Since(n.configAge.lastConfirmed())
--- a/core/node/target_list.go
+++ b/core/node/target_list.go
@@ -19,15 +19,17 @@
 	listSenderMaxAge = 1500 * time.Millisecond
 )
 
-// listPartTimes is when a part of the target list arrived, and when its sender began to
-// read the list.
+// listPartTimes is when a part of the target list arrived, when its sender began to read the
+// list, and in which era of the store.
 type listPartTimes struct {
 	arrivedAt time.Time
 	asOf      time.Time
+	era       watch.Era
 }
 
 // sendsList reports whether this daemon sends the changes that it has read to its
-// peers: the first in rank does, and another one if no peer seems to, or only late.
+// peers: the first in rank does, and another one if no peer seems to, or only late or in an
+// earlier era of the store.
 // When hundreds of targets change at once, parts of the changes are lost, and every
 // daemon that misses one reads the store itself; if each of these also sent its changes
 // to all the others, traffic would grow with the square of the number of daemons.
@@ -36,16 +38,17 @@
 		return true
 	}
 	last := n.lastListPart.Load()
-	return last == nil || now.Sub(last.arrivedAt) >= listSenderTimeout || now.Sub(last.asOf) >= listSenderMaxAge
+	position, _ := n.targetList.Position()
+	return last == nil || last.era < position.Era || now.Sub(last.arrivedAt) >= listSenderTimeout || now.Sub(last.asOf) >= listSenderMaxAge
 }
 
 // handleListPart adds a part of a change of the target list, and applies the change
 // once it is complete. Only the goroutine that receives datagrams calls it.
 func (n *Node) handleListPart(peer string, p watch.Part) {
+	n.noticeEra(peer, p.Era)
 	remote := n.roster.IsRemote(peer)
 	if !remote {
-		now := time.Now()
-		n.lastListPart.Store(&listPartTimes{arrivedAt: now, asOf: now.Add(-p.Age)})
+		n.recordListPart(p.Era, p.Age)
 	}
 	abandoned := n.listAssembly.Abandoned()
 	d, complete := n.listAssembly.Add(peer, p)
@@ -57,18 +60,36 @@
 		n.applyRemoteList(peer, d)
 		return
 	}
-	n.sentListVersion.Store(max(n.sentListVersion.Load(), d.Version))
+	n.recordSentList(d.Position())
 	if n.applyList(peer, d).Rejection == watch.Gap {
 		n.requestListRead()
 	}
 }
 
-// sendListChanges sends the changes since a version to the daemons of the local data
+// recordListPart records that a part of a list of the era and the age has arrived from a peer
+// of the local data centre.
+func (n *Node) recordListPart(e watch.Era, age time.Duration) {
+	now := time.Now()
+	n.lastListPart.Store(&listPartTimes{arrivedAt: now, asOf: now.Add(-age), era: e})
+}
+
+// recordSentList records that a peer of the local data centre has sent a list that leads to
+// the position.
+func (n *Node) recordSentList(p watch.Position) {
+	if last := n.sentList.Load(); last == nil || last.Before(p) {
+		n.sentList.Store(&p)
+	}
+}
+
+// sendListChanges sends the changes since a position to the daemons of the local data
 // centre. They include those that came from a peer while this daemon was reading, which
 // the others may have missed, and those that it read before without sending them.
-func (n *Node) sendListChanges(since int64) {
+func (n *Node) sendListChanges(since watch.Position) {
 	now := time.Now()
-	d, ok := n.targetList.ChangesSince(now, min(since, n.sentListVersion.Load()))
+	d, ok := watch.Delta{}, false
+	if sent := n.sentList.Load(); sent != nil && sent.Before(since) {
+		d, ok = n.targetList.ChangesSince(now, *sent)
+	}
 	if !ok {
 		d, ok = n.targetList.ChangesSince(now, since)
 	}
@@ -76,7 +97,8 @@
 		return
 	}
 	n.gossip.SendListChanges(d, n.roster.LocalPeers())
-	n.sentListVersion.Store(d.Version)
+	position := d.Position()
+	n.sentList.Store(&position)
 }
 
 // The sources of a delta that is not a peer's change of the target list.
@@ -102,8 +124,11 @@
 			n.requestConfigRead()
 		}
 	}
+	if out.EraStart != nil {
+		n.logEraStart(source, d, out.EraStart)
+	}
 	first := !n.listLoaded.Load()
-	if first || len(out.Changes) > 0 {
+	if first || len(out.Changes) > 0 || out.EraStart != nil {
 		n.updateTargets()
 	}
 	if first {
--- a/core/node/target_log.go
+++ b/core/node/target_log.go
@@ -20,13 +20,25 @@
 }
 
 // recordRejectedDelta counts a delta that was not applied to the list, whose version
-// was known, and logs it if this daemon misses changes.
-func (n *Node) recordRejectedDelta(source string, known int64, d watch.Delta, reason watch.Rejection) {
+// was known, and logs it if this daemon misses changes or the store itself sent it.
+func (n *Node) recordRejectedDelta(source string, known watch.Position, d watch.Delta, reason watch.Rejection) {
 	n.metrics.Counter(stats.Label("list_deltas_rejected", "reason", string(reason))).Inc(1)
-	if reason != watch.Gap {
-		return
+	msg := "change of the target list missed"
+	if reason == watch.Outdated {
+		if source != fromStore {
+			return
+		}
+		msg = "target list of the store not used"
 	}
-	_ = n.logger.Log("msg", "change of the target list missed", "list-version", known, "since", d.Since, "version", d.Version, "source", source)
+	_ = n.logger.Log("msg", msg, "reason", reason, "list-era", known.Era, "list-version", known.Version, "era", d.Era, "since", d.Since, "version", d.Version, "source", source)
+}
+
+// logEraStart logs the state of the target list after the first delta of an era of the store.
+func (n *Node) logEraStart(source string, d watch.Delta, s *watch.EraStart) {
+	_ = n.logger.Log(
+		"msg", "target list of a new era in use", "era", d.Era, "previous", s.Previous, "list-version", d.Version, "age", d.Age,
+		"targets", len(d.Changes), "missing", s.Missing, "outdated", s.Outdated, "source", source,
+	)
 }
 
 // oldListAge is the age from which a target list is reported as old. Requests must stop
@@ -40,14 +52,14 @@
 }
 
 func (m *listAgeMonitor) check(now time.Time) {
-	version, asOf := m.targetList.Position()
+	position, asOf := m.targetList.Position()
 	age := now.Sub(asOf)
 	old := !asOf.IsZero() && age > oldListAge
 	switch {
 	case old && !m.old:
-		_ = m.logger.Log("msg", "target list is old", "list-version", version, "age", age, "rank", m.roster.ReaderRank(now))
+		_ = m.logger.Log("msg", "target list is old", "list-version", position.Version, "age", age, "rank", m.roster.ReaderRank(now))
 	case !old && m.old:
-		_ = m.logger.Log("msg", "target list is current again", "list-version", version, "age", age)
+		_ = m.logger.Log("msg", "target list is current again", "list-version", position.Version, "age", age)
 	}
 	m.old = old
 }
--- a/core/node/targets_test.go
+++ b/core/node/targets_test.go
@@ -124,14 +124,15 @@
 func TestSentListHoldsChangesReceivedDuringRead(t *testing.T) {
 	g := NewWithT(t)
 	n, peer := newListSender(t, g)
-	version, _ := n.targetList.Position()
+	position, _ := n.targetList.Position()
+	version := position.Version
 	leave := watch.Delta{Since: version, Version: version + 1, Changes: []watch.Change{{ID: "t0"}}}
 	n.platform.ReadTargetChanges = func(context.Context, int64) (watch.Delta, []error, error) {
 		n.applyList("vm-2", leave)
 		return leave, nil, nil
 	}
 	f := &targetListFollower{Node: n}
-	f.read(t.Context(), version)
+	f.read(t.Context(), position)
 	part := peer.receive(g)
 	g.Expect(part.Version).To(Equal(leave.Version))
 	g.Expect(part.Changes).To(ConsistOf(HaveField("ID", "t0")))
@@ -142,7 +143,8 @@
 func TestListIsSentAfterHistoryIsGone(t *testing.T) {
 	g := NewWithT(t)
 	n, peer := newListSender(t, g)
-	version, _ := n.targetList.Position()
+	position, _ := n.targetList.Position()
+	version := position.Version
 	n.platform.ReadTargetChanges = func(context.Context, int64) (watch.Delta, []error, error) {
 		return watch.Delta{}, nil, fault.New(fault.HistoryGone, "history dropped")
 	}
@@ -150,8 +152,8 @@
 		return watch.Delta{Version: version + 5, Changes: testTargetList(0).Changes[1:2]}, nil, nil
 	}
 	f := &targetListFollower{Node: n}
-	f.read(t.Context(), version)
-	f.read(t.Context(), version)
+	f.read(t.Context(), position)
+	f.read(t.Context(), position)
 	part := peer.receive(g)
 	g.Expect(part.Since).To(Equal(version))
 	g.Expect(part.Version).To(Equal(version + 5))
@@ -163,7 +165,8 @@
 func TestNewSenderSendsChangesThatNobodySent(t *testing.T) {
 	g := NewWithT(t)
 	n, peer := newListSender(t, g)
-	version, _ := n.targetList.Position()
+	position, _ := n.targetList.Position()
+	version := position.Version
 	n.hearPeers("vm-2")
 	n.handleListPart("vm-2", watch.Part{Delta: watch.Delta{Since: version, Version: version + 1}, Count: 1})
 	reads := []watch.Delta{
@@ -176,9 +179,9 @@
 		return d, nil, nil
 	}
 	f := &targetListFollower{Node: n}
-	f.read(t.Context(), version+1)
+	f.read(t.Context(), watch.Position{Version: version + 1})
 	n.lastListPart.Store(nil)
-	f.read(t.Context(), version+4)
+	f.read(t.Context(), watch.Position{Version: version + 4})
 	part := peer.receive(g)
 	g.Expect(part.Since).To(Equal(version + 1))
 	g.Expect(part.Changes).To(HaveLen(2))
--- a/core/watch/assembler.go
+++ b/core/watch/assembler.go
@@ -17,7 +17,7 @@
 )
 
 // Assembler joins the parts of deltas, of each sender those of the delta with the
-// highest version. If a part is lost, the delta never becomes complete, and the receiver
+// latest position. If a part is lost, the delta never becomes complete, and the receiver
 // reads the list from the store itself.
 type Assembler struct {
 	bySender map[string]*assembly
@@ -29,10 +29,10 @@
 
 // assembly is a delta of one sender whose parts arrive.
 type assembly struct {
-	since   int64
-	version int64
-	parts   [][]Change
-	missing int
+	since    int64
+	position Position
+	parts    [][]Change
+	missing  int
 	// bytes is the approximate memory of the parts.
 	bytes int
 }
@@ -100,9 +100,9 @@
 	s := a.bySender[sender]
 	switch {
 	case s == nil:
-	case p.Version < s.version:
+	case p.Position().Before(s.position):
 		return nil
-	case p.Version == s.version && p.Since == s.since && p.Count == len(s.parts):
+	case p.Position() == s.position && p.Since == s.since && p.Count == len(s.parts):
 		return s
 	default:
 		a.abandoned++
@@ -114,7 +114,7 @@
 	if a.bySender == nil {
 		a.bySender = map[string]*assembly{}
 	}
-	s = &assembly{since: p.Since, version: p.Version, parts: make([][]Change, p.Count), missing: p.Count}
+	s = &assembly{since: p.Since, position: p.Position(), parts: make([][]Change, p.Count), missing: p.Count}
 	a.bySender[sender] = s
 	return s
 }
--- a/core/watch/availability.go
+++ b/core/watch/availability.go
@@ -22,6 +22,14 @@
 	until time.Time
 	// lastBefore is the end of the period before it; zero if no outage is known.
 	lastBefore time.Time
+	// restored says that the period began when the store came back from an older copy.
+	restored bool
+}
+
+// restart records that the store came back from an older copy and was readable from start
+// to end since then. Earlier reads say nothing about that period, however short the outage.
+func (a *availability) restart(start, end time.Time) {
+	*a = availability{since: start, until: end, restored: true}
 }
 
 // observe records that the store was readable from start to end.
@@ -31,7 +39,7 @@
 		a.since, a.until = start, end
 		return
 	case start.Sub(a.until) > outageThreshold:
-		a.lastBefore, a.since, a.until = a.until, start, end
+		*a = availability{since: start, until: end, lastBefore: a.until}
 		return
 	case a.since.Sub(end) > outageThreshold:
 		return
@@ -51,7 +59,7 @@
 // graceEnd returns the time from which on a read tells that a missing target is gone; zero
 // if any read does.
 func (a *availability) graceEnd() time.Time {
-	if a.lastBefore.IsZero() {
+	if a.lastBefore.IsZero() && !a.restored {
 		return time.Time{}
 	}
 	return a.since.Add(missingGrace)
--- a/core/watch/changes_test.go
+++ b/core/watch/changes_test.go
@@ -25,7 +25,7 @@
 	own := append(changes, watch.Change{ID: "stays", Entry: entry(1, 2), Version: 13})
 	g.Expect(sender.Apply(startTime.Add(time.Second), watch.Delta{Since: 10, Version: 13, Changes: own}).Accepted()).To(BeTrue())
 
-	delta, ok := sender.ChangesSince(startTime.Add(time.Second), 10)
+	delta, ok := sender.ChangesSince(startTime.Add(time.Second), watch.Position{Version: 10})
 	g.Expect(ok).To(BeTrue())
 	g.Expect(delta.Changes).To(HaveLen(2), "a heartbeat is not sent on")
 	g.Expect(peer.Apply(startTime.Add(time.Second), delta).Accepted()).To(BeTrue())
@@ -36,12 +36,12 @@
 func TestDeltaForPeersNeedsWholeHistory(t *testing.T) {
 	g := NewWithT(t)
 	l := watch.NewList()
-	_, ok := l.ChangesSince(startTime, 0)
+	_, ok := l.ChangesSince(startTime, watch.Position{Version: 0})
 	g.Expect(ok).To(BeFalse())
 	l.Apply(startTime, fullRead(10, watch.Change{ID: "a", Entry: entry(1, 1)}))
-	_, ok = l.ChangesSince(startTime, 9)
+	_, ok = l.ChangesSince(startTime, watch.Position{Version: 9})
 	g.Expect(ok).To(BeFalse())
-	_, ok = l.ChangesSince(startTime, 10)
+	_, ok = l.ChangesSince(startTime, watch.Position{Version: 10})
 	g.Expect(ok).To(BeTrue())
 }
 
@@ -58,9 +58,9 @@
 		l.Apply(startTime, watch.Delta{Since: version, Version: version + 2, Changes: []watch.Change{{ID: id, Entry: entry(1, 1), Version: version + 1}, {ID: id, Version: version + 2}}})
 		version += 2
 	}
-	_, ok := l.ChangesSince(startTime, 1)
+	_, ok := l.ChangesSince(startTime, watch.Position{Version: 1})
 	g.Expect(ok).To(BeFalse())
-	delta, ok := l.ChangesSince(startTime, version-100)
+	delta, ok := l.ChangesSince(startTime, watch.Position{Version: version - 100})
 	g.Expect(ok).To(BeTrue())
 	g.Expect(delta.Changes).To(HaveLen(50))
 }
--- a/core/watch/entry.go
+++ b/core/watch/entry.go
@@ -95,6 +95,13 @@
 	// Uptime is how long the store is known to have been readable without an outage when
 	// the read was started; 0 if only the read itself shows it.
 	Uptime time.Duration `cbor:"7,keyasint,omitempty"`
+	// Era is the era of the store to which all versions of the delta belong.
+	Era Era `cbor:"8,keyasint,omitempty"`
+}
+
+// Position returns the position in the store that the changes lead to.
+func (d *Delta) Position() Position {
+	return Position{Era: d.Era, Version: d.Version}
 }
 
 // versionOf returns the store version of one of the delta's changes, or a later one if
--- a/core/watch/late_test.go
+++ b/core/watch/late_test.go
@@ -96,7 +96,7 @@
 	sender.Apply(startTime, full)
 	peer.Apply(startTime, full)
 	sender.Apply(startTime, change(1, "t", entry(4000, 1)))
-	delta, ok := sender.ChangesSince(startTime, 1)
+	delta, ok := sender.ChangesSince(startTime, watch.Position{Version: 1})
 	g.Expect(ok).To(BeTrue())
 	peer.Apply(startTime, delta)
 	started.Apply(startTime, sender.Snapshot(startTime))
--- a/core/watch/list.go
+++ b/core/watch/list.go
@@ -16,7 +16,9 @@
 	records map[string]*record
 	// removedCount is the number of records with the state removed.
 	removedCount int
-	version      int64
+	// era is the era of the store to which all versions in the list belong.
+	era     Era
+	version int64
 	// historyStart is the version from which on all changes are known.
 	historyStart int64
 	// asOf is the start of the latest read that the list is based on.
@@ -41,6 +43,9 @@
 	Gap Rejection = "gap"
 	// Outdated means that the delta is older than the list.
 	Outdated Rejection = "outdated"
+	// EraGap means that the delta holds changes of a later era of the store than the list,
+	// which must be read whole first.
+	EraGap Rejection = "era-gap"
 )
 
 // ApplyResult is the result of applying a delta.
@@ -48,6 +53,8 @@
 	Rejection Rejection
 	// StoreRecovered is true if the delta is the first read after an outage of the store.
 	StoreRecovered bool
+	// EraStart is set if the delta is the first one of a later era of the store.
+	EraStart *EraStart
 	// Changes holds the changes that affect how targets are used.
 	Changes []Change
 }
@@ -58,58 +65,82 @@
 }
 
 // Apply applies a delta unless it leaves a gap after the list's version or is older
-// than the list. Even then the delta shows that the store could be read.
+// than the list. Even then the delta shows that the store could be read, if it belongs to the
+// list's era. The first delta of a later era must be the whole list.
 func (l *List) Apply(now time.Time, d Delta) ApplyResult {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	asOf := now.Add(-d.Age)
-	l.store.observe(asOf.Add(-d.Uptime), asOf)
+	out := ApplyResult{StoreRecovered: !l.asOf.IsZero() && asOf.Sub(l.asOf) > outageThreshold}
+	switch {
+	case d.Era != 0 && d.Era < l.era:
+		return ApplyResult{Rejection: Outdated}
+	case !l.beginsEra(&d):
+		l.store.observe(asOf.Add(-d.Uptime), asOf)
+	case d.Since > 0:
+		return ApplyResult{Rejection: EraGap}
+	default:
+		out.EraStart = l.beginEra(d.Era, asOf.Add(-d.Uptime), asOf)
+	}
 	switch {
 	case d.Version < l.version:
 		return ApplyResult{Rejection: Outdated}
 	case d.Since > l.version:
 		return ApplyResult{Rejection: Gap}
 	}
-	out := ApplyResult{StoreRecovered: !l.asOf.IsZero() && asOf.Sub(l.asOf) > outageThreshold}
+	out.Changes = l.applyDelta(now, asOf, d, out.EraStart != nil)
+	if out.EraStart != nil {
+		l.summarize(out.EraStart)
+	}
+	return out
+}
+
+// applyDelta applies a delta that fits the list and was read at asOf, and returns the changes
+// that affect how targets are used. restored says that it holds the copy from which the store
+// came back.
+func (l *List) applyDelta(now, asOf time.Time, d Delta, restored bool) []Change {
+	var changes []Change
 	for _, c := range d.Changes {
 		if c.Entry != nil && c.Entry.Validate() != nil {
 			c.Entry = nil
 		}
-		if l.applyChange(now, asOf, c, d.versionOf(c)) {
-			out.Changes = append(out.Changes, c)
+		c.Version = d.versionOf(c)
+		if l.applyChange(now, asOf, c, restored) {
+			changes = append(changes, c)
 		}
 	}
 	if d.Since == 0 {
-		out.Changes = append(out.Changes, l.removeMissing(asOf, d)...)
+		changes = append(changes, l.removeMissing(asOf, d)...)
 	}
 	if l.version == 0 {
 		l.historyStart = d.Version
 	}
+	l.era = max(l.era, d.Era)
 	l.version = d.Version
 	l.renewedAt = now
 	if asOf.After(l.asOf) {
 		l.asOf = asOf
 	}
-	out.Changes = append(out.Changes, l.removeStillMissing()...)
-	out.Changes = append(out.Changes, l.acceptLate(now)...)
+	changes = append(changes, l.removeStillMissing()...)
+	changes = append(changes, l.acceptLate(now)...)
 	l.pruneRemoved()
-	return out
+	return changes
 }
 
-// applyChange applies one change, which the store made at the version and which was read at
-// asOf, and reports whether it affects how the target is used.
-func (l *List) applyChange(now, asOf time.Time, c Change, version int64) bool {
+// applyChange applies one change, which was read at asOf, and reports whether it affects how
+// the target is used. restored says that it was in the copy from which the store came back.
+func (l *List) applyChange(now, asOf time.Time, c Change, restored bool) bool {
 	r := l.records[c.ID]
 	switch {
 	case c.Entry == nil:
-		return l.removeOrDefer(asOf, c.ID, version)
+		return l.removeOrDefer(asOf, c.ID, c.Version)
 	case r == nil:
-		l.records[c.ID] = &record{entry: *c.Entry, updatedAt: now, version: version}
+		l.records[c.ID] = &record{entry: *c.Entry, updatedAt: now, version: c.Version}
 		return true
-	case c.Entry.isOlderThan(&r.entry):
-		return r.setLate(lateEntry{entry: *c.Entry, seenAt: now, version: version})
+	case !r.isNewer(c.Entry):
+		return r.setLate(lateEntry{entry: *c.Entry, restored: restored, seenAt: now, version: c.Version})
 	}
-	return l.setEntry(now, r, *c.Entry, version)
+	return l.setEntry(now, r, *c.Entry, c.Version)
 }
 
 // setEntry replaces the entry of a record and reports whether this affects how the
--- a/core/watch/record.go
+++ b/core/watch/record.go
@@ -11,16 +11,21 @@
 	version int64
 	// state says whether the store still holds the entry.
 	state recordState
+	// leftBefore says that the target was removed in an earlier era of the store. The copy
+	// from which the store came back may still hold its entry.
+	leftBefore bool
 	// late is an entry that is older than entry although the store accepted it later;
 	// nil if there is none.
 	late *lateEntry
 }
 
 // lateEntry is an entry that appears to be older than the one known before. Either the
-// store performed an earlier call late, or the clock of the target was set back before
-// it started again.
+// store performed an earlier call late, or it came back from an older copy, or the clock of
+// the target was set back before it started again.
 type lateEntry struct {
 	entry Entry
+	// restored says that the entry was in the copy from which the store came back.
+	restored bool
 	// seenAt is when the first late entry of its run was received.
 	seenAt  time.Time
 	version int64
@@ -58,9 +63,18 @@
 }
 
 // draining reports whether the target may be leaving. A late entry that says so counts,
-// because it is not known which run of the target is the current one.
+// because it is not known which run of the target is the current one; in an older copy of
+// the store it is the earlier one.
 func (r *record) draining() bool {
-	return r.entry.Draining || r.late != nil && r.late.entry.Draining
+	return r.entry.Draining || r.late != nil && r.late.entry.Draining && !r.late.restored
+}
+
+// isNewer reports whether the entry tells more of the target than the record does.
+func (r *record) isNewer(e *Entry) bool {
+	if r.leftBefore {
+		return r.entry.isOlderThan(e)
+	}
+	return !e.isOlderThan(&r.entry)
 }
 
 // change returns the record as a change.
--- a/core/watch/schedule.go
+++ b/core/watch/schedule.go
@@ -79,6 +79,12 @@
 	s.retryAt = at.Add(backoff)
 }
 
+// Rejected records a read whose result could not be used, and delays the next one, so that a
+// store whose answers contradict each other is not read without pause.
+func (s *Schedule) Rejected(at time.Time) {
+	s.retryAt = at.Add(initialBackoff)
+}
+
 // backoffLimit returns the upper bound of the delay after failed reads of the daemon with
 // the given rank.
 func backoffLimit(rank int) time.Duration {
@@ -105,6 +111,17 @@
 	return due
 }
 
+// EraDue returns when the daemon with the given rank reads the whole list because a new era of
+// the store has begun, of which it knows since the start. Rank 0 reads at once and sends the
+// list to the others, who read it themselves if it does not arrive.
+func (s *Schedule) EraDue(start time.Time, rank int) time.Time {
+	due := start.Add(min(time.Duration(rank)*rankDelay, maxRankDelay))
+	if due.Before(s.retryAt) {
+		return s.retryAt
+	}
+	return due
+}
+
 // EndBackoff allows the next read at once: a peer could read the store.
 func (s *Schedule) EndBackoff() {
 	s.retryAt = time.Time{}
--- a/core/watch/view.go
+++ b/core/watch/view.go
@@ -6,12 +6,12 @@
 	"wisteriarelay.example/core/sched"
 )
 
-// Position returns the store version of the list and the start time of the latest
+// Position returns the position of the list in the store and the start time of the latest
 // read that the list is based on.
-func (l *List) Position() (version int64, asOf time.Time) {
+func (l *List) Position() (position Position, asOf time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.version, l.asOf
+	return Position{Era: l.era, Version: l.version}, l.asOf
 }
 
 // RenewedAt returns when a delta from a peer or from the store was last applied.
@@ -37,21 +37,22 @@
 	return d
 }
 
-// ChangesSince returns the changes after a version, whether this daemon read them or
-// received them from a peer. It returns false if not all of them are known.
-func (l *List) ChangesSince(now time.Time, version int64) (Delta, bool) {
+// ChangesSince returns the changes after a position, whether this daemon read them or
+// received them from a peer. It returns false if not all of them are known, or if the
+// position belongs to another era.
+func (l *List) ChangesSince(now time.Time, since Position) (Delta, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if version < l.historyStart || version == 0 {
+	if !since.Era.Matches(l.era) || since.Version < l.historyStart || since.Version == 0 {
 		return Delta{}, false
 	}
 	d := l.emptyDelta(now)
-	d.Since = version
+	d.Since = since.Version
 	for id, r := range l.records {
-		if r.version > version {
+		if r.version > since.Version {
 			d.Changes = append(d.Changes, r.change(id, now))
 		}
-		d.Changes = append(d.Changes, r.lateChange(id, version)...)
+		d.Changes = append(d.Changes, r.lateChange(id, since.Version)...)
 	}
 	d.sortChanges()
 	return d, true
@@ -59,7 +60,7 @@
 
 // emptyDelta returns a delta that leads to the list's version, without changes.
 func (l *List) emptyDelta(now time.Time) Delta {
-	return Delta{Version: l.version, Age: max(now.Sub(l.asOf), 0), Uptime: max(l.asOf.Sub(l.store.since), 0)}
+	return Delta{Era: l.era, Version: l.version, Age: max(now.Sub(l.asOf), 0), Uptime: max(l.asOf.Sub(l.store.since), 0)}
 }
 
 // Targets returns the targets that may receive requests, by service. Draining targets
