Register again if a new era of the store lacks the row

Cause, the same as of the target list: a daemon writes its row once, at its start, and takes it for written. A store that comes back from an older copy has lost the rows of the daemons that started in the seconds before, and daemons that start later don't find these by the store.

Change: in a new era each daemon reads the members within 3 s. If its own row is missing or is that of an earlier run, it writes it and reads the others, in the order of a start. A row that is there costs one read. Registration has a file of its own.

TestLostRegistrationIsWrittenAgain and TestRowIsWrittenAgainIfAnswerOfWriteIsLate fail without the check.

Measured: go test -race -count=1 ./core/node passes.

--- a/core/node/maintenance.go
+++ b/core/node/maintenance.go
@@ -7,13 +7,8 @@
 	"wisteriarelay.example/core/retry"
 )
 
-const (
-	// maintenanceInterval is the time between two rounds of maintenance.
-	maintenanceInterval = 100 * time.Millisecond
-	// registrationRetryDelay is the delay after a failed store call of the
-	// registration.
-	registrationRetryDelay = time.Second
-)
+// maintenanceInterval is the time between two rounds of maintenance.
+const maintenanceInterval = 100 * time.Millisecond
 
 // maintenance periodically updates what depends on the time.
 type maintenance struct{ *Node }
@@ -96,43 +91,3 @@
 	}
 	return a
 }
-
-// registration writes the daemon to the store and then reads the other members from
-// it. This order ensures that of two daemons that start together at least one finds
-// the other.
-type registration struct{ *Node }
-
-func (r *registration) loop(ctx context.Context) {
-	r.retryUntilDone(ctx, r.register)
-	if !r.membersKnown.Load() {
-		r.retryUntilDone(ctx, r.loadMembers)
-	}
-}
-
-func (r *registration) retryUntilDone(ctx context.Context, step func(context.Context) bool) {
-	for ctx.Err() == nil && !step(ctx) {
-		sleep(ctx, registrationRetryDelay)
-	}
-}
-
-func (r *registration) loadMembers(ctx context.Context) bool {
-	members, err := r.platform.ReadMembers(ctx)
-	if err != nil {
-		_ = r.logger.Log("msg", "members not read", "err", err)
-		return false
-	}
-	for _, m := range members {
-		r.roster.Add(m)
-	}
-	r.membersKnown.Store(true)
-	r.gossip.SendHeartbeat()
-	return true
-}
-
-func (r *registration) register(ctx context.Context) bool {
-	if err := r.platform.WriteMember(ctx, r.self); err != nil {
-		_ = r.logger.Log("msg", "registration in the store failed", "err", err)
-		return false
-	}
-	return true
-}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -252,7 +252,7 @@
 	go c.loop(ctx)
 	l := &targetListFollower{Node: n}
 	go l.loop(ctx)
-	m := &registration{n}
+	m := &registration{Node: n}
 	go m.loop(ctx)
 	u := &maintenance{n}
 	go u.loop(ctx)
--- a/core/node/store_era.go
+++ b/core/node/store_era.go
@@ -10,8 +10,10 @@
 // storeEra is the latest era of the store that this daemon knows of, by an answer of the store
 // or a message of a peer. It is safe for concurrent use.
 type storeEra struct {
-	mu  sync.Mutex
-	era watch.Era
+	mu sync.Mutex
+	// first is the earliest era that the daemon heard of since its start.
+	first watch.Era
+	era   watch.Era
 	// noticedAt is when the daemon first knew of the era.
 	noticedAt time.Time
 	// changed is closed and replaced when a later era is noticed.
@@ -28,6 +30,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	previous = s.era
+	if e != 0 && (s.first == 0 || e < s.first) {
+		s.first = e
+	}
 	if e <= previous {
 		return previous, false
 	}
@@ -44,6 +49,13 @@
 	return s.era, s.noticedAt
 }
 
+// earliest returns the earliest era that the daemon heard of since its start.
+func (s *storeEra) earliest() watch.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.first
+}
+
 // hasEnded reports whether a later era than the given one is known; no unknown era has ended.
 func (s *storeEra) hasEnded(e watch.Era) bool {
 	latest, _ := s.latest()
