Tell peers that a late entry is replaced

What callers would see: requests to a target that drains, from 6 s after an earlier heartbeat of it took effect late in the store, or after the store came back from a copy with that heartbeat, at the daemons that do not read the store themselves.

Cause: the reader sends only changes that affect how a target is used. The target's next heartbeat replaces the late entry, but nothing else in it has changed, so peers that had been told of the late entry were not told that it is gone, and accepted it after lateEntryTTL.

Change: a heartbeat that replaces a late entry counts as a change for peers, and for them only. TestPeersLearnThatLateEntryIsReplaced fails without it, without a drill too.

--- a/core/watch/late_test.go
+++ b/core/watch/late_test.go
@@ -108,6 +108,32 @@
 	}
 }
 
+// Guards against requests to a target that drains: its next heartbeat replaced an earlier one
+// that took effect late, but a peer was not told, because nothing else in the entry changed,
+// and accepted the late one.
+func TestPeersLearnThatLateEntryIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	leaving := entry(5, 9)
+	leaving.Draining = true
+	next := entry(5, 10)
+	next.Draining = true
+	sender, peer := watch.NewList(), watch.NewList()
+	for _, l := range []*watch.List{sender, peer} {
+		l.Apply(startTime, fullRead(1, watch.Change{ID: "t", Entry: leaving}))
+		l.Apply(startTime, change(1, "t", entry(5, 8)))
+	}
+	sender.Apply(startTime.Add(time.Second), change(2, "t", next))
+	for second := 1; second <= 8; second++ {
+		now := startTime.Add(time.Duration(second) * time.Second)
+		sender.Apply(now, unchanged(3))
+		since, _ := peer.Position()
+		delta, ok := sender.ChangesSince(now, since)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(peer.Apply(now, delta).Accepted()).To(BeTrue())
+		g.Expect(targetIDs(peer)).To(BeEmpty())
+	}
+}
+
 // Guards against requests to a target that drains, because an earlier heartbeat took effect
 // late and the store was away after that: nothing could replace or delete the late entry, so
 // that it is still there says nothing.
--- a/core/watch/list.go
+++ b/core/watch/list.go
@@ -144,10 +144,10 @@
 }
 
 // setEntry replaces the entry of a record and reports whether this affects how the
-// target is used.
+// target is used. Peers that know of a late entry must learn that it is replaced.
 func (l *List) setEntry(now time.Time, r *record, entry Entry, version int64) bool {
 	relevant := !r.entry.equivalentTo(&entry) || r.state != present || r.draining() != entry.Draining
-	if !relevant {
+	if !relevant && r.late == nil {
 		version = r.version
 	}
 	l.setState(r, present)
