--- a/core/node/target_log.go
+++ b/core/node/target_log.go
@@ -24,11 +24,12 @@
 func (n *Node) recordRejectedDelta(source string, known watch.Position, d watch.Delta, reason watch.Rejection) {
 	n.metrics.Counter(stats.Label("list_deltas_rejected", "reason", string(reason))).Inc(1)
 	msg := "change of the target list missed"
-	if reason == watch.Outdated {
-		if source != fromStore {
-			return
-		}
+	switch {
+	case reason != watch.Outdated:
+	case source == fromStore:
 		msg = "target list of the store not used"
+	default:
+		return
 	}
 	_ = n.logger.Log("msg", msg, "reason", reason, "list-era", known.Era, "list-version", known.Version, "era", d.Era, "since", d.Since, "version", d.Version, "source", source)
 }
--- a/core/watch/schedule.go
+++ b/core/watch/schedule.go
@@ -59,6 +59,11 @@
 			due = limit
 		}
 	}
+	return s.afterBackoff(due)
+}
+
+// afterBackoff returns the time, or the end of the backoff if that is later.
+func (s *Schedule) afterBackoff(due time.Time) time.Time {
 	if due.Before(s.retryAt) {
 		return s.retryAt
 	}
@@ -105,10 +110,7 @@
 // that is due. Rank 0 reads at once, the others if it does not.
 func (s *Schedule) CheckDue(check time.Time, rank int) time.Time {
 	due := check.Add(time.Duration(min(rank, readerCount)) * checkRankDelay)
-	if due.Before(s.retryAt) {
-		return s.retryAt
-	}
-	return due
+	return s.afterBackoff(due)
 }
 
 // EraDue returns when the daemon with the given rank reads the whole list because a new era of
@@ -116,10 +118,7 @@
 // list to the others, who read it themselves if it does not arrive.
 func (s *Schedule) EraDue(start time.Time, rank int) time.Time {
 	due := start.Add(min(time.Duration(rank)*rankDelay, maxRankDelay))
-	if due.Before(s.retryAt) {
-		return s.retryAt
-	}
-	return due
+	return s.afterBackoff(due)
 }
 
 // EndBackoff allows the next read at once: a peer could read the store.
