Pass on the removal of targets that the reader never knew

What callers would see: requests to a target that has left, from 6 s after an earlier heartbeat of it took effect late, or after the store came back from a copy with its entry, at daemons that do not read the store themselves.

Cause: a daemon that has started since knows nothing of the target, since lists for starting daemons leave out those that are gone. When it reads for its data centre that the late entry is deleted, it had nothing to remove, kept no record and told nobody; the others accepted the late entry after lateEntryTTL.

Change: a removal among changes is recorded also for an unknown target, and so is sent on. A whole list has no removals; the records are bounded as those of other removed targets. TestRemovalOfUnknownTargetReachesPeers fails without it, and needs no drill.

--- a/core/watch/late_test.go
+++ b/core/watch/late_test.go
@@ -134,6 +134,30 @@
 	}
 }
 
+// Guards against requests to a target that left: its late entry was deleted, but a daemon that
+// has started since, and never knew of the target, read that and did not tell the others.
+func TestRemovalOfUnknownTargetReachesPeers(t *testing.T) {
+	g := NewWithT(t)
+	peer, started := watch.NewList(), watch.NewList()
+	peer.Apply(startTime, fullRead(1, watch.Change{ID: "t", Entry: entry(5, 9)}))
+	peer.Apply(startTime, change(1, "t", nil))
+	peer.Apply(startTime, change(2, "t", entry(5, 8)))
+	started.Apply(startTime, peer.Snapshot(startTime))
+	g.Expect(targetIDs(started)).To(BeEmpty())
+	started.Apply(startTime.Add(time.Second), change(3, "t", nil))
+	for second := 1; second <= 8; second++ {
+		now := startTime.Add(time.Duration(second) * time.Second)
+		started.Apply(now, unchanged(4))
+		since, _ := peer.Position()
+		delta, ok := started.ChangesSince(now, since)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(peer.Apply(now, delta).Accepted()).To(BeTrue())
+		g.Expect(targetIDs(peer)).To(BeEmpty())
+	}
+	started.Apply(startTime.Add(9*time.Second), change(4, "t", entry(6, 1)))
+	g.Expect(targetIDs(started)).To(ConsistOf("t"), "it has started again")
+}
+
 // Guards against requests to a target that drains, because an earlier heartbeat took effect
 // late and the store was away after that: nothing could replace or delete the late entry, so
 // that it is still there says nothing.
--- a/core/watch/list.go
+++ b/core/watch/list.go
@@ -105,6 +105,9 @@
 			c.Entry = nil
 		}
 		c.Version = d.versionOf(c)
+		if c.Entry == nil && d.Since > 0 {
+			l.addRemoved(c)
+		}
 		if l.applyChange(now, asOf, c, restored) {
 			changes = append(changes, c)
 		}
--- a/core/watch/missing.go
+++ b/core/watch/missing.go
@@ -2,6 +2,15 @@
 
 import "time"
 
+// addRemoved adds a record of a target that is not known here. Peers that know of it, or of a
+// late entry of it, must learn that it is gone.
+func (l *List) addRemoved(c Change) {
+	if l.records[c.ID] == nil {
+		l.records[c.ID] = &record{state: removed, version: c.Version}
+		l.removedCount++
+	}
+}
+
 // removeOrDefer removes a target whose entry is missing from the store at asOf, or defers
 // its removal if the grace period after an outage had not ended by then. It reports whether
 // the target was in use.
