Use a target that has left again only if it writes again

What callers would see: in the seconds after the store came back from a copy, requests to a target whose removal the daemon had known before.

Cause: an entry of the copy was taken as news of the target if its heartbeat was later than the last one known. But a removal has no number, and heartbeats that come between two reads of the changes together with the removal are never seen, so the copy may hold a later heartbeat than the daemon knows of, although it was written before the removal.

Change: of a target that was removed in an earlier era, no entry of the first whole list counts as news, only one with a later heartbeat than that list has. A target that runs writes it within its interval; an entry that stays is accepted after lateEntryTTL as before. TestCopyDoesNotUndoWhatTargetsSaid has the case and fails without the change.

--- a/core/watch/era_test.go
+++ b/core/watch/era_test.go
@@ -140,23 +140,31 @@
 // they drain, that they are gone, or that they have started again.
 func TestCopyDoesNotUndoWhatTargetsSaid(t *testing.T) {
 	g := NewWithT(t)
-	l := listOf(present("draining", entry(1, 5)), present("gone", entry(1, 5)), present("same", entry(1, 5)), present("restarted", entry(1, 5)))
+	l := listOf(
+		present("draining", entry(1, 5)), present("gone", entry(1, 5)), present("same", entry(1, 5)),
+		present("unread", entry(1, 5)), present("restarted", entry(1, 5)),
+	)
 	l.Apply(startTime, in(oldEra, watch.Delta{Since: 100, Version: 110, Changes: []watch.Change{
 		present("draining", draining(entry(1, 6))),
 		present("gone", entry(1, 6)),
 		present("restarted", entry(2, 1)),
 	}}))
-	l.Apply(startTime, in(oldEra, watch.Delta{Since: 110, Version: 112, Changes: []watch.Change{{ID: "gone"}, {ID: "same"}}}))
+	l.Apply(startTime, in(oldEra, watch.Delta{Since: 110, Version: 113, Changes: []watch.Change{{ID: "gone"}, {ID: "same"}, {ID: "unread"}}}))
 	g.Expect(targetIDs(l)).To(ConsistOf("restarted"))
 
 	out := l.Apply(startTime.Add(time.Second), in(newEra, fullRead(
-		50, present("draining", entry(1, 5)), present("gone", entry(1, 5)), present("same", entry(1, 5)), present("restarted", draining(entry(1, 5))),
+		50, present("draining", entry(1, 5)), present("gone", entry(1, 5)), present("same", entry(1, 5)),
+		present("unread", entry(1, 6)), present("restarted", draining(entry(1, 5))),
 	)))
-	g.Expect(out.EraStart.Outdated).To(Equal(4))
+	g.Expect(out.EraStart.Outdated).To(Equal(5))
 	g.Expect(l.Targets()["orders"]).To(ConsistOf(HaveField("StartMillis", int64(2))))
 
-	l.Apply(startTime.Add(2*time.Second), in(newEra, change(50, "same", entry(1, 6))))
-	g.Expect(targetIDs(l)).To(ConsistOf("restarted", "same"), "it has written again")
+	now := startTime.Add(2 * time.Second)
+	l.Apply(now, in(newEra, change(50, "unread", entry(1, 6))))
+	g.Expect(targetIDs(l)).To(ConsistOf("restarted"), "the removal came after the last heartbeat, which was not read")
+	l.Apply(now, in(newEra, change(51, "same", entry(1, 6))))
+	l.Apply(now, in(newEra, change(52, "unread", entry(1, 7))))
+	g.Expect(targetIDs(l)).To(ConsistOf("restarted", "same", "unread"), "they have written again")
 }
 
 // Guards against a target that is left out for good because the copy holds an entry that
--- a/core/watch/list.go
+++ b/core/watch/list.go
@@ -140,7 +140,7 @@
 	case r == nil:
 		l.records[c.ID] = &record{entry: *c.Entry, updatedAt: now, version: c.Version}
 		return true
-	case !r.isNewer(c.Entry):
+	case restored && r.leftBefore, !r.isNewer(c.Entry):
 		return r.setLate(lateEntry{entry: *c.Entry, restored: restored, seenAt: now, version: c.Version})
 	}
 	return l.setEntry(now, r, *c.Entry, c.Version)
--- a/core/watch/record.go
+++ b/core/watch/record.go
@@ -12,7 +12,8 @@
 	// state says whether the store still holds the entry.
 	state recordState
 	// leftBefore says that the target was removed in an earlier era of the store. The copy
-	// from which the store came back may still hold its entry.
+	// from which the store came back may still hold its entry, so that only a later one tells
+	// that the target is there.
 	leftBefore bool
 	// late is an entry that is older than entry although the store accepted it later;
 	// nil if there is none.
@@ -71,10 +72,10 @@
 
 // isNewer reports whether the entry tells more of the target than the record does.
 func (r *record) isNewer(e *Entry) bool {
-	if r.leftBefore {
-		return r.entry.isOlderThan(e)
+	if !r.leftBefore {
+		return !e.isOlderThan(&r.entry)
 	}
-	return !e.isOlderThan(&r.entry)
+	return r.entry.isOlderThan(e) && (r.late == nil || r.late.entry.isOlderThan(e))
 }
 
 // change returns the record as a change.
