Tell peers of a late entry that was accepted

What callers would see: less room, because some daemons never use a target that runs.

Cause: lists for starting daemons, and the first list of an era, leave out targets that were removed, also while the store has a late entry of them. Daemons that know of the late entry accept it after lateEntryTTL; the others are not told, since the change has no new version.

Change: an accepted entry is among the changes for peers for 5 s more. TestAcceptedLateEntryReachesPeersThatStartedMeanwhile fails without it.

Measured: go test -race -count=1 ./core/watch ./core/node passes.

--- a/core/watch/late_test.go
+++ b/core/watch/late_test.go
@@ -134,6 +134,30 @@
 	}
 }
 
+// Guards against a daemon that never uses a target, because it started while the target's entry
+// was taken for a late one: the others accept the entry, and the store does not tell of it again.
+func TestAcceptedLateEntryReachesPeersThatStartedMeanwhile(t *testing.T) {
+	g := NewWithT(t)
+	sender, started := watch.NewList(), watch.NewList()
+	sender.Apply(startTime, fullRead(1, watch.Change{ID: "t", Entry: entry(5000, 9)}))
+	sender.Apply(startTime, change(1, "t", nil))
+	sender.Apply(startTime, change(2, "t", entry(4000, 1)))
+	started.Apply(startTime, sender.Snapshot(startTime))
+	g.Expect(targetIDs(started)).To(BeEmpty())
+	sent := 0
+	for second := 1; second <= 30; second++ {
+		now := startTime.Add(time.Duration(second) * time.Second)
+		sender.Apply(now, unchanged(3))
+		since, _ := started.Position()
+		delta, ok := sender.ChangesSince(now, since)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(started.Apply(now, delta).Accepted()).To(BeTrue())
+		sent += len(delta.Changes)
+	}
+	g.Expect(started.Targets()["orders"]).To(ConsistOf(HaveField("StartMillis", int64(4000))))
+	g.Expect(sent).To(BeNumerically("<=", 6), "not for ever")
+}
+
 // Guards against requests to a target that left: its late entry was deleted, but a daemon that
 // has started since, and never knew of the target, read that and did not tell the others.
 func TestRemovalOfUnknownTargetReachesPeers(t *testing.T) {
--- a/core/watch/missing.go
+++ b/core/watch/missing.go
@@ -80,9 +80,13 @@
 			since = l.store.since
 		}
 		late := *r.late
-		if l.asOf.Sub(since) >= lateEntryTTL && l.setEntry(now, r, late.entry, late.version) {
+		if l.asOf.Sub(since) < lateEntryTTL {
+			continue
+		}
+		if l.setEntry(now, r, late.entry, late.version) {
 			changes = append(changes, Change{ID: id, Entry: &late.entry, Version: late.version})
 		}
+		r.acceptedAt = now
 	}
 	return changes
 }
--- a/core/watch/record.go
+++ b/core/watch/record.go
@@ -18,6 +18,8 @@
 	// late is an entry that is older than entry although the store accepted it later;
 	// nil if there is none.
 	late *lateEntry
+	// acceptedAt is when a late entry became entry; zero if it was not late.
+	acceptedAt time.Time
 }
 
 // lateEntry is an entry that appears to be older than the one known before. Either the
@@ -37,6 +39,10 @@
 // after three heartbeats; one that a read finds still there after that is current.
 const lateEntryTTL = 6 * time.Second
 
+// acceptanceRepeat is how long peers are told that a late entry was accepted. Those that have
+// started meanwhile do not know it, and the store does not tell of it again.
+const acceptanceRepeat = 5 * time.Second
+
 // recordState is the state of a target's entry in the store.
 type recordState uint8
 
@@ -88,6 +94,12 @@
 	return Change{ID: id, Entry: &entry, Version: r.version}
 }
 
+// changedSince reports whether peers that know the list up to the version may not know the
+// record.
+func (r *record) changedSince(version int64, now time.Time) bool {
+	return r.version > version || !r.acceptedAt.IsZero() && now.Sub(r.acceptedAt) < acceptanceRepeat
+}
+
 // lateChange returns the late entry of the record as a change if it was written after
 // the version.
 func (r *record) lateChange(id string, version int64) []Change {
--- a/core/watch/view.go
+++ b/core/watch/view.go
@@ -49,7 +49,7 @@
 	d := l.emptyDelta(now)
 	d.Since = since.Version
 	for id, r := range l.records {
-		if r.version > since.Version {
+		if r.changedSince(since.Version, now) {
 			d.Changes = append(d.Changes, r.change(id, now))
 		}
 		d.Changes = append(d.Changes, r.lateChange(id, since.Version)...)
