Begin an era also after a copy of an empty store

A list at version 0 counted as never read, so that after a copy at version 0 the next era did not begin anew: the grace period of missing targets went on from the era before. A list counts as read once it has the time of a read. Found by reading; TestCopyOfEmptyStoreIsAnEra fails without the change.

Measured: go test -race -count=1 ./core/watch ./core/node passes.

--- a/core/watch/era_test.go
+++ b/core/watch/era_test.go
@@ -181,6 +181,20 @@
 	g.Expect(targetIDs(l)).To(ConsistOf("t"))
 }
 
+// Guards against a copy of an empty store, at version 0, after which the list seems to have been
+// read never before: targets have to be kept in the next era too.
+func TestCopyOfEmptyStoreIsAnEra(t *testing.T) {
+	g := NewWithT(t)
+	l := listOf(present("live", entry(1, 5)))
+	now := startTime.Add(time.Second)
+	l.Apply(now, in(newEra, fullRead(0)))
+	g.Expect(targetIDs(l)).To(ConsistOf("live"))
+	now = now.Add(2 * time.Second)
+	g.Expect(l.Apply(now, in(watch.NewEra(3), fullRead(0))).EraStart).NotTo(BeNil())
+	l.Apply(now.Add(2*time.Second), in(watch.NewEra(3), fullRead(1)))
+	g.Expect(targetIDs(l)).To(ConsistOf("live"))
+}
+
 // Guards against a second return of the store, soon after the first one, that is not noticed
 // because it is from the same copy, or after which targets have no time to write again.
 func TestSecondCopyIsOneMoreEra(t *testing.T) {
--- a/core/watch/restore.go
+++ b/core/watch/restore.go
@@ -14,10 +14,10 @@
 	Outdated int
 }
 
-// beginsEra reports whether the delta belongs to a later era than the list. An empty list
-// has no era yet.
+// beginsEra reports whether the delta belongs to a later era than the list. A list without
+// any delta has no era yet.
 func (l *List) beginsEra(d *Delta) bool {
-	return d.Era > l.era && l.version > 0
+	return d.Era > l.era && !l.asOf.IsZero()
 }
 
 // beginEra prepares the list for the whole list of a later era, in which the store is known to
