--- a/core/node/era_test.go
+++ b/core/node/era_test.go
@@ -354,8 +354,8 @@
 	}
 }
 
-// Guards against a daemon that cannot decode messages of one with an earlier version of the
-// software, which name no era, or that answers them with a list that they cannot use.
+// Guards against daemons with an earlier version of the software that get no answer, or the whole
+// list, which they ignore: their requests for changes name no era.
 func TestRequestWithoutEraGetsChanges(t *testing.T) {
 	g := NewWithT(t)
 	n, peer := newListSender(t, g)
